--- /dev/null
+++ b/core/assign/assign.go
@@ -0,0 +1,252 @@
+// Package assign proposes who owns which slice and which instance is the home of which pool. A plan follows from the
+// document and the facts alone.
+package assign
+
+import (
+	"sort"
+	"strings"
+
+	"cuminlift/core/ownership"
+	"cuminlift/schema"
+)
+
+// Config constructs a Planner.
+type Config struct {
+	// Keyed is false for a service whose upstreams own nothing.
+	Keyed bool
+	// Spread tells services apart when homes are chosen, so that each instance gets its share.
+	Spread int
+	// SlicesPerHolder is the number of slices made for each upstream at the start, 0 for 32.
+	SlicesPerHolder int
+	// MovesPerPlan bounds the slices that one plan moves to even out load, 0 for 8.
+	MovesPerPlan int
+	// MaxGuardians bounds the number of guardians, 0 for 15.
+	MaxGuardians int
+}
+
+const (
+	defaultSlicesPerHolder = 32
+	defaultMovesPerPlan    = 8
+	defaultMaxGuardians    = 15
+)
+
+// Planner implements ownership.Planner.
+type Planner struct {
+	config Config
+}
+
+// NewPlanner returns a planner. Zero numbers in config take their defaults.
+func NewPlanner(config Config) *Planner {
+	if config.SlicesPerHolder == 0 {
+		config.SlicesPerHolder = defaultSlicesPerHolder
+	}
+	if config.MovesPerPlan == 0 {
+		config.MovesPerPlan = defaultMovesPerPlan
+	}
+	if config.MaxGuardians == 0 {
+		config.MaxGuardians = defaultMaxGuardians
+	}
+	return &Planner{
+		config: config,
+	}
+}
+
+// draft is a document that is being changed.
+type draft struct {
+	config  Config
+	facts   ownership.PlanFacts
+	next    *schema.Ownership
+	version uint64
+	reasons []string
+}
+
+// Plan returns the next document, or nil where nothing should change.
+func (p *Planner) Plan(document *schema.Ownership, facts ownership.PlanFacts) *schema.Ownership {
+	d := &draft{
+		config:  p.config,
+		facts:   facts,
+		next:    ownership.Clone(document),
+		version: document.GetVersion() + 1,
+	}
+	d.planGuardians()
+	d.planHolders()
+	d.planPools()
+	if p.config.Keyed {
+		d.planSlices()
+	}
+	if len(d.reasons) == 0 {
+		return nil
+	}
+	sort.Strings(d.reasons)
+	d.next.Reason = strings.Join(d.reasons, "; ")
+	return d.next
+}
+
+func (d *draft) because(reason string) {
+	for _, r := range d.reasons {
+		if r == reason {
+			return
+		}
+	}
+	d.reasons = append(d.reasons, reason)
+}
+
+func (d *draft) planGuardians() {
+	kept := make([]*schema.Member, 0, len(d.next.GetGuardians()))
+	present := map[string]bool{}
+	for _, m := range d.next.GetGuardians() {
+		if d.facts.Removable[m.GetId()] {
+			d.because("guardian " + m.GetId() + " ended")
+			continue
+		}
+		kept = append(kept, m)
+		present[m.GetId()] = true
+	}
+	for _, m := range d.facts.Members {
+		if !present[m.GetId()] && len(kept) < d.config.MaxGuardians {
+			d.because("guardian " + m.GetId() + " joined")
+			kept = append(kept, m)
+		}
+	}
+	sort.Slice(kept, func(i, j int) bool { return kept[i].GetId() < kept[j].GetId() })
+	d.next.Guardians = kept
+}
+
+func (d *draft) planHolders() {
+	listed := map[string]*schema.ListedUpstream{}
+	for _, u := range d.facts.Upstreams {
+		listed[u.GetName()] = u
+	}
+	used := d.usedHolders()
+	kept := make([]*schema.Holder, 0, len(d.next.GetHolders()))
+	for _, h := range d.next.GetHolders() {
+		u := listed[h.GetName()]
+		delete(listed, h.GetName())
+		if u == nil && !used[h.GetName()] && !d.facts.Alive[h.GetName()] {
+			d.because("upstream " + h.GetName() + " is gone")
+			continue
+		}
+		if u != nil && u.GetAddress() != h.GetAddress() && !used[h.GetName()] {
+			d.because("upstream " + h.GetName() + " moved to " + u.GetAddress())
+			h.Address = u.GetAddress()
+		}
+		kept = append(kept, h)
+	}
+	for _, u := range listed {
+		if u.GetLeaving() {
+			continue
+		}
+		d.because("upstream " + u.GetName() + " joined")
+		kept = append(kept, &schema.Holder{
+			Name:    u.GetName(),
+			Zone:    u.GetZone(),
+			Address: u.GetAddress(),
+			Fence:   d.version,
+		})
+	}
+	sort.Slice(kept, func(i, j int) bool { return kept[i].GetName() < kept[j].GetName() })
+	d.next.Holders = kept
+}
+
+// usedHolders returns the holders that own a slice or may still have a grant of one.
+func (d *draft) usedHolders() map[string]bool {
+	used := map[string]bool{}
+	for _, s := range d.next.GetSlices() {
+		used[s.GetOwner()] = true
+		for _, name := range s.GetPrevious() {
+			used[name] = true
+		}
+	}
+	return used
+}
+
+func (d *draft) planPools() {
+	old := map[string]*schema.Pool{}
+	for _, p := range d.next.GetPools() {
+		old[p.GetZone()] = p
+	}
+	zones := map[string]bool{}
+	for _, h := range d.next.GetHolders() {
+		zones[h.GetZone()] = true
+	}
+	pools := make([]*schema.Pool, 0, len(zones))
+	for zone := range zones {
+		pool := old[zone]
+		if pool == nil {
+			pool = &schema.Pool{
+				Zone: zone,
+			}
+		}
+		d.planHome(pool)
+		pools = append(pools, pool)
+	}
+	sort.Slice(pools, func(i, j int) bool { return pools[i].GetZone() < pools[j].GetZone() })
+	d.next.Pools = pools
+}
+
+func (d *draft) planHome(pool *schema.Pool) {
+	best := d.bestHome(pool.GetZone())
+	if best == "" || best == pool.GetHome() {
+		return
+	}
+	if d.canStay(pool.GetHome()) && !d.facts.Settled {
+		return
+	}
+	d.because("home of " + pool.GetZone() + " is " + best)
+	pool.Previous = pool.GetHome()
+	pool.Home = best
+	pool.Since = d.version
+}
+
+// bestHome returns the guardian that should be the zone's home: one of the zone where any is alive.
+func (d *draft) bestHome(zone string) string {
+	var local, remote []string
+	for _, m := range d.facts.Members {
+		if ownership.GuardianOf(d.next, m.GetId()) == nil || d.isOut("instance", m.GetName()) {
+			continue
+		}
+		if m.GetZone() == zone {
+			local = append(local, m.GetId())
+			continue
+		}
+		remote = append(remote, m.GetId())
+	}
+	if len(local) > 0 {
+		return local[d.config.Spread%len(local)]
+	}
+	if len(remote) > 0 {
+		return remote[d.config.Spread%len(remote)]
+	}
+	return ""
+}
+
+func (d *draft) canStay(id string) bool {
+	for _, m := range d.facts.Members {
+		if m.GetId() == id {
+			return true
+		}
+	}
+	return false
+}
+
+func (d *draft) isOut(kind, name string) bool {
+	for _, o := range d.facts.Out {
+		if o.GetKind() == kind && o.GetName() == name {
+			return true
+		}
+	}
+	return false
+}
+
+// usable reports whether a holder may get slices.
+func (d *draft) usable(h *schema.Holder) bool {
+	if d.facts.Down[h.GetName()] || d.isOut("upstream", h.GetName()) || d.isOut("zone", h.GetZone()) {
+		return false
+	}
+	for _, u := range d.facts.Upstreams {
+		if u.GetName() == h.GetName() {
+			return !u.GetLeaving() && u.GetAddress() == h.GetAddress()
+		}
+	}
+	return d.facts.Alive[h.GetName()]
+}
--- /dev/null
+++ b/core/estate/estate.go
@@ -0,0 +1,311 @@
+// Package estate reads and checks the operators' text, and tells how each service's traffic is treated.
+package estate
+
+import (
+	"fmt"
+	"regexp"
+	"sort"
+	"strings"
+
+	"google.golang.org/protobuf/encoding/protojson"
+
+	"cuminlift/core/admission"
+	"cuminlift/schema"
+)
+
+// Problem is one thing that is wrong with a text.
+type Problem struct {
+	// File is the text's name, and Path the place in it, as in "services[2].slots".
+	File string
+	Path string
+	// What is wrong, and Remedy what to do.
+	What   string
+	Remedy string
+}
+
+func (p *Problem) Error() string {
+	return fmt.Sprintf("%s: %s: %s: %s", p.File, p.Path, p.What, p.Remedy)
+}
+
+// TextError holds all problems of a text. Nothing of such a text is applied.
+type TextError struct {
+	Problems []*Problem
+}
+
+func (e *TextError) Error() string {
+	lines := make([]string, 0, len(e.Problems))
+	for _, p := range e.Problems {
+		lines = append(lines, p.Error())
+	}
+	return strings.Join(lines, "\n")
+}
+
+// MaxText bounds the size of a text, in bytes.
+const MaxText = 1 << 20
+
+var kebab = regexp.MustCompile(`^[a-z][a-z0-9]*(-[a-z0-9]+)*$`)
+
+// Parse reads the text of an estate. It returns a *TextError with every problem found.
+func Parse(file string, text []byte) (*schema.Estate, error) {
+	if len(text) > MaxText {
+		return nil, oneProblem(file, "text", fmt.Sprintf("is %d bytes long", len(text)),
+			fmt.Sprintf("keep it within %d bytes", MaxText))
+	}
+	estate := &schema.Estate{}
+	if err := protojson.Unmarshal(text, estate); err != nil {
+		return nil, oneProblem(file, "text", cleanError(err),
+			"correct the JSON; field names are those of docs/ESTATE.md")
+	}
+	c := &checker{
+		file:   file,
+		estate: estate,
+	}
+	c.check()
+	if len(c.problems) > 0 {
+		return nil, &TextError{
+			Problems: c.problems,
+		}
+	}
+	return estate, nil
+}
+
+// cleanError strips the library's prefix, whose white space is deliberately unstable.
+func cleanError(err error) string {
+	text := strings.ReplaceAll(err.Error(), "\u00a0", " ")
+	text = strings.TrimPrefix(text, "proto: ")
+	return strings.TrimSpace(text)
+}
+
+func oneProblem(file, path, what, remedy string) error {
+	return &TextError{
+		Problems: []*Problem{{
+			File:   file,
+			Path:   path,
+			What:   what,
+			Remedy: remedy,
+		}},
+	}
+}
+
+type checker struct {
+	file     string
+	estate   *schema.Estate
+	problems []*Problem
+}
+
+func (c *checker) add(path, what, remedy string) {
+	c.problems = append(c.problems, &Problem{
+		File:   c.file,
+		Path:   path,
+		What:   what,
+		Remedy: remedy,
+	})
+}
+
+func (c *checker) check() {
+	if !kebab.MatchString(c.estate.GetName()) {
+		c.add("name", fmt.Sprintf("%q is no kebab-case name", c.estate.GetName()), "use a name such as \"seminars\"")
+	}
+	if len(c.estate.GetServices()) == 0 {
+		c.add("services", "is missing or empty", "describe at least one service")
+	}
+	names := map[string]int{}
+	prefixes := map[string]int{}
+	for i, s := range c.estate.GetServices() {
+		path := fmt.Sprintf("services[%d]", i)
+		if first, twice := names[s.GetName()]; twice {
+			c.add(path+".name", fmt.Sprintf("%q is already the name of services[%d]", s.GetName(), first), "give each service its own name")
+		}
+		if first, twice := prefixes[s.GetPathPrefix()]; twice {
+			c.add(path+".path-prefix", fmt.Sprintf("%q is already that of services[%d]", s.GetPathPrefix(), first), "give each service its own prefix")
+		}
+		names[s.GetName()] = i
+		prefixes[s.GetPathPrefix()] = i
+		c.checkService(path, s)
+	}
+	c.checkDependencies(names)
+}
+
+func (c *checker) checkService(path string, s *schema.Service) {
+	if !kebab.MatchString(s.GetName()) {
+		c.add(path+".name", fmt.Sprintf("%q is no kebab-case name", s.GetName()), "use a name such as \"calendar\"")
+	}
+	if s.GetKind() == schema.ServiceKind_unset {
+		c.add(path+".kind", "is missing", "set it to \"check\", \"order\" or \"download\"")
+	}
+	if _, known := schema.ServiceKind_name[int32(s.GetKind())]; !known {
+		c.add(path+".kind", "is a number without a meaning", "set it to \"check\", \"order\" or \"download\"")
+	}
+	prefix := s.GetPathPrefix()
+	if len(prefix) < 3 || !strings.HasPrefix(prefix, "/") || !strings.HasSuffix(prefix, "/") {
+		c.add(path+".path-prefix", fmt.Sprintf("%q does not start and end with \"/\" around a name", prefix), "use a prefix such as \"/calendar/\"")
+	}
+	c.checkRange(path+".slots", s.GetSlots(), 1, 1024, "requests at a time")
+	c.checkRange(path+".connections", s.GetConnections(), 1, 65535, "connections")
+	c.checkRange(path+".deadline-ms", s.GetDeadlineMs(), 10, 600000, "milliseconds")
+	c.checkRange(path+".queue", s.GetQueue(), 1, 100000, "requests")
+	c.checkRange(path+".cold-start-ms", s.GetColdStartMs(), 0, 600000, "milliseconds")
+	if s.GetConnections() != 0 && s.GetConnections() < s.GetSlots() {
+		c.add(path+".connections", fmt.Sprintf("%d is less than slots (%d)", s.GetConnections(), s.GetSlots()), "allow at least one connection for each slot")
+	}
+}
+
+func (c *checker) checkRange(path string, value, low, high uint32, unit string) {
+	if value >= low && value <= high {
+		return
+	}
+	what := fmt.Sprintf("%d is outside %d to %d %s", value, low, high, unit)
+	if value == 0 {
+		what = "is missing or 0"
+	}
+	c.add(path, what, fmt.Sprintf("set it from %d to %d %s", low, high, unit))
+}
+
+func (c *checker) checkDependencies(names map[string]int) {
+	for i, s := range c.estate.GetServices() {
+		seen := map[string]bool{}
+		for j, name := range s.GetDependsOn() {
+			path := fmt.Sprintf("services[%d].depends-on[%d]", i, j)
+			if _, known := names[name]; !known {
+				c.add(path, fmt.Sprintf("%q is no service of this text", name), "name a service of \"services\", or take the entry out")
+			}
+			if seen[name] {
+				c.add(path, fmt.Sprintf("%q stands twice", name), "take one of the two out")
+			}
+			seen[name] = true
+		}
+	}
+	if cycle := findCycle(c.estate); len(cycle) > 0 {
+		path := fmt.Sprintf("services[%d].depends-on", names[cycle[0]])
+		c.add(path, "the dependencies go round: "+strings.Join(cycle, " needs "), "take one of them out")
+	}
+}
+
+// findCycle returns the names along a cycle of dependencies, the first one repeated at the end, or nil.
+func findCycle(estate *schema.Estate) []string {
+	needs := map[string][]string{}
+	for _, s := range estate.GetServices() {
+		needs[s.GetName()] = s.GetDependsOn()
+	}
+	done := map[string]bool{}
+	for _, s := range estate.GetServices() {
+		if cycle := walk(s.GetName(), needs, nil, done); cycle != nil {
+			return cycle
+		}
+	}
+	return nil
+}
+
+func walk(name string, needs map[string][]string, path []string, done map[string]bool) []string {
+	for i, earlier := range path {
+		if earlier == name {
+			return append(append([]string(nil), path[i:]...), name)
+		}
+	}
+	if done[name] {
+		return nil
+	}
+	path = append(path, name)
+	for _, n := range needs[name] {
+		if cycle := walk(n, needs, path, done); cycle != nil {
+			return cycle
+		}
+	}
+	done[name] = true
+	return nil
+}
+
+// Class returns how a service's idempotent or other requests are treated: by its kind, and by the most urgent of the
+// services that depend on it, because those wait for it.
+func Class(estate *schema.Estate, service string, idempotent bool) admission.Class {
+	if !idempotent {
+		return admission.Order
+	}
+	class := admission.Download
+	for _, s := range estate.GetServices() {
+		if s.GetName() == service || dependsOn(estate, s.GetName(), service) {
+			class = min(class, kindClass(s.GetKind()))
+		}
+	}
+	return class
+}
+
+func kindClass(kind schema.ServiceKind) admission.Class {
+	if kind == schema.ServiceKind_download {
+		return admission.Download
+	}
+	// Idempotent requests of an order service are checks of its stock; only the orders themselves go first.
+	return admission.Check
+}
+
+// dependsOn reports whether from needs to, directly or through others.
+func dependsOn(estate *schema.Estate, from, to string) bool {
+	for _, s := range estate.GetServices() {
+		if s.GetName() != from {
+			continue
+		}
+		for _, n := range s.GetDependsOn() {
+			if n == to || dependsOn(estate, n, to) {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// Find returns the service whose prefix path has, the longest one of several, or nil.
+func Find(estate *schema.Estate, path string) *schema.Service {
+	var found *schema.Service
+	for _, s := range estate.GetServices() {
+		if strings.HasPrefix(path, s.GetPathPrefix()) && len(s.GetPathPrefix()) > len(found.GetPathPrefix()) {
+			found = s
+		}
+	}
+	return found
+}
+
+// Difference lists what changes between two estates, a line each, sorted by service.
+func Difference(from, to *schema.Estate) []string {
+	var lines []string
+	before := byName(from)
+	after := byName(to)
+	for name, s := range after {
+		old := before[name]
+		if old == nil {
+			lines = append(lines, "+ "+name)
+			continue
+		}
+		a, b := protojson.Format(old), protojson.Format(s)
+		if a != b {
+			lines = append(lines, "~ "+name+": "+changedFields(old, s))
+		}
+	}
+	for name := range before {
+		if after[name] == nil {
+			lines = append(lines, "- "+name)
+		}
+	}
+	sort.Strings(lines)
+	return lines
+}
+
+func byName(estate *schema.Estate) map[string]*schema.Service {
+	services := map[string]*schema.Service{}
+	for _, s := range estate.GetServices() {
+		services[s.GetName()] = s
+	}
+	return services
+}
+
+func changedFields(a, b *schema.Service) string {
+	var changed []string
+	fields := a.ProtoReflect().Descriptor().Fields()
+	for i := range fields.Len() {
+		f := fields.Get(i)
+		before, after := a.ProtoReflect().Get(f), b.ProtoReflect().Get(f)
+		if !before.Equal(after) {
+			changed = append(changed, fmt.Sprintf("%s %v -> %v", f.JSONName(), before, after))
+		}
+	}
+	return strings.Join(changed, ", ")
+}
--- /dev/null
+++ b/core/ownership/document.go
@@ -0,0 +1,111 @@
+// Package ownership decides which upstream owns which slice of the hash space. It holds no I/O, no clock and no
+// goroutine: a Guardian takes events with their time and returns actions.
+package ownership
+
+import (
+	"sort"
+
+	"google.golang.org/protobuf/proto"
+
+	"cuminlift/schema"
+)
+
+// MaxHash is the last point of the hash space.
+const MaxHash = ^uint64(0)
+
+// Clone returns a deep copy of document.
+func Clone(document *schema.Ownership) *schema.Ownership {
+	return proto.Clone(document).(*schema.Ownership)
+}
+
+// SliceIndex returns the index of the slice that holds hash. The document must have slices.
+func SliceIndex(slices []*schema.Slice, hash uint64) int {
+	after := sort.Search(len(slices), func(i int) bool { return slices[i].GetStart() > hash })
+	return after - 1
+}
+
+// SliceEnd returns the last hash of the slice at index.
+func SliceEnd(slices []*schema.Slice, index int) uint64 {
+	if index+1 < len(slices) {
+		return slices[index+1].GetStart() - 1
+	}
+	return MaxHash
+}
+
+// HolderOf returns the holder called name, or nil.
+func HolderOf(document *schema.Ownership, name string) *schema.Holder {
+	holders := document.GetHolders()
+	i := sort.Search(len(holders), func(i int) bool { return holders[i].GetName() >= name })
+	if i < len(holders) && holders[i].GetName() == name {
+		return holders[i]
+	}
+	return nil
+}
+
+// PoolOf returns the pool of zone, or nil.
+func PoolOf(document *schema.Ownership, zone string) *schema.Pool {
+	for _, p := range document.GetPools() {
+		if p.GetZone() == zone {
+			return p
+		}
+	}
+	return nil
+}
+
+// GuardianOf returns the guardian with id, or nil.
+func GuardianOf(document *schema.Ownership, id string) *schema.Member {
+	for _, m := range document.GetGuardians() {
+		if m.GetId() == id {
+			return m
+		}
+	}
+	return nil
+}
+
+// Check returns a *DocumentError if document breaks an invariant of its schema.
+func Check(document *schema.Ownership) error {
+	slices := document.GetSlices()
+	if len(slices) > 0 && slices[0].GetStart() != 0 {
+		return &DocumentError{
+			Service: document.GetService(),
+			Problem: "the first slice does not start at 0",
+		}
+	}
+	for i := 1; i < len(slices); i++ {
+		if slices[i].GetStart() <= slices[i-1].GetStart() {
+			return &DocumentError{
+				Service: document.GetService(),
+				Problem: "slices are not sorted by start",
+			}
+		}
+	}
+	holders := document.GetHolders()
+	for i := 1; i < len(holders); i++ {
+		if holders[i].GetName() <= holders[i-1].GetName() {
+			return &DocumentError{
+				Service: document.GetService(),
+				Problem: "holders are not sorted by name",
+			}
+		}
+	}
+	for _, s := range slices {
+		if s.GetOwner() != "" && HolderOf(document, s.GetOwner()) == nil {
+			return &DocumentError{
+				Service: document.GetService(),
+				Problem: "slice owner " + s.GetOwner() + " is not a holder",
+			}
+		}
+	}
+	return nil
+}
+
+// DocumentError reports an ownership document that breaks an invariant.
+type DocumentError struct {
+	Service string
+	Problem string
+}
+
+func (e *DocumentError) Error() string {
+	return "ownership document of " + e.Service + " is malformed (" + e.Problem +
+		"): keep the last good one, and look in the audit trail for who wrote it"
+}
--- /dev/null
+++ b/core/ownership/grant.go
@@ -0,0 +1,409 @@
+package ownership
+
+import (
+	"sort"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"cuminlift/schema"
+)
+
+// upstream is what this guardian knows of one upstream from its own exchanges with it.
+type upstream struct {
+	// incarnation is the upstream's run as its replies say, first seen at begun.
+	incarnation string
+	begun       time.Duration
+	// stamp is the latest of the upstream's times, received at stampReceived in reply to a grant sent at stampSent.
+	stamp         int64
+	stampSent     time.Duration
+	stampReceived time.Duration
+	// since is when the first unanswered grant was sent, or never.
+	since time.Duration
+	// heard is when the last reply came.
+	heard time.Duration
+	// failures counts failed grants since the last reply.
+	failures int
+	sequence uint64
+	// outstanding is the grant that waits for a reply.
+	outstanding *sentGrant
+	lastSent    time.Duration
+	// lease is until when the upstream surely holds the granted ranges.
+	lease   time.Duration
+	granted []*schema.Range
+	fence   uint64
+	busy    uint32
+	// acked is the highest fence the upstream has accepted with a range list.
+	acked uint64
+	cold  bool
+}
+
+type sentGrant struct {
+	grant     *schema.Grant
+	at        time.Duration
+	stampSent time.Duration
+}
+
+func (g *Guardian) upstream(name string) *upstream {
+	u := g.upstreams[name]
+	if u == nil {
+		u = &upstream{
+			since:    never,
+			heard:    never,
+			lastSent: never,
+			lease:    never,
+		}
+		g.upstreams[name] = u
+	}
+	return u
+}
+
+// down reports whether the upstream has been silent for the suspect time although it was asked.
+func (u *upstream) down(now time.Duration, timing Timing) bool {
+	if u.since == never {
+		return false
+	}
+	if u.failures >= failuresToSuspect && u.heard <= u.since {
+		return true
+	}
+	return now-u.since >= timing.Suspect
+}
+
+// failuresToSuspect is the number of failed grants in a row after which an upstream counts as lost.
+const failuresToSuspect = 2
+
+// alive reports whether the upstream has answered lately.
+func (u *upstream) alive(now time.Duration, timing Timing) bool {
+	return u.heard != never && !u.down(now, timing)
+}
+
+// actingHome reports whether this guardian keeps the grants of a zone's pool: as its home, or in place of a lost one.
+func (g *Guardian) actingHome(zone string) bool {
+	pool := PoolOf(g.document, zone)
+	if pool == nil || !g.member() {
+		return false
+	}
+	self := g.config.Self.GetId()
+	if pool.GetHome() == self {
+		return true
+	}
+	if !g.lost(pool.GetHome()) {
+		return false
+	}
+	return g.firstAlive(zone) == self
+}
+
+// firstAlive returns the guardian that stands in for the zone's home: one of the zone if any is alive.
+func (g *Guardian) firstAlive(zone string) string {
+	best := ""
+	bestLocal := false
+	for _, m := range g.document.GetGuardians() {
+		if g.lost(m.GetId()) {
+			continue
+		}
+		local := m.GetZone() == zone
+		if best == "" || (local && !bestLocal) || (local == bestLocal && m.GetId() < best) {
+			best = m.GetId()
+			bestLocal = local
+		}
+	}
+	return best
+}
+
+// grant renews the grants of the pools that this guardian keeps.
+func (g *Guardian) grant() {
+	for _, h := range g.document.GetHolders() {
+		if g.actingHome(h.GetZone()) {
+			g.grantOne(h)
+			continue
+		}
+		delete(g.upstreams, h.GetName())
+	}
+}
+
+func (g *Guardian) grantOne(h *schema.Holder) {
+	u := g.upstream(h.GetName())
+	timing := g.config.Timing
+	if u.outstanding != nil {
+		if g.now-u.outstanding.at < timing.Suspect/2 {
+			return
+		}
+		g.noteFailure(u)
+	}
+	if !g.grantDue(h, u) {
+		return
+	}
+	u.sequence++
+	grant := &schema.Grant{
+		Service:     g.config.Service,
+		Upstream:    h.GetName(),
+		Incarnation: u.incarnation,
+		Fence:       h.GetFence(),
+		Sequence:    u.sequence,
+	}
+	ttl := g.grantTTL(h, u)
+	if ttl > 0 {
+		grant.Stamp = u.stamp
+		grant.TtlMs = ttl.Milliseconds()
+		grant.Ranges = g.grantable(h)
+	}
+	u.outstanding = &sentGrant{
+		grant:     grant,
+		at:        g.now,
+		stampSent: u.stampSent,
+	}
+	u.lastSent = g.now
+	if u.since == never {
+		u.since = g.now
+	}
+	g.emit(Action{
+		Grant: &SendGrant{
+			Address: h.GetAddress(),
+			Grant:   grant,
+		},
+	})
+}
+
+// grantDue reports whether a grant should be sent now: at the heartbeat period, and at once where the
+// upstream does not hold yet what it may, or is awaited to finish with what it lost.
+func (g *Guardian) grantDue(h *schema.Holder, u *upstream) bool {
+	since := g.now - u.lastSent
+	if since >= g.config.Timing.Heartbeat {
+		return true
+	}
+	if u.heard == never || u.failures > 0 {
+		return false
+	}
+	ttl := g.grantTTL(h, u)
+	if ttl <= 0 {
+		return false
+	}
+	if u.acked < h.GetFence() || len(u.granted) < len(g.grantable(h)) {
+		return since >= g.config.Timing.Heartbeat/20
+	}
+	return u.busy > 0 && since >= g.config.Timing.Heartbeat/10
+}
+
+// grantTTL returns how long from its stamp the upstream may hold its ranges, or 0 where only a stamp is asked for.
+func (g *Guardian) grantTTL(h *schema.Holder, u *upstream) time.Duration {
+	if u.incarnation == "" || g.evicted[h.GetName()] {
+		return 0
+	}
+	until := min(g.right(u.begun), u.stampReceived+g.config.Timing.Confirm)
+	if until <= g.now {
+		return 0
+	}
+	return g.config.Timing.shorter(until - u.stampReceived)
+}
+
+// grantable returns the ranges that h owns and that no other holder can still have a grant of.
+func (g *Guardian) grantable(h *schema.Holder) []*schema.Range {
+	var ranges []*schema.Range
+	slices := g.document.GetSlices()
+	for i, s := range slices {
+		if g.OwnerOf(s) != h.GetName() || !g.freed(s) {
+			continue
+		}
+		end := SliceEnd(slices, i)
+		if n := len(ranges); n > 0 && ranges[n-1].GetEnd()+1 == s.GetStart() && ranges[n-1].GetFence() == s.GetFence() {
+			ranges[n-1].End = end
+			continue
+		}
+		ranges = append(ranges, &schema.Range{
+			Start: s.GetStart(),
+			End:   end,
+			Fence: s.GetFence(),
+		})
+	}
+	return ranges
+}
+
+// OwnerOf returns the holder that owns s: the document's owner, or its first standby that is not evicted.
+func (g *Guardian) OwnerOf(s *schema.Slice) string {
+	if _, evicted := g.unanimous[s.GetOwner()]; !evicted {
+		return s.GetOwner()
+	}
+	for _, name := range Standbys(g.document, s) {
+		if _, evicted := g.unanimous[name]; !evicted {
+			return name
+		}
+	}
+	return ""
+}
+
+// Standbys returns the holders in the order in which they take s over, its owner first. The order follows
+// from the document alone, so that all guardians agree on it without an exchange.
+func Standbys(document *schema.Ownership, s *schema.Slice) []string {
+	names := make([]string, 0, len(document.GetHolders()))
+	for _, h := range document.GetHolders() {
+		if h.GetName() != s.GetOwner() {
+			names = append(names, h.GetName())
+		}
+	}
+	sort.Slice(names, func(i, j int) bool {
+		return standbyRank(names[i], s.GetStart()) < standbyRank(names[j], s.GetStart())
+	})
+	return append([]string{s.GetOwner()}, names...)
+}
+
+func standbyRank(name string, start uint64) uint64 {
+	digest := xxhash.New()
+	_, _ = digest.WriteString(name)
+	var bytes [8]byte
+	for i := range bytes {
+		bytes[i] = byte(start >> (8 * i))
+	}
+	_, _ = digest.Write(bytes[:])
+	return digest.Sum64()
+}
+
+// freed reports whether no earlier owner of s can still hold a grant of it.
+func (g *Guardian) freed(s *schema.Slice) bool {
+	for name, since := range g.unanimous {
+		if g.inherits(s, name) && g.now < since+g.config.Timing.TakeOverWait()+g.config.Extra {
+			return false
+		}
+	}
+	if len(s.GetPrevious()) == 0 {
+		return true
+	}
+	if g.now >= g.learned(s.GetFence())+g.config.Timing.TakeOverWait()+g.config.Extra {
+		return true
+	}
+	for _, name := range s.GetPrevious() {
+		if !g.reportedFree(name, s.GetFence()) {
+			return false
+		}
+	}
+	return true
+}
+
+// inherits reports whether evicted comes before the present owner of s in the order of take-over.
+func (g *Guardian) inherits(s *schema.Slice, evicted string) bool {
+	owner := g.OwnerOf(s)
+	if owner == s.GetOwner() {
+		return false
+	}
+	for _, name := range Standbys(g.document, s) {
+		if name == owner {
+			return false
+		}
+		if name == evicted {
+			return true
+		}
+	}
+	return false
+}
+
+// reportedFree reports whether the holder's home says that it has given up what it lost up to fence.
+func (g *Guardian) reportedFree(name string, fence uint64) bool {
+	h := HolderOf(g.document, name)
+	if h == nil {
+		return false
+	}
+	pool := PoolOf(g.document, h.GetZone())
+	if g.homeReady(pool) {
+		u := g.upstream(name)
+		return u.busy == 0 && u.acked >= fence
+	}
+	p := g.peers[pool.GetHome()]
+	if p == nil || p.view == nil || p.view.GetVersion() < fence {
+		return false
+	}
+	for _, state := range p.view.GetHolders() {
+		if state.GetHolder() == name {
+			return state.GetFence() >= fence
+		}
+	}
+	return false
+}
+
+// holderStates returns what this guardian tells of the pools that it keeps.
+func (g *Guardian) holderStates() []*schema.HolderState {
+	var states []*schema.HolderState
+	for _, h := range g.document.GetHolders() {
+		if !g.actingHome(h.GetZone()) {
+			continue
+		}
+		u := g.upstream(h.GetName())
+		state := &schema.HolderState{
+			Holder: h.GetName(),
+			Alive:  u.alive(g.now, g.config.Timing),
+		}
+		if u.busy == 0 && g.homeReady(PoolOf(g.document, h.GetZone())) {
+			state.Fence = u.acked
+		}
+		if u.heard == never && u.since == never {
+			continue
+		}
+		states = append(states, state)
+	}
+	return states
+}
+
+func (g *Guardian) onReplied(reply *schema.GrantReply) {
+	u := g.upstreams[reply.GetUpstream()]
+	if u == nil || u.outstanding == nil || u.outstanding.grant.GetSequence() != reply.GetSequence() {
+		return
+	}
+	sent := u.outstanding
+	wasDown := u.down(g.now, g.config.Timing)
+	u.outstanding = nil
+	u.failures = 0
+	u.since = never
+	u.heard = g.now
+	u.cold = reply.GetCold()
+	if reply.GetIncarnation() != u.incarnation {
+		u.restart(reply.GetIncarnation(), g.now)
+		g.dirty = true
+	}
+	u.stamp = reply.GetStamp()
+	u.stampSent = sent.at
+	u.stampReceived = g.now
+	if wasDown {
+		g.dirty = true
+	}
+	if !reply.GetAccepted() || sent.grant.GetTtlMs() <= 0 {
+		return
+	}
+	g.noteAccepted(u, sent, reply)
+}
+
+func (g *Guardian) noteAccepted(u *upstream, sent *sentGrant, reply *schema.GrantReply) {
+	ttl := time.Duration(sent.grant.GetTtlMs()) * time.Millisecond
+	if u.acked < sent.grant.GetFence() || (u.busy > 0 && reply.GetBusy() == 0) {
+		g.dirty = true
+	}
+	u.acked = sent.grant.GetFence()
+	u.busy = reply.GetBusy()
+	u.granted = sent.grant.GetRanges()
+	u.fence = sent.grant.GetFence()
+	u.lease = sent.stampSent + g.config.Timing.shorter(ttl)
+}
+
+func (u *upstream) restart(incarnation string, now time.Duration) {
+	u.incarnation = incarnation
+	u.begun = now
+	u.acked = 0
+	u.busy = 0
+	u.granted = nil
+	u.fence = 0
+	u.lease = never
+}
+
+func (g *Guardian) onFailed(name string, sequence uint64) {
+	u := g.upstreams[name]
+	if u == nil || u.outstanding == nil || u.outstanding.grant.GetSequence() != sequence {
+		return
+	}
+	g.noteFailure(u)
+}
+
+func (g *Guardian) noteFailure(u *upstream) {
+	before := u.down(g.now, g.config.Timing)
+	u.outstanding = nil
+	u.failures++
+	if !before && u.down(g.now, g.config.Timing) {
+		g.dirty = true
+	}
+}
--- /dev/null
+++ b/core/ownership/route.go
@@ -0,0 +1,139 @@
+package ownership
+
+import (
+	"time"
+
+	"cuminlift/schema"
+)
+
+// Route tells where a request for a key has to go.
+type Route struct {
+	// Upstream is the owner's name, empty where nobody owns the key.
+	Upstream string
+	// Zone is the owner's availability zone.
+	Zone string
+	// Home is the member that forwards to the owner, nil where none is known.
+	Home *schema.Member
+	// Version is the document's.
+	Version uint64
+}
+
+// Lease is this instance's right to forward requests to an upstream.
+type Lease struct {
+	Upstream string
+	Address  string
+	// Fence goes with each request, for upstreams that compare it.
+	Fence uint64
+	// Incarnation is the run of the upstream that the right is for.
+	Incarnation string
+	// Until bounds the right, on this instance's clock.
+	Until time.Duration
+	// Cold is true while the upstream says that it has just started.
+	Cold bool
+}
+
+// Version returns the version of the newest document known.
+func (g *Guardian) Version() uint64 {
+	return g.document.GetVersion()
+}
+
+// Document returns the newest document known. It must not be changed.
+func (g *Guardian) Document() *schema.Ownership {
+	return g.document
+}
+
+// Route returns where requests for hash go.
+func (g *Guardian) Route(hash uint64) Route {
+	slices := g.document.GetSlices()
+	if len(slices) == 0 {
+		return Route{
+			Version: g.Version(),
+		}
+	}
+	owner := g.OwnerOf(slices[SliceIndex(slices, hash)])
+	h := HolderOf(g.document, owner)
+	return Route{
+		Upstream: owner,
+		Zone:     h.GetZone(),
+		Home:     g.Home(h.GetZone()),
+		Version:  g.Version(),
+	}
+}
+
+// Home returns the member that forwards to a zone's pool, or nil.
+func (g *Guardian) Home(zone string) *schema.Member {
+	pool := PoolOf(g.document, zone)
+	return GuardianOf(g.document, pool.GetHome())
+}
+
+// Forwarding returns this instance's right to forward to the upstream called name, for its pool's home only.
+func (g *Guardian) Forwarding(now time.Duration, name string) (Lease, bool) {
+	g.now = max(g.now, now)
+	h := HolderOf(g.document, name)
+	u := g.upstreams[name]
+	if h == nil || u == nil || !g.homeReady(PoolOf(g.document, h.GetZone())) {
+		return Lease{}, false
+	}
+	until := min(u.lease, g.right(u.begun))
+	if until <= g.now || u.down(g.now, g.config.Timing) {
+		return Lease{}, false
+	}
+	return Lease{
+		Upstream:    name,
+		Address:     h.GetAddress(),
+		Fence:       u.fence,
+		Incarnation: u.incarnation,
+		Until:       until,
+		Cold:        u.cold,
+	}, true
+}
+
+// Owning returns the right to forward requests for hash to its owner.
+func (g *Guardian) Owning(now time.Duration, hash uint64) (Lease, bool) {
+	slices := g.document.GetSlices()
+	if len(slices) == 0 {
+		return Lease{}, false
+	}
+	s := slices[SliceIndex(slices, hash)]
+	name := g.OwnerOf(s)
+	lease, ok := g.Forwarding(now, name)
+	if !ok {
+		return Lease{}, false
+	}
+	if g.upstreams[name].acked < HolderOf(g.document, name).GetFence() {
+		return Lease{}, false
+	}
+	for _, r := range g.upstreams[name].granted {
+		if r.GetStart() <= hash && hash <= r.GetEnd() {
+			return lease, true
+		}
+	}
+	return Lease{}, false
+}
+
+// HomeReady reports whether this instance may forward to the zone's pool.
+func (g *Guardian) HomeReady(now time.Duration, zone string) bool {
+	g.now = max(g.now, now)
+	return g.homeReady(PoolOf(g.document, zone))
+}
+
+// Pools returns the zones whose pools this instance is the home of.
+func (g *Guardian) Pools() []string {
+	var zones []string
+	for _, p := range g.document.GetPools() {
+		if p.GetHome() == g.config.Self.GetId() {
+			zones = append(zones, p.GetZone())
+		}
+	}
+	return zones
+}
+
+// UpstreamLeaving reports whether the platform's list says that the upstream was told to stop.
+func (g *Guardian) UpstreamLeaving(name string) bool {
+	for _, u := range g.facts.GetUpstreams() {
+		if u.GetName() == name {
+			return u.GetLeaving()
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/core/trace/trace.go
@@ -0,0 +1,159 @@
+// Package trace reads and writes recorded inputs and outcomes, one JSON object a line, and runs the decisions again.
+package trace
+
+import (
+	"bufio"
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"strings"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"google.golang.org/protobuf/encoding/protojson"
+	"google.golang.org/protobuf/proto"
+
+	"cuminlift/core/ownership"
+	"cuminlift/schema"
+)
+
+// Format is the version of the format that this program writes, and the highest that it reads.
+const Format = 1
+
+// maxLine bounds one line, in bytes.
+const maxLine = 16 << 20
+
+// LineError reports a line that can't be used. What came before it is valid.
+type LineError struct {
+	Line    int
+	Problem string
+	Remedy  string
+}
+
+func (e *LineError) Error() string {
+	return fmt.Sprintf("trace line %d: %s: %s", e.Line, e.Problem, e.Remedy)
+}
+
+// Write writes one line.
+func Write(w io.Writer, line *schema.TraceLine) error {
+	text, err := protojson.Marshal(line)
+	if err != nil {
+		return fmt.Errorf("encode trace line: %w", err)
+	}
+	var compact bytes.Buffer
+	if err := json.Compact(&compact, text); err != nil {
+		return fmt.Errorf("encode trace line: %w", err)
+	}
+	compact.WriteByte('\n')
+	_, err = w.Write(compact.Bytes())
+	return err
+}
+
+// Read returns the lines of a trace. With a *LineError it also returns the valid lines before.
+func Read(r io.Reader) ([]*schema.TraceLine, error) {
+	scanner := bufio.NewScanner(r)
+	scanner.Buffer(make([]byte, 0, 64<<10), maxLine)
+	var lines []*schema.TraceLine
+	number := 0
+	for scanner.Scan() {
+		number++
+		if strings.TrimSpace(scanner.Text()) == "" {
+			continue
+		}
+		line, err := parseLine(number, scanner.Bytes())
+		if err != nil {
+			return lines, err
+		}
+		if n := len(lines); n > 0 && line.GetSequence() <= lines[n-1].GetSequence() {
+			return lines, &LineError{
+				Line:    number,
+				Problem: fmt.Sprintf("sequence %d follows %d", line.GetSequence(), lines[n-1].GetSequence()),
+				Remedy:  "restore the order in which the lines were written",
+			}
+		}
+		lines = append(lines, line)
+	}
+	if err := scanner.Err(); err != nil {
+		return lines, &LineError{
+			Line:    number + 1,
+			Problem: err.Error(),
+			Remedy:  "give a file that was written as a trace",
+		}
+	}
+	return lines, nil
+}
+
+func parseLine(number int, text []byte) (*schema.TraceLine, error) {
+	line := &schema.TraceLine{}
+	if err := protojson.Unmarshal(text, line); err != nil {
+		return nil, newerOrBroken(number, text, err)
+	}
+	if line.GetFormat() == 0 || line.GetFormat() > Format {
+		return nil, &LineError{
+			Line:    number,
+			Problem: fmt.Sprintf("format %d is not between 1 and %d", line.GetFormat(), Format),
+			Remedy:  "replay it with the version of cuminlift that wrote it",
+		}
+	}
+	return line, nil
+}
+
+func newerOrBroken(number int, text []byte, cause error) error {
+	remedy := "the file is cut or is no trace: record it again"
+	if json.Valid(text) {
+		remedy = "the line is foreign or of a newer version: replay it with the version of cuminlift that wrote it"
+	}
+	return &LineError{
+		Line:    number,
+		Problem: strings.ReplaceAll(cause.Error(), "\u00a0", " "),
+		Remedy:  remedy,
+	}
+}
+
+// Digest returns a short text that tells lists of actions apart.
+func Digest(actions []ownership.Action) string {
+	if len(actions) == 0 {
+		return ""
+	}
+	sum := xxhash.New()
+	for _, a := range actions {
+		switch {
+		case a.Read != nil:
+			fmt.Fprintf(sum, "read %d %d\n", a.Read.Started, a.Read.Known)
+		case a.Write != nil:
+			fmt.Fprintf(sum, "write %d\n", a.Write.Base)
+			add(sum, a.Write.Next)
+		case a.Send != nil:
+			fmt.Fprintf(sum, "send %s\n", a.Send.To.GetId())
+			add(sum, a.Send.View)
+		case a.Grant != nil:
+			fmt.Fprintf(sum, "grant %s\n", a.Grant.Address)
+			add(sum, a.Grant.Grant)
+		}
+	}
+	return fmt.Sprintf("%016x", sum.Sum64())
+}
+
+func add(w io.Writer, message proto.Message) {
+	content, err := proto.MarshalOptions{
+		Deterministic: true,
+	}.Marshal(message)
+	if err == nil {
+		_, _ = w.Write(content)
+	}
+}
+
+// TimingOf returns the timing as a trace records it.
+func TimingOf(t ownership.Timing, extra time.Duration, keyed bool) *schema.Timing {
+	return &schema.Timing{
+		HeartbeatMs: t.Heartbeat.Milliseconds(),
+		SuspectMs:   t.Suspect.Milliseconds(),
+		ConfirmMs:   t.Confirm.Milliseconds(),
+		PromiseMs:   t.Promise.Milliseconds(),
+		DriftPpm:    t.DriftPPM,
+		PollMs:      t.Poll.Milliseconds(),
+		ExtraMs:     extra.Milliseconds(),
+		Keyed:       keyed,
+	}
+}
--- /dev/null
+++ b/internal/daemon/audit.go
@@ -0,0 +1,144 @@
+package daemon
+
+import (
+	"context"
+	"fmt"
+	"strings"
+	"sync"
+	"time"
+
+	"google.golang.org/protobuf/encoding/protojson"
+	"google.golang.org/protobuf/proto"
+
+	"cuminlift/schema"
+)
+
+const (
+	// auditKept bounds the records that wait for the platform. The oldest are counted and dropped; records of accepted
+	// changes never wait, they are written in the change's own transaction.
+	auditKept = 4096
+	// auditPeriod is how often records are written.
+	auditPeriod = 2 * time.Second
+)
+
+// auditor keeps the records of what changes without a transaction of its own: membership, admission, shedding.
+type auditor struct {
+	daemon  *Daemon
+	mutex   sync.Mutex
+	records []*schema.AuditRecord
+	dropped int
+	batch   int
+}
+
+func newAuditor(d *Daemon) *auditor {
+	return &auditor{
+		daemon: d,
+	}
+}
+
+// note adds a record.
+func (a *auditor) note(subject, from, to, reason string) {
+	a.mutex.Lock()
+	defer a.mutex.Unlock()
+	if len(a.records) >= auditKept {
+		a.records = a.records[1:]
+		a.dropped++
+	}
+	a.records = append(a.records, &schema.AuditRecord{
+		AtMs:    time.Now().UnixMilli(),
+		Author:  a.daemon.self.GetId(),
+		Subject: subject,
+		From:    from,
+		To:      to,
+		Reason:  reason,
+		Result:  "observed",
+	})
+}
+
+func (a *auditor) run(ctx context.Context) error {
+	ticker := time.NewTicker(auditPeriod)
+	defer ticker.Stop()
+	states := map[string]bool{}
+	for {
+		select {
+		case <-ctx.Done():
+			last, cancel := context.WithTimeout(context.Background(), time.Second)
+			a.write(last)
+			cancel()
+			return nil
+		case <-ticker.C:
+			a.noteMembers(states)
+			a.write(ctx)
+		}
+	}
+}
+
+// noteMembers records members that came or fell silent since the last look.
+func (a *auditor) noteMembers(states map[string]bool) {
+	for _, s := range a.daemon.members.states(a.daemon.clock.Now()) {
+		was, known := states[s.Member.GetId()]
+		if known && was == s.Alive {
+			continue
+		}
+		states[s.Member.GetId()] = s.Alive
+		a.note("membership/"+s.Member.GetId(), aliveText(known, was), aliveText(true, s.Alive), "heartbeats")
+	}
+}
+
+func aliveText(known, alive bool) string {
+	switch {
+	case !known:
+		return "unknown"
+	case alive:
+		return "alive"
+	}
+	return "silent"
+}
+
+func (a *auditor) write(ctx context.Context) {
+	a.mutex.Lock()
+	records := a.records
+	a.records = nil
+	a.mutex.Unlock()
+	if len(records) == 0 {
+		return
+	}
+	var text strings.Builder
+	for _, r := range records {
+		line, err := protojson.Marshal(r)
+		if err == nil {
+			text.Write(line)
+			text.WriteByte('\n')
+		}
+	}
+	name := fmt.Sprintf("audit/%s/%08d", a.daemon.self.GetId(), a.batch)
+	if err := a.daemon.objects.Put(ctx, name, []byte(text.String())); err != nil {
+		a.mutex.Lock()
+		a.records = append(records, a.records...)
+		if over := len(a.records) - auditKept; over > 0 {
+			a.records = a.records[over:]
+			a.dropped += over
+		}
+		a.mutex.Unlock()
+		return
+	}
+	a.batch++
+}
+
+// readAudit returns the records of accepted changes whose key has prefix, oldest first for one subject.
+func (d *Daemon) readAudit(ctx context.Context, prefix string) ([]*schema.AuditRecord, error) {
+	reply, err := d.table.Read(ctx, &schema.ReadRequest{
+		Prefixes: []string{auditPrefix + prefix},
+	})
+	if err != nil {
+		return nil, err
+	}
+	var records []*schema.AuditRecord
+	for _, row := range reply.GetRows() {
+		record := &schema.AuditRecord{}
+		if proto.Unmarshal(row.GetValue(), record) == nil {
+			records = append(records, record)
+		}
+	}
+	return records, nil
+}
--- /dev/null
+++ b/internal/daemon/caller.go
@@ -0,0 +1,463 @@
+package daemon
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"cuminlift/core/admission"
+	"cuminlift/core/estate"
+	"cuminlift/core/request"
+	"cuminlift/internal/metrics"
+	"cuminlift/schema"
+)
+
+const (
+	// maxBody bounds a caller's body, in bytes. Bodies are read whole before anything is sent, so that a cut body
+	// never reaches an upstream.
+	maxBody = 1 << 20
+	// headerTimeout bounds the time in which a caller sends its header.
+	headerTimeout = 5 * time.Second
+	// idleTimeout ends a caller's idle connection.
+	idleTimeout = 2 * time.Minute
+	// writeStall ends an answer whose caller takes nothing for so long.
+	writeStall = 20 * time.Second
+	// rerouteWait is the wait before a call looks for its home again.
+	rerouteWait = 5 * time.Millisecond
+)
+
+// serveCaller takes a caller's request to its final answer.
+func (d *Daemon) serveCaller(w http.ResponseWriter, r *http.Request) {
+	d.metrics.Add(metrics.Requests, 1)
+	d.active.Add(1)
+	defer d.active.Add(-1)
+	c, f := d.newCall(w, r)
+	if f != nil {
+		d.refuse(w, f)
+		return
+	}
+	if !d.gate.enter(c.class) {
+		d.refuse(w, notRun(reasonBusy, time.Second))
+		return
+	}
+	defer d.gate.leave(c.class)
+	ctx, cancel := context.WithDeadline(r.Context(), c.deadline)
+	defer cancel()
+	if !c.idempotent && c.repeatKey != "" {
+		d.serveClaimed(ctx, w, c)
+		return
+	}
+	a, f := d.route(ctx, c)
+	if f != nil {
+		d.refuse(w, f)
+		return
+	}
+	d.pass(w, c, a)
+}
+
+func (d *Daemon) refuse(w http.ResponseWriter, f *refusal) {
+	if f.knowledge == request.NotRun {
+		d.metrics.Add(metrics.RefusedNotRun, 1)
+	} else {
+		d.metrics.Add(metrics.RefusedUnknown, 1)
+	}
+	f.write(w, d.self.GetName())
+}
+
+// newCall reads the request. It returns a refusal for one that can't be served.
+func (d *Daemon) newCall(w http.ResponseWriter, r *http.Request) (*call, *refusal) {
+	current := d.current.Load()
+	if current == nil {
+		return nil, notRun(reasonConfiguration, time.Second)
+	}
+	spec := estate.Find(current.estate, r.URL.Path)
+	if spec == nil {
+		f := notRun(reasonNoService, time.Minute)
+		f.status = http.StatusNotFound
+		return nil, f
+	}
+	c := &call{
+		id:         r.Header.Get(headerRequest),
+		service:    current.services[spec.GetName()],
+		idempotent: idempotent(r.Method),
+		method:     r.Method,
+		uri:        r.URL.RequestURI(),
+		header:     r.Header,
+		repeatKey:  r.Header.Get(headerRepeatKey),
+	}
+	c.class = estate.Class(current.estate, spec.GetName(), c.idempotent)
+	c.id = d.newRequestID(c)
+	if spec.GetKeyed() {
+		c.hash = xxhash.Sum64String(requestKey(spec, r))
+	}
+	if f := c.setDeadline(spec, r.Header.Get(headerDeadline)); f != nil {
+		return nil, f
+	}
+	return c, c.readBody(w, r)
+}
+
+// idempotent reports whether a method may run more than once. PUT and DELETE are taken at their word only by callers.
+func idempotent(method string) bool {
+	return method == http.MethodGet || method == http.MethodHead || method == http.MethodOptions
+}
+
+// newRequestID names the call. Repeats with one idempotency key get one name, so that an upstream can tell them.
+func (d *Daemon) newRequestID(c *call) string {
+	if c.repeatKey != "" && !c.idempotent {
+		return fmt.Sprintf("key-%016x", xxhash.Sum64String(c.service.name+"/"+c.repeatKey))
+	}
+	return d.self.GetId() + "-" + strconv.FormatUint(d.sequence.Add(1), 16)
+}
+
+// requestKey returns the key of a request: its header, or else the first part of the path after the prefix.
+func requestKey(spec *schema.Service, r *http.Request) string {
+	if key := r.Header.Get(headerKey); key != "" {
+		return key
+	}
+	rest := strings.TrimPrefix(r.URL.Path, spec.GetPathPrefix())
+	key, _, _ := strings.Cut(rest, "/")
+	return key
+}
+
+func (c *call) setDeadline(spec *schema.Service, header string) *refusal {
+	limit := time.Duration(spec.GetDeadlineMs()) * time.Millisecond
+	if header != "" {
+		ms, err := strconv.ParseInt(header, 10, 64)
+		if err != nil || ms <= 0 {
+			f := notRun(reasonBadDeadline, time.Minute)
+			f.status = http.StatusBadRequest
+			return f
+		}
+		limit = min(limit, time.Duration(min(ms, limit.Milliseconds()))*time.Millisecond)
+	}
+	c.deadline = time.Now().Add(limit)
+	return nil
+}
+
+func (c *call) readBody(w http.ResponseWriter, r *http.Request) *refusal {
+	if r.Body == nil || r.Body == http.NoBody {
+		return nil
+	}
+	_ = http.NewResponseController(w).SetReadDeadline(c.deadline)
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBody))
+	_ = http.NewResponseController(w).SetReadDeadline(time.Time{})
+	var large *http.MaxBytesError
+	if errors.As(err, &large) {
+		f := notRun(reasonBodySize, time.Minute)
+		f.status = http.StatusRequestEntityTooLarge
+		return f
+	}
+	if err != nil {
+		f := notRun(reasonBody, time.Second)
+		f.status = http.StatusBadRequest
+		return f
+	}
+	c.body = body
+	return nil
+}
+
+// route takes the call to the home of its pool. A call that is known not to have run is sent on to another home, or
+// to the same one once it is ready, as long as a planned hand-over lasts.
+func (d *Daemon) route(ctx context.Context, c *call) (*answer, *refusal) {
+	began := time.Now()
+	tried := map[string]bool{}
+	last := notRun(reasonNoHome, d.config.Timing.Confirm)
+	for {
+		home, zone := d.chooseHome(c, tried)
+		if home != nil {
+			a, f := d.try(ctx, c, home, zone)
+			if f == nil || !f.elsewhere {
+				return a, f
+			}
+			last = f
+			tried[zone] = true
+		}
+		if !d.anyLeft(c, tried) {
+			if time.Since(began) >= holdLimit || !worthWaiting(last) {
+				return nil, last
+			}
+			clear(tried)
+			select {
+			case <-ctx.Done():
+				return nil, last
+			case <-time.After(rerouteWait):
+			}
+		}
+	}
+}
+
+// worthWaiting reports whether a refusal is one that a hand-over in progress ends soon.
+func worthWaiting(f *refusal) bool {
+	switch f.reason {
+	case reasonNotHome, reasonNoHome, reasonNoOwner, reasonHopLost, admission.Stopping.String():
+		return true
+	}
+	return false
+}
+
+// chooseHome returns the home to try next and the zone of its pool, or nil where none is known.
+func (d *Daemon) chooseHome(c *call, tried map[string]bool) (*schema.Member, string) {
+	if c.spec().GetKeyed() {
+		route := c.service.route(c.hash)
+		if route.Home == nil {
+			return nil, ""
+		}
+		return route.Home, route.Zone
+	}
+	document := c.service.document()
+	current := d.current.Load()
+	best := ""
+	for _, p := range document.GetPools() {
+		zone := p.GetZone()
+		if tried[zone] || current.isOut("zone", zone) {
+			continue
+		}
+		if best == "" || zone == d.settings.GetZone() {
+			best = zone
+		}
+	}
+	if best == "" {
+		return nil, ""
+	}
+	return memberOf(document, best), best
+}
+
+func memberOf(document *schema.Ownership, zone string) *schema.Member {
+	for _, p := range document.GetPools() {
+		if p.GetZone() != zone {
+			continue
+		}
+		for _, m := range document.GetGuardians() {
+			if m.GetId() == p.GetHome() {
+				return m
+			}
+		}
+	}
+	return nil
+}
+
+// anyLeft reports whether a service without keys has a zone that was not tried.
+func (d *Daemon) anyLeft(c *call, tried map[string]bool) bool {
+	if c.spec().GetKeyed() {
+		return false
+	}
+	_, zone := d.chooseHome(c, tried)
+	return zone != ""
+}
+
+func (d *Daemon) try(ctx context.Context, c *call, home *schema.Member, zone string) (*answer, *refusal) {
+	if home.GetId() == d.self.GetId() {
+		return d.serveHome(ctx, c, zone)
+	}
+	return d.hopTo(ctx, c, home, zone)
+}
+
+// hopTo passes the call on to the instance that is the home of the zone's pool.
+func (d *Daemon) hopTo(ctx context.Context, c *call, home *schema.Member, zone string) (*answer, *refusal) {
+	d.metrics.Add(metrics.Forwarded, 1)
+	if d.config.Allow != nil && !d.config.Allow(home.GetForward()) {
+		f := notRun(reasonHopLost, d.config.Timing.Confirm)
+		f.elsewhere = true
+		return nil, f
+	}
+	connected := false
+	traced := httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+		GotConn: func(httptrace.GotConnInfo) { connected = true },
+	})
+	outgoing, err := http.NewRequestWithContext(traced, c.method, "https://"+home.GetForward()+c.uri, bytes.NewReader(c.body))
+	if err != nil {
+		return nil, notRun(reasonNoHome, time.Second)
+	}
+	copyHeader(outgoing.Header, c.header)
+	c.setHop(outgoing.Header, zone)
+	response, err := d.hop.RoundTrip(outgoing)
+	if err != nil {
+		return nil, d.hopFailure(ctx, c, connected)
+	}
+	if f := readRefusal(response); f != nil {
+		_, _ = io.Copy(io.Discard, io.LimitReader(response.Body, maxHeader))
+		_ = response.Body.Close()
+		return nil, f
+	}
+	return &answer{
+		response: response,
+		done:     func(admission.Result) { _ = response.Body.Close() },
+	}, nil
+}
+
+func (d *Daemon) hopFailure(ctx context.Context, c *call, connected bool) *refusal {
+	f := notRun(reasonHopLost, d.config.Timing.Confirm)
+	if !connected {
+		f.elsewhere = true
+		return f
+	}
+	f.knowledge = request.Unknown
+	f.status = http.StatusBadGateway
+	f.elsewhere = c.idempotent && ctx.Err() == nil
+	if ctx.Err() != nil {
+		f.reason = reasonDeadline
+		f.status = http.StatusGatewayTimeout
+	}
+	return f
+}
+
+func (c *call) setHop(h http.Header, zone string) {
+	h.Set(headerRequest, c.id)
+	h.Set(headerService, c.service.name)
+	h.Set(headerZone, zone)
+	h.Set(headerHash, strconv.FormatUint(c.hash, 16))
+	h.Set(headerClass, c.class.String())
+	h.Set(headerDeadline, strconv.FormatInt(c.remaining(), 10))
+	h.Set(headerIdempotent, strconv.FormatBool(c.idempotent))
+}
+
+// serveForward takes a call that another instance passed on.
+func (d *Daemon) serveForward(w http.ResponseWriter, r *http.Request) {
+	s := d.service(r.Header.Get(headerService))
+	if s == nil {
+		notRun(reasonNoService, d.config.Timing.Heartbeat).write(w, d.self.GetName())
+		return
+	}
+	hash, err := strconv.ParseUint(r.Header.Get(headerHash), 16, 64)
+	if err != nil {
+		f := notRun(reasonBody, time.Minute)
+		f.status = http.StatusBadRequest
+		f.write(w, d.self.GetName())
+		return
+	}
+	c := &call{
+		id:         r.Header.Get(headerRequest),
+		service:    s,
+		class:      parseClass(r.Header.Get(headerClass)),
+		idempotent: r.Header.Get(headerIdempotent) == "true" && idempotent(r.Method),
+		hash:       hash,
+		method:     r.Method,
+		uri:        r.URL.RequestURI(),
+		header:     r.Header,
+	}
+	f := c.setDeadline(s.treatment(), r.Header.Get(headerDeadline))
+	if f == nil {
+		f = c.readBody(w, r)
+	}
+	if f != nil {
+		f.write(w, d.self.GetName())
+		return
+	}
+	ctx, cancel := context.WithDeadline(r.Context(), c.deadline)
+	defer cancel()
+	a, f := d.serveHome(ctx, c, r.Header.Get(headerZone))
+	if f != nil {
+		f.write(w, d.self.GetName())
+		return
+	}
+	d.pass(w, c, a)
+}
+
+// pass copies an upstream's answer to the caller. An answer that ends early is cut off, so that it never looks whole.
+func (d *Daemon) pass(w http.ResponseWriter, c *call, a *answer) {
+	result := admission.Failed
+	defer func() { a.done(result) }()
+	copyHeader(w.Header(), a.response.Header)
+	w.Header().Set(headerRequest, c.id)
+	w.Header().Set(headerOutcome, request.Ran.String())
+	if a.response.ContentLength >= 0 {
+		w.Header().Set("Content-Length", strconv.FormatInt(a.response.ContentLength, 10))
+	}
+	w.WriteHeader(a.response.StatusCode)
+	caller, err := copyBody(w, a.response.Body)
+	if err == nil {
+		result = admission.Answered
+		return
+	}
+	if caller {
+		result = admission.Abandoned
+	} else {
+		d.metrics.Add(metrics.CutAnswers, 1)
+		d.logs.For("caller").WithError(err).WithField("request", c.id).Warn("answer is cut")
+	}
+	panic(http.ErrAbortHandler)
+}
+
+// copyBody copies in pieces. caller is true where the failure is the caller's.
+func copyBody(w http.ResponseWriter, body io.Reader) (caller bool, err error) {
+	controller := http.NewResponseController(w)
+	buffer := make([]byte, copyBuffer)
+	for {
+		n, readErr := body.Read(buffer)
+		if n > 0 {
+			if n == len(buffer) {
+				_ = controller.SetWriteDeadline(time.Now().Add(writeStall))
+			}
+			if _, err := w.Write(buffer[:n]); err != nil {
+				return true, err
+			}
+		}
+		if errors.Is(readErr, io.EOF) {
+			return false, nil
+		}
+		if readErr != nil {
+			return false, readErr
+		}
+	}
+}
+
+const copyBuffer = 16 << 10
+
+// hopByHop are the headers that belong to one connection, and those that only cuminlift sets.
+var hopByHop = map[string]bool{
+	"Connection":          true,
+	"Keep-Alive":          true,
+	"Proxy-Authenticate":  true,
+	"Proxy-Authorization": true,
+	"Proxy-Connection":    true,
+	"Te":                  true,
+	"Trailer":             true,
+	"Transfer-Encoding":   true,
+	"Upgrade":             true,
+	"Content-Length":      true,
+	// With one of these net/http would send a request again on its own.
+	headerRepeatKey:  true,
+	headerRepeatKeyX: true,
+}
+
+// copyHeader copies what is meant for the other end.
+func copyHeader(to, from http.Header) {
+	for name, values := range from {
+		if hopByHop[name] || strings.HasPrefix(name, "Cuminlift-") || namedByConnection(from, name) {
+			continue
+		}
+		to[name] = values
+	}
+}
+
+func namedByConnection(h http.Header, name string) bool {
+	for _, v := range h["Connection"] {
+		if strings.Contains(strings.ToLower(v), strings.ToLower(name)) {
+			return true
+		}
+	}
+	return false
+}
+
+func (d *Daemon) newHop() *http.Transport {
+	return &http.Transport{
+		MaxIdleConnsPerHost:    256,
+		IdleConnTimeout:        time.Minute,
+		DisableCompression:     true,
+		MaxResponseHeaderBytes: 2 * maxHeader,
+		TLSClientConfig:        d.identity.Client("http/1.1"),
+		DialContext: (&net.Dialer{
+			Timeout: d.config.Timing.Suspect / 2,
+		}).DialContext,
+	}
+}
--- /dev/null
+++ b/internal/daemon/members.go
@@ -0,0 +1,196 @@
+package daemon
+
+import (
+	"sort"
+	"sync"
+	"time"
+
+	"cuminlift/schema"
+)
+
+// members is what this instance knows of all instances: from the table's rows and from heartbeats.
+type members struct {
+	self  *schema.Member
+	mutex sync.Mutex
+	known map[string]*knownMember
+	dead  map[string]bool
+}
+
+type knownMember struct {
+	member        *schema.Member
+	heard         time.Duration
+	asked         time.Duration
+	configuration uint64
+	leaving       bool
+}
+
+const (
+	// quietAfter is the silence after which a member is asked less often.
+	quietAfter = 5 * time.Second
+	// quietPeriod is how often such a member is asked.
+	quietPeriod = 2 * time.Second
+	// maxMembers bounds the members kept; those longest silent go first.
+	maxMembers = 4096
+)
+
+func newMembers(self *schema.Member) *members {
+	return &members{
+		self:  self,
+		known: map[string]*knownMember{},
+		dead:  map[string]bool{},
+	}
+}
+
+// learn takes a member from the table.
+func (m *members) learn(member *schema.Member) {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	m.add(member)
+}
+
+// add returns the entry for member, or nil for one that has ended. A member with the peers address of another has
+// taken its place: two processes can't hold one address, and ids grow with the time of start.
+func (m *members) add(member *schema.Member) *knownMember {
+	if member.GetId() == "" || member.GetId() == m.self.GetId() || m.dead[member.GetId()] {
+		return nil
+	}
+	if member.GetPeers() == m.self.GetPeers() {
+		m.bury(member.GetId())
+		return nil
+	}
+	if k := m.known[member.GetId()]; k != nil {
+		return k
+	}
+	for id, other := range m.known {
+		if other.member.GetPeers() != member.GetPeers() || other.member.GetName() != member.GetName() {
+			continue
+		}
+		if id > member.GetId() {
+			m.bury(member.GetId())
+			return nil
+		}
+		m.bury(id)
+	}
+	if len(m.known) >= maxMembers {
+		m.dropSilent()
+	}
+	k := &knownMember{
+		member: member,
+	}
+	m.known[member.GetId()] = k
+	return k
+}
+
+func (m *members) bury(id string) {
+	delete(m.known, id)
+	if len(m.dead) >= maxMembers {
+		clear(m.dead)
+	}
+	m.dead[id] = true
+}
+
+func (m *members) dropSilent() {
+	longest := ""
+	for id, k := range m.known {
+		if longest == "" || k.heard < m.known[longest].heard {
+			longest = id
+		}
+	}
+	delete(m.known, longest)
+}
+
+// heard takes note of a heartbeat.
+func (m *members) heard(now time.Duration, h *schema.Heartbeat) {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	k := m.add(h.GetFrom())
+	if k == nil {
+		return
+	}
+	k.heard = now
+	k.configuration = h.GetConfigurationVersion()
+	k.leaving = h.GetLeaving()
+}
+
+// targets returns the members to send a heartbeat to now.
+func (m *members) targets(now time.Duration) []*schema.Member {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	var targets []*schema.Member
+	for _, k := range m.known {
+		quiet := k.heard == 0 || now-k.heard > quietAfter
+		if quiet && k.asked != 0 && now-k.asked < quietPeriod {
+			continue
+		}
+		k.asked = now
+		targets = append(targets, k.member)
+	}
+	return targets
+}
+
+// alive returns the members heard lately, sorted by id.
+func (m *members) alive(now time.Duration) []*schema.Member {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	var alive []*schema.Member
+	for _, k := range m.known {
+		if k.heard != 0 && now-k.heard <= quietAfter {
+			alive = append(alive, k.member)
+		}
+	}
+	sort.Slice(alive, func(i, j int) bool { return alive[i].GetId() < alive[j].GetId() })
+	return alive
+}
+
+// ended returns the ids of members that are proved to have ended, sorted.
+func (m *members) ended() []string {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	ids := make([]string, 0, len(m.dead))
+	for id := range m.dead {
+		ids = append(ids, id)
+	}
+	sort.Strings(ids)
+	return ids
+}
+
+// forget declares a member ended, on an operator's word.
+func (m *members) forget(id string) {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	m.bury(id)
+}
+
+// configuration returns the version that a member has in force, as of its last heartbeat.
+func (m *members) configuration(id string) uint64 {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	if k := m.known[id]; k != nil {
+		return k.configuration
+	}
+	return 0
+}
+
+// MemberState is one member as this instance sees it.
+type MemberState struct {
+	Member        *schema.Member
+	Alive         bool
+	Leaving       bool
+	Configuration uint64
+}
+
+func (m *members) states(now time.Duration) []MemberState {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	var states []MemberState
+	for _, k := range m.known {
+		states = append(states, MemberState{
+			Member:        k.member,
+			Alive:         k.heard != 0 && now-k.heard <= quietAfter/2,
+			Leaving:       k.leaving,
+			Configuration: k.configuration,
+		})
+	}
+	sort.Slice(states, func(i, j int) bool { return states[i].Member.GetId() < states[j].Member.GetId() })
+	return states
+}
--- /dev/null
+++ b/internal/daemon/pool.go
@@ -0,0 +1,277 @@
+package daemon
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"cuminlift/core/admission"
+	"cuminlift/core/retry"
+	"cuminlift/internal/metrics"
+	"cuminlift/schema"
+)
+
+// pool runs the admission of one service's upstreams in one zone, on the instance that is its home.
+type pool struct {
+	service *service
+	zone    string
+	mutex   sync.Mutex
+	pool    *admission.Pool
+	waiters map[uint64]*waiter
+	next    uint64
+	timer   *time.Timer
+	// lost is true while another instance is the home.
+	lost bool
+	// known holds the upstreams that the pool was told of.
+	known map[string]bool
+	// hashes holds the key of each attempt in progress, by upstream.
+	hashes map[string]map[uint64]uint64
+}
+
+// waiter is a request that waits for its turn.
+type waiter struct {
+	id       uint64
+	ticket   *admission.Ticket
+	hash     uint64
+	dispatch chan admission.Dispatch
+	refusal  chan admission.Refusal
+}
+
+// holdLimit bounds the wait for an owner while none is usable: longer than a planned hand-over, shorter than a loss.
+const holdLimit = 400 * time.Millisecond
+
+const hedgeShare = 0.05
+
+func newPool(s *service, zone string) *pool {
+	p := &pool{
+		service: s,
+		zone:    zone,
+		waiters: map[uint64]*waiter{},
+		known:   map[string]bool{},
+		hashes:  map[string]map[uint64]uint64{},
+	}
+	p.pool = admission.NewPool(poolConfig(s.treatment()))
+	p.timer = time.AfterFunc(time.Hour, p.poll)
+	return p
+}
+
+func poolConfig(spec *schema.Service) admission.Config {
+	return admission.Config{
+		Slots:      int(spec.GetSlots()),
+		Queue:      int(spec.GetQueue()),
+		Cold:       time.Duration(spec.GetColdStartMs()) * time.Millisecond,
+		HoldLimit:  holdLimit,
+		RetryShare: retry.DefaultShare,
+		HedgeShare: hedgeShare,
+	}
+}
+
+// setSpec changes the treatment of a service that runs already.
+func (s *service) setSpec(spec *schema.Service) {
+	s.spec.Store(spec)
+	s.poolMutex.Lock()
+	defer s.poolMutex.Unlock()
+	for _, p := range s.pools {
+		p.mutex.Lock()
+		p.pool.Configure(poolConfig(spec))
+		p.mutex.Unlock()
+	}
+}
+
+// update tells the admission which upstreams this instance may send to.
+func (p *pool) update(now time.Duration, document *schema.Ownership) {
+	c := p.service.daemon.current.Load()
+	zoneOut := c != nil && c.isOut("zone", p.zone)
+	p.mutex.Lock()
+	p.lost = false
+	present := map[string]bool{}
+	for _, h := range document.GetHolders() {
+		if h.GetZone() != p.zone {
+			continue
+		}
+		present[h.GetName()] = true
+		p.known[h.GetName()] = true
+		p.service.mutex.Lock()
+		lease, ok := p.service.guardian.Forwarding(now, h.GetName())
+		leaving := p.service.guardian.UpstreamLeaving(h.GetName())
+		p.service.mutex.Unlock()
+		out := zoneOut || (c != nil && c.isOut("upstream", h.GetName()))
+		p.pool.SetUpstream(now, admission.UpstreamState{
+			Name:        h.GetName(),
+			Usable:      ok,
+			Incarnation: lease.Incarnation,
+			Cold:        lease.Cold,
+			Leaving:     (out || leaving) && !p.service.treatment().GetKeyed(),
+		})
+	}
+	for name := range p.known {
+		if !present[name] {
+			p.pool.SetUpstream(now, admission.UpstreamState{
+				Name: name,
+			})
+			p.pool.Remove(name)
+			delete(p.known, name)
+		}
+	}
+	p.mutex.Unlock()
+	p.poll()
+}
+
+// lose gives what waits back to be sent to the new home. What is in progress finishes.
+func (p *pool) lose(now time.Duration) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	if p.lost {
+		return
+	}
+	p.lost = true
+	for name := range p.known {
+		p.pool.SetUpstream(now, admission.UpstreamState{
+			Name: name,
+		})
+	}
+	for id, w := range p.waiters {
+		if p.pool.Cancel(id) {
+			w.refusal <- admission.Refusal{
+				Ticket: w.ticket,
+				Reason: admission.Stopping,
+			}
+			delete(p.waiters, id)
+		}
+	}
+}
+
+func (p *pool) idle() bool {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	return p.pool.Idle()
+}
+
+func (p *pool) busyOutside(grant *schema.Grant) uint32 {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	var busy uint32
+	for _, hash := range p.hashes[grant.GetUpstream()] {
+		if !covers(grant.GetRanges(), hash) {
+			busy++
+		}
+	}
+	return busy
+}
+
+func covers(ranges []*schema.Range, hash uint64) bool {
+	for _, r := range ranges {
+		if r.GetStart() <= hash && hash <= r.GetEnd() {
+			return true
+		}
+	}
+	return false
+}
+
+// submit queues a request. Its waiter gets a dispatch or a refusal.
+func (p *pool) submit(ticket *admission.Ticket, hash uint64) *waiter {
+	p.mutex.Lock()
+	p.next++
+	ticket.ID = p.next
+	w := &waiter{
+		id:       ticket.ID,
+		ticket:   ticket,
+		hash:     hash,
+		dispatch: make(chan admission.Dispatch, 4),
+		refusal:  make(chan admission.Refusal, 4),
+	}
+	p.waiters[w.id] = w
+	p.deliverRefusals(p.pool.Submit(p.service.daemon.clock.Now(), ticket))
+	p.mutex.Unlock()
+	p.poll()
+	return w
+}
+
+func (p *pool) deliverRefusals(refusals []admission.Refusal) {
+	for _, r := range refusals {
+		if w := p.waiters[r.Ticket.ID]; w != nil {
+			delete(p.waiters, r.Ticket.ID)
+			w.refusal <- r
+		}
+	}
+}
+
+// poll dispatches what can be, and sets the time of the next look.
+func (p *pool) poll() {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	now := p.service.daemon.clock.Now()
+	decisions := p.pool.Poll(now)
+	p.deliverRefusals(decisions.Refusals)
+	for _, d := range decisions.Dispatches {
+		w := p.waiters[d.Ticket.ID]
+		if w == nil {
+			p.pool.Finish(now, d.Ticket.ID, d.Upstream, admission.Abandoned, 0)
+			continue
+		}
+		p.noteHash(d.Upstream, w.id, w.hash)
+		w.dispatch <- d
+		if d.Hedge {
+			p.service.daemon.metrics.Add(metrics.Hedged, 1)
+		}
+		p.service.daemon.metrics.Add(metrics.Dispatched, 1)
+	}
+	p.timer.Reset(p.pool.NextWake() - now)
+}
+
+func (p *pool) noteHash(upstream string, id, hash uint64) {
+	if p.hashes[upstream] == nil {
+		p.hashes[upstream] = map[uint64]uint64{}
+	}
+	p.hashes[upstream][id] = hash
+}
+
+// finish ends an attempt and frees its slot.
+func (p *pool) finish(w *waiter, upstream string, result admission.Result, retryAfter time.Duration) {
+	p.mutex.Lock()
+	delete(p.hashes[upstream], w.id)
+	p.pool.Finish(p.service.daemon.clock.Now(), w.id, upstream, result, retryAfter)
+	p.mutex.Unlock()
+	p.poll()
+}
+
+// retry queues the waiter's ticket again if the budget allows.
+func (p *pool) retry(w *waiter) bool {
+	p.mutex.Lock()
+	ok := !p.lost && p.pool.Retry(p.service.daemon.clock.Now(), w.ticket)
+	p.mutex.Unlock()
+	if ok {
+		p.service.daemon.metrics.Add(metrics.Retried, 1)
+		p.poll()
+	}
+	return ok
+}
+
+// forget ends the waiter's interest: a waiting ticket is taken out, and later dispatches are given back.
+func (p *pool) forget(w *waiter) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	delete(p.waiters, w.id)
+	p.pool.Cancel(w.id)
+	for {
+		select {
+		case d := <-w.dispatch:
+			delete(p.hashes[d.Upstream], w.id)
+			p.pool.Finish(p.service.daemon.clock.Now(), w.id, d.Upstream, admission.Abandoned, 0)
+		default:
+			return
+		}
+	}
+}
+
+// wait returns the next dispatch or refusal of w. It reports an error when ctx ends first.
+func (w *waiter) wait(ctx context.Context) (admission.Dispatch, *admission.Refusal, error) {
+	select {
+	case d := <-w.dispatch:
+		return d, nil, nil
+	case r := <-w.refusal:
+		return admission.Dispatch{}, &r, nil
+	case <-ctx.Done():
+		return admission.Dispatch{}, nil, ctx.Err()
+	}
+}
