--- a/core/assign/assign.go
+++ b/core/assign/assign.go
@@ -3,6 +3,7 @@
 package assign
 
 import (
+	"fmt"
 	"sort"
 	"strings"
 
@@ -58,6 +59,7 @@
 	next    *schema.Ownership
 	version uint64
 	reasons []string
+	joined  []string
 }
 
 // Plan returns the next document, or nil where nothing should change.
@@ -136,7 +138,7 @@
 		if u.GetLeaving() {
 			continue
 		}
-		d.because("upstream " + u.GetName() + " joined")
+		d.joined = append(d.joined, u.GetName())
 		kept = append(kept, &schema.Holder{
 			Name:    u.GetName(),
 			Zone:    u.GetZone(),
@@ -146,6 +148,10 @@
 	}
 	sort.Slice(kept, func(i, j int) bool { return kept[i].GetName() < kept[j].GetName() })
 	d.next.Holders = kept
+	sort.Strings(d.joined)
+	if len(d.joined) > 0 {
+		d.because(fmt.Sprintf("%d upstreams joined, first %s", len(d.joined), d.joined[0]))
+	}
 }
 
 // usedHolders returns the holders that own a slice or may still have a grant of one.
--- a/core/ownership/guardian.go
+++ b/core/ownership/guardian.go
@@ -75,9 +75,11 @@
 	// loadsRound counts the measurements of this instance's own loads.
 	loadsRound uint64
 	stopping   bool
-	dirty      bool
-	idleSince  uint64
-	actions    []Action
+	// dirty is set by a change that peers should hear of at once. toldAll is when they were last told of one.
+	dirty     bool
+	toldAll   time.Duration
+	idleSince uint64
+	actions   []Action
 }
 
 type adoption struct {
--- a/core/ownership/peer.go
+++ b/core/ownership/peer.go
@@ -29,6 +29,8 @@
 	lastTold time.Duration
 	// promiseEcho is the sequence of the peer's question that the next view answers with a promise.
 	promiseEcho uint64
+	// documentTold is when the peer was last sent a document.
+	documentTold time.Duration
 	// loadsTold is the round of loads that the peer was told last.
 	loadsTold uint64
 }
@@ -78,8 +80,9 @@
 	g.hearPromise(p, view)
 	g.hearQuestion(p, view)
 	g.hearEvictions(view)
-	if view.GetVersion() < g.document.GetVersion() {
-		g.dirty = true
+	if view.GetVersion() > g.document.GetVersion() {
+		// The table has what this guardian lacks.
+		g.readSent = never
 	}
 }
 
@@ -144,8 +147,11 @@
 
 // tell sends views to all known members: at the heartbeat period, and at once after a change.
 func (g *Guardian) tell() {
-	due := g.dirty
-	g.dirty = false
+	due := g.dirty && g.now-g.toldAll >= g.config.Timing.Heartbeat/changeShare
+	if due {
+		g.dirty = false
+		g.toldAll = g.now
+	}
 	for _, m := range g.audience() {
 		p := g.peer(m.GetId())
 		p.member = m
@@ -156,6 +162,21 @@
 	}
 }
 
+// changeShare is how many times in a heartbeat period changes are told at most.
+const changeShare = 20
+
+// lacksDocument reports whether the peer has an older document and no way to read the newer one from the table.
+func (g *Guardian) lacksDocument(p *peer) bool {
+	if p.view == nil || p.view.GetVersion() >= g.document.GetVersion() {
+		return false
+	}
+	if g.now-p.documentTold < g.config.Timing.Heartbeat {
+		return false
+	}
+	age := time.Duration(p.view.GetConfirmAgeMs()) * time.Millisecond
+	return age < 0 || age > g.config.Timing.Confirm/2
+}
+
 // audience returns the members that views go to, sorted by id.
 func (g *Guardian) audience() []*schema.Member {
 	byID := map[string]*schema.Member{}
@@ -209,8 +230,9 @@
 		}
 		view.Release = g.fresh()
 	}
-	if p.view != nil && p.view.GetVersion() < g.document.GetVersion() {
+	if g.lacksDocument(p) {
 		view.Document = g.document
+		p.documentTold = g.now
 	}
 	g.emit(Action{
 		Send: &SendView{
--- /dev/null
+++ b/core/trace/replay.go
@@ -0,0 +1,112 @@
+package trace
+
+import (
+	"fmt"
+	"time"
+
+	"cuminlift/core/assign"
+	"cuminlift/core/ownership"
+	"cuminlift/schema"
+)
+
+// Difference is a step at which the decisions of now are not those recorded.
+type Difference struct {
+	// Line is the sequence number of the line.
+	Line     uint64
+	Instance string
+	Service  string
+	Recorded string
+	Now      string
+}
+
+// Replay is what came of running a trace again.
+type Replay struct {
+	// Steps is the number of inputs that were run.
+	Steps int
+	// Skipped counts inputs of guardians whose first line is missing.
+	Skipped     int
+	Differences []Difference
+	// Grants lists what the replayed guardians sent, in order.
+	Grants []SentGrant
+}
+
+// SentGrant is a grant that a replayed guardian sent.
+type SentGrant struct {
+	At       time.Duration
+	Instance string
+	Grant    *schema.Grant
+}
+
+// Run steps new guardians with the recorded inputs and compares the outcomes.
+func Run(lines []*schema.TraceLine) *Replay {
+	r := &Replay{}
+	guardians := map[string]*ownership.Guardian{}
+	for _, line := range lines {
+		if line.GetInput() == nil {
+			continue
+		}
+		key := line.GetInstance() + " " + line.GetService()
+		if line.GetTiming() != nil {
+			guardians[key] = newGuardian(line)
+		}
+		g := guardians[key]
+		if g == nil {
+			r.Skipped++
+			continue
+		}
+		at := time.Duration(line.GetAtUs()) * time.Microsecond
+		actions := g.Step(at, line.GetInput())
+		r.Steps++
+		r.note(line, at, actions)
+	}
+	return r
+}
+
+func (r *Replay) note(line *schema.TraceLine, at time.Duration, actions []ownership.Action) {
+	if digest := Digest(actions); digest != line.GetDigest() {
+		r.Differences = append(r.Differences, Difference{
+			Line:     line.GetSequence(),
+			Instance: line.GetInstance(),
+			Service:  line.GetService(),
+			Recorded: line.GetDigest(),
+			Now:      digest,
+		})
+	}
+	for _, a := range actions {
+		if a.Grant != nil {
+			r.Grants = append(r.Grants, SentGrant{
+				At:       at,
+				Instance: line.GetInstance(),
+				Grant:    a.Grant.Grant,
+			})
+		}
+	}
+}
+
+func newGuardian(line *schema.TraceLine) *ownership.Guardian {
+	t := line.GetTiming()
+	ms := func(n int64) time.Duration { return time.Duration(n) * time.Millisecond }
+	return ownership.NewGuardian(ownership.Config{
+		Self:    line.GetSelf(),
+		Service: line.GetService(),
+		Timing: ownership.Timing{
+			Heartbeat: ms(t.GetHeartbeatMs()),
+			Suspect:   ms(t.GetSuspectMs()),
+			Confirm:   ms(t.GetConfirmMs()),
+			Promise:   ms(t.GetPromiseMs()),
+			Poll:      ms(t.GetPollMs()),
+			DriftPPM:  t.GetDriftPpm(),
+		},
+		Keyed: t.GetKeyed(),
+		Extra: ms(t.GetExtraMs()),
+		Planner: assign.NewPlanner(assign.Config{
+			Keyed:  t.GetKeyed(),
+			Spread: int(t.GetSpread()),
+		}),
+	})
+}
+
+// String returns a line for people.
+func (d Difference) String() string {
+	return fmt.Sprintf("line %d: %s decided otherwise on %s (%s, recorded %s)", d.Line, d.Instance, d.Service, d.Now, d.Recorded)
+}
--- a/core/trace/trace.go
+++ b/core/trace/trace.go
@@ -145,7 +145,7 @@
 }
 
 // TimingOf returns the timing as a trace records it.
-func TimingOf(t ownership.Timing, extra time.Duration, keyed bool) *schema.Timing {
+func TimingOf(t ownership.Timing, extra time.Duration, keyed bool, spread int) *schema.Timing {
 	return &schema.Timing{
 		HeartbeatMs: t.Heartbeat.Milliseconds(),
 		SuspectMs:   t.Suspect.Milliseconds(),
@@ -155,5 +155,6 @@
 		PollMs:      t.Poll.Milliseconds(),
 		ExtraMs:     extra.Milliseconds(),
 		Keyed:       keyed,
+		Spread:      int32(spread),
 	}
 }
--- a/internal/daemon/claims.go
+++ b/internal/daemon/claims.go
@@ -261,13 +261,49 @@
 			return 0, d.replay(w, c, found)
 		}
 		if found.GetState() == claimClaimed {
-			return 0, inDoubt()
+			if found = d.awaitEnd(ctx, key); found == nil {
+				return 0, inDoubt()
+			}
+			if found.GetState() == claimDone {
+				return 0, d.replay(w, c, found)
+			}
+			continue
 		}
 		base = result.found.GetVersion()
 	}
 	return 0, notRun(reasonClaimUnknown, time.Second)
 }
 
+// awaitEnd waits a little for the end of a claim that another request holds. It returns nil where none came.
+func (d *Daemon) awaitEnd(ctx context.Context, key string) *schema.Claim {
+	ctx, cancel := context.WithTimeout(ctx, repeatWait)
+	defer cancel()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-time.After(repeatPoll):
+		}
+		reply, err := d.table.Read(ctx, &schema.ReadRequest{
+			Keys: []string{key},
+		})
+		found := &schema.Claim{}
+		if err != nil || len(reply.GetRows()) != 1 || proto.Unmarshal(reply.GetRows()[0].GetValue(), found) != nil {
+			continue
+		}
+		if found.GetState() != claimClaimed {
+			return found
+		}
+	}
+}
+
+const (
+	// repeatWait bounds the wait of a repeat for the end of the first request.
+	repeatWait = 500 * time.Millisecond
+	// repeatPoll is the wait between two looks.
+	repeatPoll = 25 * time.Millisecond
+)
+
 // inDoubt answers a repeat of a request whose first try has not been settled.
 func inDoubt() *refusal {
 	f := notRun(reasonRepeat, time.Second)
--- a/internal/daemon/pool.go
+++ b/internal/daemon/pool.go
@@ -1,7 +1,6 @@
 package daemon
 
 import (
-	"context"
 	"sync"
 	"time"
 
@@ -263,15 +262,3 @@
 		}
 	}
 }
-
-// wait returns the next dispatch or refusal of w. It reports an error when ctx ends first.
-func (w *waiter) wait(ctx context.Context) (admission.Dispatch, *admission.Refusal, error) {
-	select {
-	case d := <-w.dispatch:
-		return d, nil, nil
-	case r := <-w.refusal:
-		return admission.Dispatch{}, &r, nil
-	case <-ctx.Done():
-		return admission.Dispatch{}, nil, ctx.Err()
-	}
-}
--- a/internal/daemon/service.go
+++ b/internal/daemon/service.go
@@ -17,6 +17,8 @@
 type service struct {
 	name   string
 	daemon *Daemon
+	// index is the service's place in the estate when it was made.
+	index int
 	// mutex guards guardian. The control loop alone steps it.
 	mutex    sync.Mutex
 	guardian *ownership.Guardian
@@ -32,6 +34,7 @@
 	s := &service{
 		name:   spec.GetName(),
 		daemon: d,
+		index:  index,
 		pools:  map[string]*pool{},
 		sketch: load.NewSketch(load.DefaultSize),
 	}
--- a/internal/tryout/cluster.go
+++ b/internal/tryout/cluster.go
@@ -15,6 +15,7 @@
 	"cuminlift/internal/standin/platform"
 	"cuminlift/internal/standin/upstream"
 	"cuminlift/io/identity"
+	"cuminlift/io/operator"
 	"cuminlift/schema"
 )
 
@@ -302,9 +303,39 @@
 	return len(usable) == len(c.Upstreams)
 }
 
-// OperatorIdentity issues a certificate for an operator and writes it beside the instances'.
-func (c *Cluster) OperatorIdentity(name string) (*schema.TlsSettings, error) {
-	return c.authority.IssueForDevelopment(name)
+// Operator returns a client of the first instance for an operator called name.
+func (c *Cluster) Operator(name string) (*operator.Client, error) {
+	files, err := c.authority.IssueForDevelopment(name)
+	if err != nil {
+		return nil, err
+	}
+	source, err := identity.Load(files)
+	if err != nil {
+		return nil, err
+	}
+	return operator.NewClient(operator.Config{
+		Address: c.Instances[0].Daemon.Self().GetOperators(),
+		TLS:     source.Client("http/1.1"),
+	}), nil
+}
+
+// Apply puts an estate text in force through the first instance.
+func (c *Cluster) Apply(ctx context.Context, text string) (*schema.ChangeReply, error) {
+	client, err := c.Operator("operator")
+	if err != nil {
+		return nil, err
+	}
+	reply, err := client.Change(ctx, &schema.ChangeRequest{
+		Text:   text,
+		Reason: "try-out",
+	})
+	if err != nil {
+		return nil, err
+	}
+	if reply.GetError() != "" {
+		return nil, fmt.Errorf("%s", reply.GetError())
+	}
+	return reply, nil
 }
 
 // TemporaryFolder makes a folder for keys that remove deletes.
@@ -315,4 +346,3 @@
 	}
 	return filepath.Join(folder, "keys"), func() { _ = os.RemoveAll(folder) }, nil
 }
-
