core/ownership: outage promises, standbys and alive rows hold under random faults

Ruled out: clock drift (overlaps at equal clocks), the fakes' own leases (stamps checked against the log). Change: grant sequences per guardian; no eviction beside a write; evictions folded first and by the order of the document in which they happened; answers matched by the version they replace; a guardian listens for two suspect times before it judges; members' rows in the table tell a cut from an end.

--- a/core/assign/assign.go
+++ b/core/assign/assign.go
@@ -56,6 +56,7 @@
 type draft struct {
 	config  Config
 	facts   ownership.PlanFacts
+	before  *schema.Ownership
 	next    *schema.Ownership
 	version uint64
 	reasons []string
@@ -67,6 +68,7 @@
 	d := &draft{
 		config:  p.config,
 		facts:   facts,
+		before:  document,
 		next:    ownership.Clone(document),
 		version: document.GetVersion() + 1,
 	}
@@ -124,7 +126,7 @@
 	for _, h := range d.next.GetHolders() {
 		u := listed[h.GetName()]
 		delete(listed, h.GetName())
-		if u == nil && !used[h.GetName()] && !d.facts.Alive[h.GetName()] {
+		if u == nil && !used[h.GetName()] && !d.facts.Alive[h.GetName()] && len(d.facts.Evicted) == 0 {
 			d.because("upstream " + h.GetName() + " is gone")
 			continue
 		}
--- a/core/assign/slices.go
+++ b/core/assign/slices.go
@@ -14,6 +14,8 @@
 }
 
 func (d *draft) planSlices() {
+	d.clearPrevious()
+	d.foldEvictions()
 	bins := d.bins()
 	if len(bins) == 0 {
 		return
@@ -22,7 +24,6 @@
 		d.makeSlices(bins)
 		return
 	}
-	d.clearPrevious()
 	if d.replaceOwners(bins) {
 		return
 	}
@@ -96,8 +97,7 @@
 	return append(names, name)
 }
 
-// replaceOwners moves the slices of holders that can't own any, and those that may have gone to a standby in an
-// outage. It reports whether it moved any.
+// replaceOwners moves the slices of holders that can't own any. It reports whether it moved any.
 func (d *draft) replaceOwners(bins []*bin) bool {
 	byName := map[string]*bin{}
 	for _, b := range bins {
@@ -106,9 +106,6 @@
 	weights := d.weights()
 	var homeless []int
 	for i, s := range d.next.GetSlices() {
-		if d.facts.Evicted[s.GetOwner()] {
-			d.foldEviction(s)
-		}
 		if b := byName[s.GetOwner()]; b != nil {
 			b.weight += weights[i]
 			continue
@@ -126,21 +123,33 @@
 	return len(homeless) > 0
 }
 
+// foldEvictions writes down what may have happened during an outage. It comes before all other moves, whatever else the
+// plan does: a document that leaves it out would forget who may hold a grant.
+func (d *draft) foldEvictions() {
+	for _, s := range d.next.GetSlices() {
+		if d.facts.Evicted[s.GetOwner()] {
+			d.foldEviction(s)
+		}
+	}
+}
+
 // foldEviction makes the first standby that is not evicted the owner, and all before it earlier owners: any of them
-// may have been granted s by another guardian.
+// may have been granted s by another guardian. Where all are evicted the owner stays, and is granted s anew.
 func (d *draft) foldEviction(s *schema.Slice) {
-	for _, name := range ownership.Standbys(d.next, s) {
-		if d.facts.Evicted[name] {
-			s.Previous = appendNew(s.GetPrevious(), name)
-			ownership.HolderOf(d.next, name).Fence = d.version
-			continue
+	d.because("standbys of " + s.GetOwner() + " may have taken over in an outage")
+	owner := s.GetOwner()
+	// The order is that of the document in which the evictions happened: others act on it.
+	for _, name := range ownership.Standbys(d.before, s) {
+		if !d.facts.Evicted[name] {
+			owner = name
+			break
 		}
-		d.because("a standby of " + s.GetOwner() + " took over in an outage")
-		s.Owner = name
-		s.Fence = d.version
+		s.Previous = appendNew(s.GetPrevious(), name)
 		ownership.HolderOf(d.next, name).Fence = d.version
-		return
 	}
+	s.Owner = owner
+	s.Fence = d.version
+	ownership.HolderOf(d.next, owner).Fence = d.version
 }
 
 func lightest(bins []*bin) *bin {
--- a/core/ownership/action.go
+++ b/core/ownership/action.go
@@ -22,7 +22,8 @@
 	Known uint64
 }
 
-// WriteDocument replaces version Base by Next if Base is still the table's version. It is answered by a wrote event.
+// WriteDocument replaces version Base by Next if Base is still the table's version. It is answered by a
+// wrote event with Base as its sequence.
 type WriteDocument struct {
 	Base uint64
 	Next *schema.Ownership
--- /dev/null
+++ b/core/ownership/fakes_test.go
@@ -0,0 +1,646 @@
+package ownership_test
+
+import (
+	"fmt"
+	"io"
+	"maps"
+	"slices"
+	"sort"
+	"time"
+
+	"cuminlift/core/assign"
+	"cuminlift/core/ownership"
+	"cuminlift/schema"
+)
+
+const service = "calendar"
+
+// messageKind says what a message in flight carries.
+type messageKind int
+
+const (
+	readRequest messageKind = iota
+	writeRequest
+	toNode
+	grantRequest
+)
+
+// message is in flight between two fakes.
+type message struct {
+	kind messageKind
+	// node is the instance that sent a request, or the one that gets an event.
+	node     int
+	from     int
+	started  time.Duration
+	base     uint64
+	next     *schema.Ownership
+	upstream int
+	grant    *schema.Grant
+	event    *schema.OwnershipEvent
+	// due is the world's time from which the message may arrive.
+	due time.Duration
+}
+
+// node is one instance: real decisions behind a clock of its own.
+type node struct {
+	guardian *ownership.Guardian
+	member   *schema.Member
+	dead     bool
+	paused   bool
+	// inbox holds what came during a pause.
+	inbox []*schema.OwnershipEvent
+	// ppm is how much faster than the world's the clock runs.
+	ppm int64
+	// blocked cuts it from the table, isolated from peers, and severed from upstreams of other zones too.
+	blocked  bool
+	isolated bool
+}
+
+func (n *node) clock(now time.Duration) time.Duration {
+	return now + time.Duration(int64(now)/1_000_000*n.ppm)
+}
+
+// holder is a fake upstream: it accepts fenced grants and lets them lapse by its own clock.
+type holder struct {
+	name        string
+	zone        string
+	incarnation int
+	fence       uint64
+	ranges      []*schema.Range
+	expires     time.Duration
+	dead        bool
+	frozen      bool
+	ppm         int64
+	inbox       []*message
+}
+
+func (h *holder) clock(now time.Duration) time.Duration {
+	return now + time.Duration(int64(now)/1_000_000*h.ppm)
+}
+
+func (h *holder) owns(now time.Duration, hash uint64) bool {
+	if h.dead || h.clock(now) >= h.expires {
+		return false
+	}
+	for _, r := range h.ranges {
+		if r.GetStart() <= hash && hash <= r.GetEnd() {
+			return true
+		}
+	}
+	return false
+}
+
+// mutant weakens one rule of the world or of the decisions, to show that the checks can fail.
+type mutant struct {
+	// ignoreFence makes holders take grants of any fence.
+	ignoreFence bool
+	// shortWait makes guardians wait for less than a grant can last.
+	shortWait bool
+	// lostIsConflict reports a write with a lost answer as one that did not take effect.
+	lostIsConflict bool
+	// delayedTTL lets a grant last from its arrival, not from the stamp.
+	delayedTTL bool
+}
+
+// world is a handful of instances and upstreams around one table.
+type world struct {
+	now      time.Duration
+	timing   ownership.Timing
+	nodes    []*node
+	holders  []*holder
+	document *schema.Ownership
+	down     bool
+	// loseAnswers is the number of writes whose answer is lost after they took effect.
+	loseAnswers int
+	// alive holds the instances' counters in the table. It is replaced, never changed.
+	alive map[string]uint64
+	// cutZones holds zones whose upstreams are out of reach from other zones. It is replaced, never changed.
+	cutZones map[string]bool
+	queue    []*message
+	mutant   mutant
+	// overlap is the first violation seen.
+	overlap string
+	// assignments counts documents written.
+	writes int
+	// log takes a line for each write and grant, nil for none.
+	log func(format string, values ...any)
+	// delay returns the delay of a message, or a negative one for a loss. Nil delivers at once.
+	delay func(*message) time.Duration
+}
+
+func testTiming() ownership.Timing {
+	return ownership.Timing{
+		Heartbeat: 100 * time.Millisecond,
+		Suspect:   250 * time.Millisecond,
+		Confirm:   500 * time.Millisecond,
+		Promise:   5 * time.Second,
+		Poll:      100 * time.Millisecond,
+		DriftPPM:  10000,
+	}
+}
+
+// worldConfig says what to build.
+type worldConfig struct {
+	nodes, holders, slices int
+	zones                  int
+	mutant                 mutant
+	// separateHolders gives each holder the zone of its number, whatever the number of zones of the instances.
+	timing ownership.Timing
+}
+
+func newWorld(config worldConfig) *world {
+	w := &world{
+		timing: config.timing,
+		mutant: config.mutant,
+	}
+	if w.timing.Heartbeat == 0 {
+		w.timing = testTiming()
+	}
+	for i := range config.nodes {
+		w.addNode(i, fmt.Sprintf("zone-%d", i%config.zones), config.slices)
+	}
+	for i := range config.holders {
+		w.holders = append(w.holders, &holder{
+			name:        fmt.Sprintf("%s-%d", service, i),
+			zone:        fmt.Sprintf("zone-%d", i%config.zones),
+			incarnation: 1,
+		})
+	}
+	for i := range w.nodes {
+		w.list(i)
+	}
+	return w
+}
+
+func (w *world) addNode(i int, zone string, slicesPerHolder int) {
+	name := fmt.Sprintf("entry-%d", i)
+	member := &schema.Member{
+		Id:    name + "/1",
+		Name:  name,
+		Zone:  zone,
+		Peers: name,
+	}
+	timing := w.timing
+	if w.mutant.shortWait {
+		timing.DriftPPM = -500000
+	}
+	w.nodes = append(w.nodes, &node{
+		member: member,
+		guardian: ownership.NewGuardian(ownership.Config{
+			Self:    member,
+			Service: service,
+			Timing:  timing,
+			Keyed:   true,
+			Planner: assign.NewPlanner(assign.Config{
+				Keyed:           true,
+				SlicesPerHolder: slicesPerHolder,
+			}),
+		}),
+	})
+}
+
+// list tells a node of all members and upstreams, as the platform's list would.
+func (w *world) list(i int) {
+	facts := &schema.Facts{}
+	for _, n := range w.nodes {
+		if !n.dead {
+			facts.Members = append(facts.Members, n.member)
+		}
+	}
+	for _, h := range w.holders {
+		facts.Upstreams = append(facts.Upstreams, &schema.ListedUpstream{
+			Name:    h.name,
+			Service: service,
+			Zone:    h.zone,
+			Address: h.name,
+		})
+	}
+	w.step(i, &schema.OwnershipEvent{
+		Kind:  schema.EventKind_listed,
+		Facts: facts,
+	})
+}
+
+func (w *world) step(i int, event *schema.OwnershipEvent) {
+	n := w.nodes[i]
+	if n.dead {
+		return
+	}
+	if n.paused {
+		n.inbox = append(n.inbox, event)
+		return
+	}
+	for _, a := range n.guardian.Step(n.clock(w.now), event) {
+		w.perform(i, a)
+	}
+}
+
+func (w *world) perform(i int, a ownership.Action) {
+	switch {
+	case a.Read != nil:
+		w.send(&message{
+			kind:    readRequest,
+			node:    i,
+			started: a.Read.Started,
+		})
+	case a.Write != nil:
+		w.send(&message{
+			kind: writeRequest,
+			node: i,
+			base: a.Write.Base,
+			next: a.Write.Next,
+		})
+	case a.Send != nil:
+		to := slices.IndexFunc(w.nodes, func(n *node) bool { return n.member.GetId() == a.Send.To.GetId() })
+		w.send(&message{
+			kind: toNode,
+			node: to,
+			from: i,
+			event: &schema.OwnershipEvent{
+				Kind: schema.EventKind_heard,
+				View: a.Send.View,
+			},
+		})
+	case a.Grant != nil:
+		to := slices.IndexFunc(w.holders, func(h *holder) bool { return h.name == a.Grant.Address })
+		w.send(&message{
+			kind:     grantRequest,
+			node:     i,
+			from:     i,
+			upstream: to,
+			grant:    a.Grant.Grant,
+		})
+	}
+}
+
+func (w *world) note(format string, values ...any) {
+	if w.log != nil {
+		w.log(format, values...)
+	}
+}
+
+func (w *world) send(m *message) {
+	if m.kind == toNode && m.node < 0 {
+		return
+	}
+	m.due = w.now
+	if w.delay != nil {
+		d := w.delay(m)
+		if d < 0 {
+			w.lost(m)
+			return
+		}
+		m.due = w.now + d
+	}
+	w.queue = append(w.queue, m)
+}
+
+// lost tells the sender of a grant or a table request that no answer came, as a timeout would.
+func (w *world) lost(m *message) {
+	event := failure(m)
+	if event != nil {
+		w.queue = append(w.queue, &message{
+			kind:  toNode,
+			node:  m.node,
+			from:  m.node,
+			event: event,
+			due:   w.now + w.timing.Suspect/2,
+		})
+	}
+}
+
+func failure(m *message) *schema.OwnershipEvent {
+	switch m.kind {
+	case readRequest:
+		return &schema.OwnershipEvent{
+			Kind: schema.EventKind_read,
+		}
+	case writeRequest:
+		return &schema.OwnershipEvent{
+			Kind:     schema.EventKind_wrote,
+			Sequence: m.base,
+		}
+	case grantRequest:
+		return &schema.OwnershipEvent{
+			Kind:     schema.EventKind_failed,
+			Upstream: m.grant.GetUpstream(),
+			Sequence: m.grant.GetSequence(),
+		}
+	case toNode:
+		return lostAnswer(m.event)
+	}
+	return nil
+}
+
+// lostAnswer returns what the asker learns when its answer is lost, nil for a view.
+func lostAnswer(event *schema.OwnershipEvent) *schema.OwnershipEvent {
+	switch event.GetKind() {
+	case schema.EventKind_read, schema.EventKind_wrote:
+		return &schema.OwnershipEvent{
+			Kind:     event.GetKind(),
+			Sequence: event.GetSequence(),
+		}
+	case schema.EventKind_replied:
+		return &schema.OwnershipEvent{
+			Kind:     schema.EventKind_failed,
+			Upstream: event.GetReply().GetUpstream(),
+			Sequence: event.GetReply().GetSequence(),
+		}
+	}
+	return nil
+}
+
+// answer sends an event back to the node that asked.
+func (w *world) answer(m *message, event *schema.OwnershipEvent) {
+	w.send(&message{
+		kind:  toNode,
+		node:  m.node,
+		from:  m.node,
+		event: event,
+	})
+}
+
+// deliver lets one message arrive.
+func (w *world) deliver(m *message) {
+	sender := w.nodes[m.from]
+	switch m.kind {
+	case readRequest:
+		w.read(m)
+	case writeRequest:
+		w.write(m)
+	case toNode:
+		cut := m.from != m.node && (sender.isolated || w.nodes[m.node].isolated)
+		if !cut {
+			w.step(m.node, m.event)
+		}
+	case grantRequest:
+		h := w.holders[m.upstream]
+		cut := h.zone != sender.member.GetZone() && (sender.isolated || w.cutZones[h.zone])
+		if h.dead || cut {
+			w.answer(m, failure(m))
+			break
+		}
+		if h.frozen {
+			h.inbox = append(h.inbox, m)
+			break
+		}
+		w.take(h, m)
+	}
+	w.check()
+}
+
+func (w *world) read(m *message) {
+	if w.down || w.nodes[m.node].blocked {
+		w.answer(m, failure(m))
+		return
+	}
+	w.answer(m, &schema.OwnershipEvent{
+		Kind:      schema.EventKind_read,
+		Outcome:   schema.WriteOutcome_committed,
+		StartedUs: m.started.Microseconds(),
+		Document:  w.document,
+		Alive:     w.alive,
+	})
+}
+
+func (w *world) write(m *message) {
+	if w.down || w.nodes[m.node].blocked {
+		w.answer(m, failure(m))
+		return
+	}
+	event := &schema.OwnershipEvent{
+		Kind:     schema.EventKind_wrote,
+		Outcome:  schema.WriteOutcome_conflict,
+		Document: w.document,
+		Sequence: m.base,
+	}
+	if m.base == w.document.GetVersion() {
+		w.document = m.next
+		w.writes++
+		w.note("%v entry-%d writes %d: %s: %v", w.now, m.node, m.base+1, m.next.GetReason(), m.next.GetSlices())
+		event.Outcome = schema.WriteOutcome_committed
+		event.Document = nil
+	}
+	if w.loseAnswers > 0 {
+		w.loseAnswers--
+		event = failure(m)
+		if w.mutant.lostIsConflict {
+			event.Outcome = schema.WriteOutcome_conflict
+		}
+	}
+	w.answer(m, event)
+}
+
+func (w *world) take(h *holder, m *message) {
+	g := m.grant
+	accepted := g.GetIncarnation() == fmt.Sprint(h.incarnation) && g.GetFence() >= h.fence
+	if w.mutant.ignoreFence {
+		accepted = true
+	}
+	if accepted && g.GetTtlMs() > 0 {
+		h.fence = g.GetFence()
+		h.ranges = g.GetRanges()
+		from := time.Duration(g.GetStamp()) * time.Millisecond
+		if w.mutant.delayedTTL {
+			from = h.clock(w.now)
+		}
+		h.expires = from + time.Duration(g.GetTtlMs())*time.Millisecond
+	}
+	w.note("%v %s takes (%t) from entry-%d fence %d stamp %d ttl %d until %v: %v", w.now, h.name, accepted, m.from, g.GetFence(),
+		g.GetStamp(), g.GetTtlMs(), h.expires, g.GetRanges())
+	w.answer(m, &schema.OwnershipEvent{
+		Kind: schema.EventKind_replied,
+		Reply: &schema.GrantReply{
+			Upstream:    h.name,
+			Incarnation: fmt.Sprint(h.incarnation),
+			Fence:       h.fence,
+			Stamp:       h.clock(w.now).Milliseconds(),
+			Accepted:    accepted,
+			Sequence:    g.GetSequence(),
+		},
+	})
+}
+
+// restart makes the holder a new process that has forgotten everything.
+func (h *holder) restart() {
+	h.incarnation++
+	h.fence = 0
+	h.ranges = nil
+	h.expires = 0
+	h.dead = false
+	h.inbox = nil
+}
+
+func (w *world) thaw(h *holder) {
+	h.frozen = false
+	inbox := h.inbox
+	h.inbox = nil
+	for _, m := range inbox {
+		w.take(h, m)
+		w.check()
+	}
+}
+
+func (w *world) resume(i int) {
+	n := w.nodes[i]
+	n.paused = false
+	inbox := n.inbox
+	n.inbox = nil
+	for _, event := range inbox {
+		w.step(i, event)
+		w.check()
+	}
+}
+
+// check looks for a hash with two owners.
+func (w *world) check() {
+	if w.overlap != "" || w.document == nil {
+		return
+	}
+	for _, s := range w.document.GetSlices() {
+		owners := w.owners(s.GetStart())
+		if len(owners) > 1 {
+			w.overlap = fmt.Sprintf("at %v hash %016x is owned by %v", w.now, s.GetStart(), owners)
+			return
+		}
+	}
+}
+
+func (w *world) owners(hash uint64) []string {
+	var owners []string
+	for _, h := range w.holders {
+		if h.owns(w.now, hash) {
+			owners = append(owners, h.name)
+		}
+	}
+	return owners
+}
+
+// unowned returns the number of slices without an owner.
+func (w *world) unowned() int {
+	n := 0
+	for _, s := range w.document.GetSlices() {
+		if len(w.owners(s.GetStart())) == 0 {
+			n++
+		}
+	}
+	if len(w.document.GetSlices()) == 0 {
+		return 1
+	}
+	return n
+}
+
+// settle delivers what is due, in order of sending.
+func (w *world) settle() {
+	for {
+		i := slices.IndexFunc(w.queue, func(m *message) bool { return m.due <= w.now })
+		if i < 0 {
+			return
+		}
+		m := w.queue[i]
+		w.queue = slices.Delete(slices.Clone(w.queue), i, i+1)
+		w.deliver(m)
+	}
+}
+
+// tick lets time pass and wakes the instances.
+func (w *world) tick(d time.Duration) {
+	w.now += d
+	w.countAlive(d)
+	for i := range w.nodes {
+		w.step(i, &schema.OwnershipEvent{
+			Kind: schema.EventKind_tick,
+		})
+	}
+	w.check()
+}
+
+// countAlive writes the counters of the instances that reach the table.
+func (w *world) countAlive(d time.Duration) {
+	if w.now/w.timing.Heartbeat == (w.now-d)/w.timing.Heartbeat || w.down {
+		return
+	}
+	next := maps.Clone(w.alive)
+	if next == nil {
+		next = map[string]uint64{}
+	}
+	for _, n := range w.nodes {
+		if !n.dead && !n.paused && !n.blocked {
+			next[n.member.GetId()]++
+		}
+	}
+	w.alive = next
+}
+
+// run settles and ticks until a time.
+func (w *world) run(until, quantum time.Duration) {
+	for w.now < until {
+		w.settle()
+		w.tick(quantum)
+	}
+	w.settle()
+}
+
+// clone returns a copy that can go another way.
+func (w *world) clone() *world {
+	c := *w
+	c.nodes = make([]*node, len(w.nodes))
+	for i, n := range w.nodes {
+		copied := *n
+		copied.guardian = n.guardian.Clone()
+		copied.inbox = slices.Clone(n.inbox)
+		c.nodes[i] = &copied
+	}
+	c.holders = make([]*holder, len(w.holders))
+	for i, h := range w.holders {
+		copied := *h
+		copied.inbox = slices.Clone(h.inbox)
+		c.holders[i] = &copied
+	}
+	c.queue = slices.Clone(w.queue)
+	return &c
+}
+
+// fingerprint writes all that the future depends on.
+func (w *world) fingerprint(out io.Writer) {
+	fmt.Fprintln(out, w.now, w.document.GetVersion(), w.down, w.loseAnswers, w.alive)
+	for _, n := range w.nodes {
+		fmt.Fprintln(out, n.dead, n.paused, len(n.inbox), n.blocked, n.isolated)
+		n.guardian.Fingerprint(out)
+	}
+	for _, h := range w.holders {
+		fmt.Fprintln(out, h.incarnation, h.fence, len(h.ranges), h.expires, h.dead, h.frozen, len(h.inbox))
+	}
+	lines := make([]string, 0, len(w.queue))
+	for _, m := range w.queue {
+		lines = append(lines, fmt.Sprint(m.kind, m.node, m.from, m.upstream, m.due, m.base, m.started, m.grant.GetSequence(), m.event))
+	}
+	sort.Strings(lines)
+	fmt.Fprintln(out, lines)
+}
+
+// declareDead tells nodes from..to that all dead ones have ended, as a new process with their address proves.
+func (w *world) declareDead(from, to int) {
+	facts := &schema.Facts{}
+	for _, n := range w.nodes {
+		if n.dead {
+			facts.Dead = append(facts.Dead, n.member.GetId())
+		} else {
+			facts.Members = append(facts.Members, n.member)
+		}
+	}
+	for _, h := range w.holders {
+		facts.Upstreams = append(facts.Upstreams, &schema.ListedUpstream{
+			Name:    h.name,
+			Service: service,
+			Zone:    h.zone,
+			Address: h.name,
+		})
+	}
+	for i := from; i < to; i++ {
+		w.step(i, &schema.OwnershipEvent{
+			Kind:  schema.EventKind_listed,
+			Facts: facts,
+		})
+	}
+}
--- a/core/ownership/grant.go
+++ b/core/ownership/grant.go
@@ -24,7 +24,6 @@
 	heard time.Duration
 	// failures counts failed grants since the last reply.
 	failures int
-	sequence uint64
 	// outstanding is the grant that waits for a reply.
 	outstanding *sentGrant
 	lastSent    time.Duration
@@ -133,13 +132,13 @@
 	if !g.grantDue(h, u) {
 		return
 	}
-	u.sequence++
+	g.grants++
 	grant := &schema.Grant{
 		Service:     g.config.Service,
 		Upstream:    h.GetName(),
 		Incarnation: u.incarnation,
 		Fence:       h.GetFence(),
-		Sequence:    u.sequence,
+		Sequence:    g.grants,
 	}
 	ttl := g.grantTTL(h, u)
 	if ttl > 0 {
@@ -333,7 +332,8 @@
 		if u.busy == 0 && g.homeReady(PoolOf(g.document, h.GetZone())) {
 			state.Fence = u.acked
 		}
-		if u.heard == never && u.since == never {
+		if u.heard == never && !u.down(g.now, g.config.Timing) {
+			// It was asked just now: nothing is known yet.
 			continue
 		}
 		states = append(states, state)
--- a/core/ownership/guardian.go
+++ b/core/ownership/guardian.go
@@ -66,8 +66,11 @@
 	// promised holds until when this guardian abstains from writing, by the peer that relies on it.
 	promised  map[string]promise
 	upstreams map[string]*upstream
-	facts     *schema.Facts
-	dead      map[string]bool
+	// grants counts the grants sent. Their sequences are never used twice, also for an upstream that was given up and
+	// taken back: a late reply must not pass for that to a later grant.
+	grants uint64
+	facts  *schema.Facts
+	dead   map[string]bool
 	// evicted and unanimous belong to the document's version.
 	evicted   map[string]bool
 	unanimous map[string]time.Duration
@@ -76,7 +79,13 @@
 	loadsRound uint64
 	stopping   bool
 	// dirty is set by a change that peers should hear of at once. toldAll is when they were last told of one.
-	dirty     bool
+	dirty bool
+	// listening is since when this guardian could hear others.
+	listening time.Duration
+	// alone is true while all other guardians are lost.
+	alone bool
+	// asked is true while promises are asked for.
+	asked     bool
 	toldAll   time.Duration
 	idleSince uint64
 	actions   []Action
@@ -120,10 +129,10 @@
 
 // Step takes one event at time now and returns what has to be done. Times must not go backwards.
 func (g *Guardian) Step(now time.Duration, event *schema.OwnershipEvent) []Action {
-	if now > g.now {
-		g.now = now
-	}
+	before := g.now
+	g.now = max(g.now, now)
 	g.actions = nil
+	g.updateListening(before)
 	switch event.GetKind() {
 	case schema.EventKind_read:
 		g.onRead(event)
@@ -140,6 +149,8 @@
 	case schema.EventKind_stopping:
 		g.stopping = true
 		g.dirty = true
+	case schema.EventKind_idle:
+		g.onIdle(event.GetSequence())
 	case schema.EventKind_tick:
 	}
 	g.act()
@@ -184,8 +195,15 @@
 // loadWeight is the weight of a new measurement of a slice's load.
 const loadWeight = 0.4
 
+// writePatience is how many suspect times an answer to a write is waited for. Then it counts as lost, and the write as
+// unresolved.
+const writePatience = 10
+
 // poll asks for the table's document at the poll period.
 func (g *Guardian) poll() {
+	if g.write != nil && g.write.inFlight && g.now-g.write.sent >= writePatience*g.config.Timing.Suspect {
+		g.write.inFlight = false
+	}
 	if g.reading && g.now-g.readSent < 4*g.config.Timing.Poll {
 		return
 	}
@@ -213,15 +231,15 @@
 	if event.GetOutcome() == schema.WriteOutcome_unknown {
 		return
 	}
-	if document == nil {
-		g.absent = g.document.GetVersion() == 0
-		return
-	}
 	if document.GetVersion() < g.document.GetVersion() {
 		// A read that started before a newer version was learned proves nothing about it.
 		return
 	}
-	g.adopt(document, started)
+	g.noteAlive(event.GetAlive())
+	g.absent = document == nil
+	if document != nil {
+		g.adopt(document, started)
+	}
 	if g.write != nil && !g.write.inFlight && document.GetVersion() == g.write.base {
 		g.retryWrite()
 	}
@@ -284,7 +302,8 @@
 }
 
 func (g *Guardian) onWrote(event *schema.OwnershipEvent) {
-	if g.write == nil {
+	if g.write == nil || event.GetSequence() != g.write.base {
+		// The answer to an earlier write, which has been resolved by a read.
 		return
 	}
 	pending := g.write
--- a/core/ownership/peer.go
+++ b/core/ownership/peer.go
@@ -19,8 +19,6 @@
 	view  *schema.View
 	// held is until when the peer surely abstains from writing.
 	held time.Duration
-	// heldAsked is when that promise was asked for.
-	heldAsked time.Duration
 	// asked is the lowest sequence whose promise counts; 0 before the first question at this version.
 	asked uint64
 	// released is the highest sequence whose promise was given back.
@@ -29,6 +27,9 @@
 	lastTold time.Duration
 	// promiseEcho is the sequence of the peer's question that the next view answers with a promise.
 	promiseEcho uint64
+	// row is the peer's counter in the table, and rowAt when it last changed.
+	row   uint64
+	rowAt time.Duration
 	// documentTold is when the peer was last sent a document.
 	documentTold time.Duration
 	// loadsTold is the round of loads that the peer was told last.
@@ -49,10 +50,10 @@
 	p := g.peers[id]
 	if p == nil {
 		p = &peer{
-			heard:     never,
-			held:      never,
-			heldAsked: never,
-			lastTold:  never,
+			heard:    never,
+			rowAt:    never,
+			held:     never,
+			lastTold: never,
 		}
 		g.peers[id] = p
 	}
@@ -112,7 +113,6 @@
 	until := sent + g.config.Timing.shorter(time.Duration(view.GetPromiseMs())*time.Millisecond)
 	if until > p.held {
 		p.held = until
-		p.heldAsked = sent
 	}
 }
 
@@ -147,6 +147,10 @@
 
 // tell sends views to all known members: at the heartbeat period, and at once after a change.
 func (g *Guardian) tell() {
+	if asking := g.asking(); asking != g.asked {
+		g.asked = asking
+		g.dirty = true
+	}
 	due := g.dirty && g.now-g.toldAll >= g.config.Timing.Heartbeat/changeShare
 	if due {
 		g.dirty = false
@@ -155,13 +159,20 @@
 	for _, m := range g.audience() {
 		p := g.peer(m.GetId())
 		p.member = m
-		if !due && g.now-p.lastTold < g.config.Timing.Heartbeat {
-			continue
+		if due || g.now-p.lastTold >= g.period(p) {
+			g.tellOne(p)
 		}
-		g.tellOne(p)
 	}
 }
 
+// period returns how long after the last view the next one goes to p: a promise is not held back.
+func (g *Guardian) period(p *peer) time.Duration {
+	if p.promiseEcho != 0 {
+		return g.config.Timing.Heartbeat / changeShare
+	}
+	return g.config.Timing.Heartbeat
+}
+
 // changeShare is how many times in a heartbeat period changes are told at most.
 const changeShare = 20
 
@@ -251,7 +262,23 @@
 	return names
 }
 
-// lost reports whether the peer has been silent for the suspect time. A peer never heard counts from the start.
+// noteAlive follows the members' counters in the table. They tell a peer that is cut off from here from one that has
+// ended: nothing is taken from a peer that others can reach.
+func (g *Guardian) noteAlive(counters map[string]uint64) {
+	for id, counter := range counters {
+		if id == g.config.Self.GetId() {
+			continue
+		}
+		p := g.peer(id)
+		if p.row != counter {
+			p.row = counter
+			p.rowAt = g.now
+		}
+	}
+}
+
+// lost reports whether the peer has been silent for the suspect time, both here and in the table. A peer never heard
+// counts from the start.
 func (g *Guardian) lost(id string) bool {
 	if id == g.config.Self.GetId() {
 		return false
@@ -260,5 +287,8 @@
 		return true
 	}
 	p := g.peers[id]
-	return p == nil || g.now-p.heard >= g.config.Timing.Suspect
+	if p == nil {
+		return true
+	}
+	return g.now-p.heard >= g.config.Timing.Suspect && g.now-p.rowAt >= g.config.Timing.Suspect+g.config.Timing.Poll
 }
--- a/core/ownership/plan.go
+++ b/core/ownership/plan.go
@@ -40,7 +40,34 @@
 	if !g.member() {
 		return g.mayEnter()
 	}
-	return g.firstWriter() == g.config.Self.GetId()
+	return g.steady() && g.firstWriter() == g.config.Self.GetId()
+}
+
+// steadyAfter is how many suspect times a guardian listens before it judges others: after it joined, after it was cut
+// off from all, and after a pause.
+const steadyAfter = 2
+
+// steady reports whether this guardian has listened for long enough to tell who is lost.
+func (g *Guardian) steady() bool {
+	return g.now-g.listening >= steadyAfter*g.config.Timing.Suspect
+}
+
+// updateListening starts the time of listening anew where this guardian may have missed what others said: after a
+// pause, after it joined, and when it hears again after all were lost.
+func (g *Guardian) updateListening(before time.Duration) {
+	if g.now-before >= g.config.Timing.Suspect || !g.member() {
+		g.listening = g.now
+	}
+	alone := true
+	for _, m := range g.document.GetGuardians() {
+		if m.GetId() != g.config.Self.GetId() && !g.lost(m.GetId()) {
+			alone = false
+		}
+	}
+	if g.alone && !alone {
+		g.listening = g.now
+	}
+	g.alone = alone
 }
 
 // mayEnter reports whether this instance may make itself a guardian: only where all guardians are proved to have
@@ -126,7 +153,7 @@
 	for _, m := range g.document.GetGuardians() {
 		id := m.GetId()
 		p := g.peers[id]
-		silent := p != nil && p.heard != never && g.now-p.heard >= removeAfter*g.config.Timing.Suspect
+		silent := p != nil && p.heard != never && g.lost(id) && g.now-p.heard >= removeAfter*g.config.Timing.Suspect
 		unheard := p == nil || (p.heard == never && g.now-g.adopted() >= removeAfter*g.config.Timing.Suspect)
 		gone := id != g.config.Self.GetId() && (silent || unheard)
 		if g.dead[id] || gone || (g.leaving(id) && (g.homeless(id) || len(facts.Members) == 0)) {
--- a/core/ownership/right.go
+++ b/core/ownership/right.go
@@ -14,28 +14,27 @@
 	return g.confirmed + g.config.Timing.Confirm
 }
 
-// promisedRight returns until when all other guardians abstain from writing, and since when that was asked.
-func (g *Guardian) promisedRight() (until, since time.Duration) {
-	until = -never
-	since = -never
+// promisedRight returns until when all other guardians abstain from writing. All of them acted on the same version when
+// they promised, so that the table holds no newer one until then.
+func (g *Guardian) promisedRight() time.Duration {
+	until := -never
 	for _, m := range g.document.GetGuardians() {
 		if m.GetId() == g.config.Self.GetId() {
 			continue
 		}
 		p := g.peer(m.GetId())
 		until = min(until, p.held)
-		since = min(since, p.heldAsked)
 	}
 	if until == -never {
 		// The only guardian needs nobody's promise, but the platform's word once.
-		return g.now + g.config.Timing.Confirm, g.now
+		return g.now + g.config.Timing.Confirm
 	}
-	return until, since
+	return until
 }
 
-// right returns until when this guardian may let an upstream hold a grant of the present document. begun is the
-// time when the upstream's present run was first seen: the right must have been won later, because a
-// restarted upstream has forgotten the fences that protected it.
+// right returns until when this guardian may let an upstream hold a grant of the present document. begun is the time
+// when the upstream's present run was first seen: a proof that the document was current must be younger, because a
+// restarted upstream has forgotten the fences that protected it. Promises prove that it still is.
 func (g *Guardian) right(begun time.Duration) time.Duration {
 	if !g.member() {
 		return never
@@ -44,20 +43,17 @@
 	if g.confirmed >= begun {
 		until = g.confirmedRight()
 	}
-	promised, since := g.promisedRight()
-	if since >= begun && promised > until {
+	promised := g.promisedRight()
+	// A write of its own that may have taken effect is not covered by the promises of others.
+	if g.write == nil && promised > until {
 		until = promised
 	}
-	if g.write != nil && !g.write.inFlight && until > g.confirmedRight() {
-		// An unresolved write may have taken effect: promises of others do not cover the own one.
-		until = g.confirmedRight()
-	}
 	return until
 }
 
 // fresh reports whether the platform has lately confirmed the document.
 func (g *Guardian) fresh() bool {
-	return g.confirmed != never && g.now-g.confirmed < g.config.Timing.Confirm*6/10
+	return g.confirmed != never && g.now-g.confirmed < g.config.Timing.Confirm/2
 }
 
 // asking reports whether this guardian wants promises, because the platform has been silent for a while.
@@ -65,7 +61,7 @@
 	if g.document.GetVersion() == 0 || !g.member() || g.confirmed == never {
 		return false
 	}
-	return g.now-g.confirmed >= g.config.Timing.Confirm*6/10
+	return g.now-g.confirmed >= g.config.Timing.Confirm/2
 }
 
 func (g *Guardian) confirmAge() int64 {
@@ -89,8 +85,8 @@
 	return g.now >= g.learned(pool.GetSince())+g.config.Timing.TakeOverWait()+g.config.Extra
 }
 
-// SetIdle tells that at document version nothing is in progress for pools whose home is another member.
-func (g *Guardian) SetIdle(version uint64) {
+// onIdle takes note that at document version nothing is in progress for pools whose home is another member.
+func (g *Guardian) onIdle(version uint64) {
 	if version > g.idleSince {
 		g.idleSince = version
 		g.dirty = true
@@ -107,7 +103,11 @@
 	}
 }
 
+// evict gives up renewing a holder at this version. A pending write might replace the version without knowing of it.
 func (g *Guardian) evict(name string) {
+	if g.write != nil {
+		return
+	}
 	if !g.evicted[name] && HolderOf(g.document, name) != nil {
 		g.evicted[name] = true
 		g.dirty = true
@@ -119,8 +119,7 @@
 	if !g.config.Keyed || !g.member() || g.fresh() {
 		return
 	}
-	promised, _ := g.promisedRight()
-	if promised > g.now && g.confirmedRight() <= g.now {
+	if g.promisedRight() > g.now && g.confirmedRight() <= g.now {
 		for _, h := range g.document.GetHolders() {
 			if g.actingHome(h.GetZone()) && g.upstream(h.GetName()).down(g.now, g.config.Timing) {
 				g.evict(h.GetName())
--- a/core/ownership/route.go
+++ b/core/ownership/route.go
@@ -68,7 +68,7 @@
 
 // Forwarding returns this instance's right to forward to the upstream called name, for its pool's home only.
 func (g *Guardian) Forwarding(now time.Duration, name string) (Lease, bool) {
-	g.now = max(g.now, now)
+	defer g.peek(now)()
 	h := HolderOf(g.document, name)
 	u := g.upstreams[name]
 	if h == nil || u == nil || !g.homeReady(PoolOf(g.document, h.GetZone())) {
@@ -88,6 +88,13 @@
 	}, true
 }
 
+// peek looks at the state as of now, without making it a step. The returned function ends the look.
+func (g *Guardian) peek(now time.Duration) func() {
+	before := g.now
+	g.now = max(g.now, now)
+	return func() { g.now = before }
+}
+
 // Owning returns the right to forward requests for hash to its owner.
 func (g *Guardian) Owning(now time.Duration, hash uint64) (Lease, bool) {
 	slices := g.document.GetSlices()
@@ -113,7 +120,7 @@
 
 // HomeReady reports whether this instance may forward to the zone's pool.
 func (g *Guardian) HomeReady(now time.Duration, zone string) bool {
-	g.now = max(g.now, now)
+	defer g.peek(now)()
 	return g.homeReady(PoolOf(g.document, zone))
 }
 
--- a/internal/daemon/control.go
+++ b/internal/daemon/control.go
@@ -72,7 +72,8 @@
 
 func (d *Daemon) step(ctx context.Context, s *service, event *schema.OwnershipEvent, outbox *outbox) {
 	began := time.Now()
-	now := d.clock.Now()
+	// Traces hold microseconds: the decisions must not see more.
+	now := d.clock.Now().Truncate(time.Microsecond)
 	s.mutex.Lock()
 	before := s.guardian.Version()
 	actions := s.guardian.Step(now, event)
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -195,6 +195,7 @@
 	group, work := errgroup.WithContext(work)
 	group.Go(func() error { return d.controlLoop(work) })
 	group.Go(func() error { return d.reader.run(work) })
+	group.Go(func() error { return d.aliveLoop(work) })
 	group.Go(func() error { return d.listLoop(work) })
 	group.Go(func() error { return d.claims.run(work) })
 	group.Go(func() error { return d.audit.run(work) })
--- a/internal/daemon/service.go
+++ b/internal/daemon/service.go
@@ -22,6 +22,8 @@
 	// mutex guards guardian. The control loop alone steps it.
 	mutex    sync.Mutex
 	guardian *ownership.Guardian
+	// idleTold is the version for which the guardian was told that nothing is in progress for other homes' pools.
+	idleTold uint64
 	sketch   *load.Sketch
 	spec     atomic.Pointer[schema.Service]
 	// poolMutex guards pools.
@@ -140,10 +142,12 @@
 		idle = idle && p.idle()
 	}
 	s.poolMutex.Unlock()
-	if idle {
-		s.mutex.Lock()
-		s.guardian.SetIdle(document.GetVersion())
-		s.mutex.Unlock()
+	if idle && s.idleTold < document.GetVersion() {
+		s.idleTold = document.GetVersion()
+		s.daemon.post(s, &schema.OwnershipEvent{
+			Kind:     schema.EventKind_idle,
+			Sequence: document.GetVersion(),
+		})
 	}
 }
 
--- a/internal/daemon/table.go
+++ b/internal/daemon/table.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"strings"
 	"sync"
 	"time"
 
@@ -17,6 +18,7 @@
 	configurationKey = "configuration"
 	ownershipPrefix  = "ownership/"
 	memberPrefix     = "member/"
+	alivePrefix      = "alive/"
 	auditPrefix      = "audit/"
 	claimPrefix      = "claim/"
 	objectPrefix     = "estate/"
@@ -101,8 +103,11 @@
 			Version: known,
 		})
 	}
+	if len(wanted) > 0 {
+		request.Prefixes = append(request.Prefixes, alivePrefix)
+	}
 	if time.Since(r.membersRead) >= memberPeriod {
-		request.Prefixes = []string{memberPrefix}
+		request.Prefixes = append(request.Prefixes, memberPrefix)
 		r.membersRead = time.Now()
 	}
 	started := d.clock.Now()
@@ -120,9 +125,12 @@
 		}
 		return
 	}
+	alive := aliveCounters(reply.GetRows())
 	for _, row := range reply.GetRows() {
 		if s := byKey[row.GetKey()]; s != nil {
-			d.post(s, readEvent(s, row, started))
+			event := readEvent(s, row, started)
+			event.Alive = alive
+			d.post(s, event)
 			continue
 		}
 		r.takeRow(ctx, row)
@@ -132,6 +140,45 @@
 	}
 }
 
+// aliveCounters returns the version of each member's row by the member's id: it grows with each write.
+func aliveCounters(rows []*schema.Row) map[string]uint64 {
+	counters := map[string]uint64{}
+	for _, row := range rows {
+		if strings.HasPrefix(row.GetKey(), alivePrefix) {
+			counters[string(row.GetValue())] = row.GetVersion()
+		}
+	}
+	return counters
+}
+
+// aliveLoop writes this member's row, so that others can tell a cut between them from its end.
+func (d *Daemon) aliveLoop(ctx context.Context) error {
+	ticker := time.NewTicker(alivePeriod)
+	defer ticker.Stop()
+	for {
+		d.metrics.Add(metrics.TableWrites, 1)
+		limited, cancel := context.WithTimeout(ctx, readTimeout)
+		_, err := d.table.Transact(limited, &schema.Transaction{
+			Puts: []*schema.Row{{
+				Key:   alivePrefix + d.self.GetName(),
+				Value: []byte(d.self.GetId()),
+			}},
+		})
+		cancel()
+		if err != nil {
+			d.metrics.Add(metrics.TableFailures, 1)
+		}
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+		}
+	}
+}
+
+// alivePeriod is how often the row is written.
+const alivePeriod = 300 * time.Millisecond
+
 // readEvent makes the event for a row of an ownership document. A document that can't be read counts as no answer.
 func readEvent(s *service, row *schema.Row, started time.Duration) *schema.OwnershipEvent {
 	event := &schema.OwnershipEvent{
@@ -158,6 +205,9 @@
 
 func (r *reader) takeRow(ctx context.Context, row *schema.Row) {
 	d := r.daemon
+	if strings.HasPrefix(row.GetKey(), alivePrefix) {
+		return
+	}
 	if row.GetKey() == configurationKey {
 		if row.GetVersion() > 0 && len(row.GetValue()) > 0 && d.takeConfigurationRow(ctx, row) {
 			r.configuration = row.GetVersion()
@@ -192,8 +242,9 @@
 // write performs a write of an ownership document, with its audit record in the same transaction.
 func (d *Daemon) write(ctx context.Context, s *service, w *ownership.WriteDocument) {
 	event := &schema.OwnershipEvent{
-		Kind:    schema.EventKind_wrote,
-		Outcome: schema.WriteOutcome_unknown,
+		Kind:     schema.EventKind_wrote,
+		Outcome:  schema.WriteOutcome_unknown,
+		Sequence: w.Base,
 	}
 	defer func() { d.post(s, event) }()
 	transaction, err := d.ownershipTransaction(s, w)
