--- a/core/admission/choose.go
+++ b/core/admission/choose.go
@@ -109,11 +109,21 @@
 	if p.config.RoundRobin {
 		return p.chooseRoundRobin()
 	}
+	if t.Attempts > 0 && len(p.names) > 1 {
+		if name := p.chooseExcept(t, waiting, t.avoid); name != "" {
+			return name
+		}
+	}
+	return p.chooseExcept(t, waiting, "")
+}
+
+// chooseExcept is choose without the upstream called avoid.
+func (p *Pool) chooseExcept(t *Ticket, waiting int, avoid string) string {
 	best := ""
 	var bestScore time.Duration
 	for _, name := range p.names {
 		u := p.upstreams[name]
-		if u.free(p.now, p.config) <= 0 || (name == t.avoid && t.Attempts > 0 && len(p.names) > 1) {
+		if name == avoid || u.free(p.now, p.config) <= 0 {
 			continue
 		}
 		score := p.score(u)
@@ -196,7 +206,8 @@
 	}
 	late := p.tail.get()
 	for _, name := range p.names {
-		for id, since := range p.upstreams[name].running {
+		for _, id := range p.upstreams[name].oldestFirst() {
+			since := p.upstreams[name].running[id]
 			t := p.running[id]
 			if t == nil || t.Upstream != "" || !t.Idempotent || p.copies[id] > 1 || p.now-since < late {
 				continue
--- /dev/null
+++ b/core/admission/main_test.go
@@ -0,0 +1,13 @@
+package admission_test
+
+import (
+	"os"
+	"testing"
+
+	"cuminlift/internal/fixedseed"
+)
+
+func TestMain(m *testing.M) {
+	fixedseed.Set("500")
+	os.Exit(m.Run())
+}
--- a/core/admission/upstream.go
+++ b/core/admission/upstream.go
@@ -1,6 +1,9 @@
 package admission
 
-import "time"
+import (
+	"sort"
+	"time"
+)
 
 // UpstreamState is what the pool is told of an upstream.
 type UpstreamState struct {
@@ -103,6 +106,19 @@
 	return current
 }
 
+// oldestFirst returns the tickets in progress, longest first and then by number.
+func (u *upstream) oldestFirst() []uint64 {
+	ids := make([]uint64, 0, len(u.running))
+	for id := range u.running {
+		ids = append(ids, id)
+	}
+	sort.Slice(ids, func(i, j int) bool {
+		a, b := u.running[ids[i]], u.running[ids[j]]
+		return a < b || (a == b && ids[i] < ids[j])
+	})
+	return ids
+}
+
 func (u *upstream) measure(latency time.Duration) {
 	if u.latency == 0 {
 		u.latency = latency
