Measure planning, balance, churn, hot keys, control, changes, losses and forwarding

Cause: docs/CAPACITY.md needs slopes, and each figure a command. Change: internal/measure with one experiment for each table of docs/data, run by "cuminlift measure".

--- a/internal/command/measure.go
+++ b/internal/command/measure.go
@@ -3,22 +3,29 @@
 import (
 	"fmt"
 	"strings"
+	"time"
 
 	"cuminlift/internal/measure"
+	"cuminlift/internal/tryout"
 )
 
 // MeasureCommand measures slopes and policies.
 type MeasureCommand struct {
-	What     []string `arg:"" optional:"" help:"Experiments: policy. All if empty."`
-	Out      string   `help:"Folder for the tables." default:"docs/data"`
-	Requests int      `help:"Requests in each case of the policy experiment." default:"50000"`
+	What     []string      `arg:"" optional:"" help:"Experiments; all if empty."`
+	Out      string        `help:"Folder for the tables." default:"docs/data"`
+	Length   time.Duration `help:"Length of each case with processes' parts." default:"5s"`
+	Rounds   int           `help:"Runs of each loss and change." default:"20"`
+	Requests int           `help:"Requests in each case of the policy experiment." default:"50000"`
 }
 
 // Run implements the command.
 func (c *MeasureCommand) Run(e *Environment) error {
-	experiments := map[string]func() (*measure.Table, error){
-		"policy": func() (*measure.Table, error) { return measure.Policies(c.Requests), nil },
+	folder, remove, err := tryout.TemporaryFolder()
+	if err != nil {
+		return err
 	}
+	defer remove()
+	experiments := c.experiments(folder)
 	for _, name := range c.names() {
 		experiment := experiments[name]
 		if experiment == nil {
@@ -36,6 +43,24 @@
 	return nil
 }
 
+// experiments returns what measures each table.
+func (c *MeasureCommand) experiments(folder string) map[string]func() (*measure.Table, error) {
+	pure := func(f func() *measure.Table) func() (*measure.Table, error) {
+		return func() (*measure.Table, error) { return f(), nil }
+	}
+	return map[string]func() (*measure.Table, error){
+		"policy":   pure(func() *measure.Table { return measure.Policies(c.Requests) }),
+		"planning": pure(measure.Planning),
+		"balance":  pure(measure.Balance),
+		"churn":    pure(measure.Churn),
+		"hotkeys":  pure(measure.HotKeys),
+		"control":  func() (*measure.Table, error) { return measure.Control(folder, c.Length) },
+		"inforce":  func() (*measure.Table, error) { return measure.InForce(folder, c.Rounds) },
+		"failover": func() (*measure.Table, error) { return measure.Failover(folder, c.Rounds) },
+		"forward":  func() (*measure.Table, error) { return measure.Forward(folder, c.Length) },
+	}
+}
+
 func (c *MeasureCommand) names() []string {
 	if len(c.What) == 0 {
 		return measure.Experiments
