Heartbeats for many instances, and cold starts told from bursts

Cause: control cost grew with the number of instances (118 heartbeats/s and 25 KB/s each at 9, services out of step, the whole member in each; 48 instances did not serve). Forwarding at 3000/s answered 1155/s: one answer 8 times slower than a 0.3 ms average began a ramp of 3 s, whose pace forgot the number of slots, and idle connections were closed at 8. Ruled out: the gate (no refusals), deadlines (none missed), the hop (one instance). Change: views of all services at the same times, members whole only now and then, neighbours at distances 1, 2, 4, ...; a cold start shows in at least 4 slow answers over 100 ms; the ramp's pace counts slots; 128 idle connections.

--- a/core/admission/admission_test.go
+++ b/core/admission/admission_test.go
@@ -346,3 +346,40 @@
 	}
 	return ""
 }
+
+// answerAll sends n requests one after the other, each answered after work, and returns how long they took.
+func answerAll(p *admission.Pool, now time.Duration, n int, work time.Duration) time.Duration {
+	for id := range uint64(n) {
+		p.Submit(now, ticket(id, admission.Check, now+time.Hour))
+		d := p.Poll(now).Dispatches
+		for len(d) == 0 {
+			now += ms
+			d = p.Poll(now).Dispatches
+		}
+		now += work
+		p.Finish(now, id, d[0].Upstream, admission.Answered, 0)
+	}
+	return now
+}
+
+func TestOneSlowAnswerStartsNoRamp(t *testing.T) {
+	c := qt.New(t)
+	p := newPool(64, time.Second)
+	add(p, 0, "a")
+	now := answerAll(p, 0, 100, 300*time.Microsecond)
+	now = answerAll(p, now, 1, 20*ms)
+	began := now
+	now = answerAll(p, now, 10, 300*time.Microsecond)
+	c.Assert(now-began, qt.Equals, 3*ms)
+}
+
+func TestColdStartWithoutNoticeIsRecognised(t *testing.T) {
+	c := qt.New(t)
+	p := newPool(2, time.Second)
+	add(p, 0, "a")
+	now := answerAll(p, 0, 100, 5*ms)
+	now = answerAll(p, now, 6, 50*ms)
+	began := now
+	now = answerAll(p, now, 10, 50*ms)
+	c.Assert(now-began > 10*50*ms, qt.IsTrue, qt.Commentf("%v", now-began))
+}
--- a/core/admission/finish.go
+++ b/core/admission/finish.go
@@ -43,7 +43,7 @@
 func (p *Pool) learn(u *upstream, latency time.Duration, result Result, retryAfter time.Duration) {
 	switch result {
 	case Answered:
-		if u.latency > 0 && latency > coldAnswerFactor*u.latency && !u.ramping && p.config.Cold > 0 {
+		if u.looksCold(p.now, latency) && !u.ramping && p.config.Cold > 0 {
 			u.startRamp(p.now)
 		}
 		u.measure(latency)
--- a/core/admission/upstream.go
+++ b/core/admission/upstream.go
@@ -25,6 +25,10 @@
 	running map[uint64]time.Duration
 	// latency is the moving average of the time to an answer.
 	latency time.Duration
+	// usual is what answers took for long, and slowInRow counts answers that took much longer.
+	usual     time.Duration
+	slowInRow int
+	slowSince time.Duration
 	// rampFrom is when the present ramp began; it ends after the pool's cold time.
 	rampFrom time.Duration
 	ramping  bool
@@ -41,8 +45,15 @@
 const (
 	// latencyWeight is the weight of a new measurement in the moving average.
 	latencyWeight = 0.2
-	// coldAnswerFactor is how many times slower than its average an answer is that tells of a cold start.
-	coldAnswerFactor = 8
+	// coldAnswerFactor is how many times slower than usual an answer is that may tell of a cold start, and coldAnswerLeast
+	// how slow it is at least; coldAnswers of them in a row may tell.
+	coldAnswerFactor = 4
+	coldAnswerLeast  = 10 * time.Millisecond
+	coldAnswers      = 4
+	// coldSpell is how long they must go on: a burst makes answers late too.
+	coldSpell = 100 * time.Millisecond
+	// usualWeight is the weight of a new measurement in what is usual for an upstream.
+	usualWeight = 0.01
 	// minPause and maxPause bound how long an upstream that shed is left alone.
 	minPause = 20 * time.Millisecond
 	maxPause = 2 * time.Second
@@ -77,7 +88,7 @@
 		slots = 1
 	}
 	if share < 1 {
-		rest := time.Duration(float64(u.typical()) * (1/share - 1))
+		rest := time.Duration(float64(u.typical()) / (share * float64(config.Slots)))
 		if u.rampLast != 0 && now-u.rampLast < rest {
 			return 0
 		}
@@ -106,6 +117,24 @@
 	return current
 }
 
+// looksCold follows answers and reports whether the upstream seems to have fallen into a cold start.
+func (u *upstream) looksCold(now, latency time.Duration) bool {
+	if u.usual == 0 {
+		u.usual = latency
+		return false
+	}
+	if latency > coldAnswerFactor*u.usual && latency > coldAnswerLeast {
+		if u.slowInRow == 0 {
+			u.slowSince = now
+		}
+		u.slowInRow++
+		return u.slowInRow >= coldAnswers && now-u.slowSince >= coldSpell
+	}
+	u.slowInRow = 0
+	u.usual += time.Duration(usualWeight * float64(latency-u.usual))
+	return false
+}
+
 // oldestFirst returns the tickets in progress, longest first and then by number.
 func (u *upstream) oldestFirst() []uint64 {
 	ids := make([]uint64, 0, len(u.running))
--- a/core/ownership/peer.go
+++ b/core/ownership/peer.go
@@ -159,18 +159,19 @@
 	for _, m := range g.audience() {
 		p := g.peer(m.GetId())
 		p.member = m
-		if due || g.now-p.lastTold >= g.period(p) {
+		if due || g.tellDue(p) {
 			g.tellOne(p)
 		}
 	}
 }
 
-// period returns how long after the last view the next one goes to p: a promise is not held back.
-func (g *Guardian) period(p *peer) time.Duration {
-	if p.promiseEcho != 0 {
-		return g.config.Timing.Heartbeat / changeShare
+// tellDue reports whether a view should go to p now. Heartbeats go at the same times for all services, so that one
+// message carries them all. A promise is not held back.
+func (g *Guardian) tellDue(p *peer) bool {
+	if p.promiseEcho != 0 && g.now-p.lastTold >= g.config.Timing.Heartbeat/changeShare {
+		return true
 	}
-	return g.config.Timing.Heartbeat
+	return p.lastTold == never || g.now/g.config.Timing.Heartbeat != p.lastTold/g.config.Timing.Heartbeat
 }
 
 // changeShare is how many times in a heartbeat period changes are told at most.
@@ -188,14 +189,20 @@
 	return age < 0 || age > g.config.Timing.Confirm/2
 }
 
+// smallGroup is the number of guardians below which all known members are told.
+const smallGroup = 15
+
 // audience returns the members that views go to, sorted by id.
 func (g *Guardian) audience() []*schema.Member {
 	byID := map[string]*schema.Member{}
 	for _, m := range g.document.GetGuardians() {
 		byID[m.GetId()] = m
 	}
-	for _, m := range g.facts.GetMembers() {
-		byID[m.GetId()] = m
+	if len(byID) < smallGroup {
+		// While there is room for more guardians, those who may become one take part.
+		for _, m := range g.facts.GetMembers() {
+			byID[m.GetId()] = m
+		}
 	}
 	delete(byID, g.config.Self.GetId())
 	members := make([]*schema.Member, 0, len(byID))
--- a/internal/daemon/control.go
+++ b/internal/daemon/control.go
@@ -136,6 +136,12 @@
 	pending map[string]*schema.Heartbeat
 	targets map[string]*schema.Member
 	last    map[string]time.Duration
+	// sent counts the heartbeats to each member.
+	sent map[string]int
+	// based is when the neighbours were looked at last.
+	based time.Duration
+	// version is the configuration that was told last.
+	version uint64
 }
 
 func newOutbox(d *Daemon) *outbox {
@@ -144,6 +150,7 @@
 		pending: map[string]*schema.Heartbeat{},
 		targets: map[string]*schema.Member{},
 		last:    map[string]time.Duration{},
+		sent:    map[string]int{},
 	}
 }
 
@@ -159,21 +166,32 @@
 	}
 }
 
-// base makes sure that each known member hears of this one at the heartbeat period, also without a service.
+// base makes sure that this member's neighbours hear of it once in the base period, also without a service, and at once
+// of a new configuration.
 func (o *outbox) base(now time.Duration) {
-	known := o.daemon.members.targets(now)
-	for _, m := range known {
-		if now-o.last[m.GetId()] >= o.daemon.config.Timing.Heartbeat {
+	version := o.daemon.configurationVersion()
+	news := version != o.version
+	o.version = version
+	if !news && now-o.based < basePeriod/4 {
+		return
+	}
+	o.based = now
+	for _, m := range o.daemon.members.targets(now) {
+		if news || now-o.last[m.GetId()] >= basePeriod {
 			o.add(m, nil)
 		}
 	}
 	for id := range o.last {
 		if now-o.last[id] > forgetAfter {
 			delete(o.last, id)
+			delete(o.sent, id)
 		}
 	}
 }
 
+// basePeriod is how often neighbours hear of this member where no service has something to tell.
+const basePeriod = time.Second
+
 // forgetAfter is how long the time of the last heartbeat to a member is kept.
 const forgetAfter = 10 * time.Second
 
@@ -183,7 +201,7 @@
 	}
 	now := o.daemon.clock.Now()
 	for id, h := range o.pending {
-		h.From = o.daemon.self
+		h.From = o.from(id)
 		h.Sequence = o.daemon.sequence.Add(1)
 		h.Leaving = o.daemon.stopping.Load()
 		o.daemon.addConfiguration(h, id)
@@ -196,6 +214,25 @@
 	clear(o.targets)
 }
 
+// from returns this member for a heartbeat: whole in the first ones and now and then, or else its id alone.
+func (o *outbox) from(to string) *schema.Member {
+	n := o.sent[to]
+	o.sent[to]++
+	if n < wholeAtFirst || n%wholeEvery == 0 {
+		return o.daemon.self
+	}
+	return &schema.Member{
+		Id: o.daemon.self.GetId(),
+	}
+}
+
+const (
+	// wholeAtFirst is the number of first heartbeats to a member that tell all of this one.
+	wholeAtFirst = 3
+	// wholeEvery is how many heartbeats later one does so again.
+	wholeEvery = 25
+)
+
 // receive takes a heartbeat from the link.
 func (d *Daemon) receive(h *schema.Heartbeat) {
 	if h.GetFrom() == nil || h.GetFrom().GetId() == d.self.GetId() {
--- a/internal/daemon/home.go
+++ b/internal/daemon/home.go
@@ -350,11 +350,13 @@
 		e.Upstream, e.Want, e.Have)
 }
 
+// idleConnections bounds the idle connections to one upstream. Those in use are bounded by its slots.
+const idleConnections = 128
+
 // newUpstreamTransport returns the connections to upstreams. It follows no redirect and retries only what wrote no byte.
 func (d *Daemon) newUpstreamTransport() *http.Transport {
 	return &http.Transport{
-		MaxIdleConnsPerHost:    8,
-		MaxConnsPerHost:        64,
+		MaxIdleConnsPerHost:    idleConnections,
 		IdleConnTimeout:        time.Minute,
 		DisableCompression:     true,
 		MaxResponseHeaderBytes: maxHeader,
--- a/internal/daemon/members.go
+++ b/internal/daemon/members.go
@@ -54,6 +54,10 @@
 	if member.GetId() == "" || member.GetId() == m.self.GetId() || m.dead[member.GetId()] {
 		return nil
 	}
+	if member.GetPeers() == "" {
+		// Most heartbeats carry the id alone.
+		return m.known[member.GetId()]
+	}
 	if member.GetPeers() == m.self.GetPeers() {
 		m.bury(member.GetId())
 		return nil
@@ -112,12 +116,13 @@
 	k.leaving = h.GetLeaving()
 }
 
-// targets returns the members to send a heartbeat to now.
+// targets returns the members to send a heartbeat to now: all of a few, and of many those at distances 1, 2, 4, … in
+// the order of ids, so that the cost grows with the logarithm of their number and news reach all in as many steps.
 func (m *members) targets(now time.Duration) []*schema.Member {
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
 	var targets []*schema.Member
-	for _, k := range m.known {
+	for _, k := range m.neighbours() {
 		quiet := k.heard == 0 || now-k.heard > quietAfter
 		if quiet && k.asked != 0 && now-k.asked < quietPeriod {
 			continue
@@ -128,6 +133,29 @@
 	return targets
 }
 
+// fewMembers is the number of other members up to which each hears from all.
+const fewMembers = 16
+
+func (m *members) neighbours() []*knownMember {
+	ids := make([]string, 0, len(m.known))
+	for id := range m.known {
+		ids = append(ids, id)
+	}
+	sort.Strings(ids)
+	var near []*knownMember
+	if len(ids) <= fewMembers {
+		for _, id := range ids {
+			near = append(near, m.known[id])
+		}
+		return near
+	}
+	own := sort.SearchStrings(ids, m.self.GetId())
+	for distance := 1; distance <= len(ids); distance *= 2 {
+		near = append(near, m.known[ids[(own+distance-1)%len(ids)]])
+	}
+	return near
+}
+
 // alive returns the members heard lately, sorted by id.
 func (m *members) alive(now time.Duration) []*schema.Member {
 	m.mutex.Lock()
--- a/internal/measure/ownership.go
+++ b/internal/measure/ownership.go
@@ -359,7 +359,7 @@
 				found++
 			}
 		}
-		kb := (int64(after.HeapAlloc) - int64(before.HeapAlloc) ) / 1024
+		kb := (int64(after.HeapAlloc) - int64(before.HeapAlloc)) / 1024
 		t.Add(requests, load.DefaultSize, max(kb, 0), found, perAdd)
 	}
 	return t
