--- /dev/null
+++ b/core/estate/estate_test.go
@@ -0,0 +1,114 @@
+package estate_test
+
+import (
+	"errors"
+	"strings"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"cuminlift/core/admission"
+	"cuminlift/core/estate"
+	"cuminlift/examples"
+)
+
+func TestExamplesAreSound(t *testing.T) {
+	c := qt.New(t)
+	for _, text := range []string{examples.Seminars, examples.Turkeys} {
+		parsed, err := estate.Parse("example", []byte(text))
+		c.Assert(err, qt.IsNil)
+		c.Assert(parsed.GetServices(), qt.HasLen, 3)
+	}
+}
+
+func TestEveryProblemNamesPlaceAndRemedy(t *testing.T) {
+	for name, one := range map[string]struct{ old, replaced, path string }{
+		"unknown field":          {`"slots": 2`, `"slotz": 2`, "text"},
+		"missing field":          {`"slots": 2,`, ``, "services[0].slots"},
+		"impossible number":      {`"deadline-ms": 2000`, `"deadline-ms": 5`, "services[0].deadline-ms"},
+		"wrong unit":             {`"deadline-ms": 2000`, `"deadline-ms": "2s"`, "text"},
+		"duplicate name":         {`"name": "registrations"`, `"name": "calendar"`, "services[1].name"},
+		"duplicate prefix":       {`"/registrations/"`, `"/calendar/"`, "services[1].path-prefix"},
+		"unknown dependency":     {`["calendar"]`, `["calender"]`, "services[1].depends-on[0]"},
+		"circular dependency":    {`"depends-on": []`, `"depends-on": ["media"]`, "services[0].depends-on"},
+		"kind without a meaning": {`"kind": "order"`, `"kind": "orders"`, "text"},
+		"fewer connections":      {`"connections": 100`, `"connections": 1`, "services[0].connections"},
+		"no name":                {`"name": "seminars"`, `"name": "Seminars 1"`, "name"},
+		"cut text":               {"}\n", "", "text"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			text := strings.ReplaceAll(examples.Seminars, one.old, one.replaced)
+			if one.old != "}\n" {
+				text = strings.Replace(examples.Seminars, one.old, one.replaced, 1)
+			}
+			_, err := estate.Parse("seminars.json", []byte(text))
+			var problems *estate.TextError
+			c.Assert(errors.As(err, &problems), qt.IsTrue)
+			found := false
+			for _, p := range problems.Problems {
+				c.Assert(p.Remedy, qt.Not(qt.Equals), "")
+				c.Assert(p.File, qt.Equals, "seminars.json")
+				found = found || p.Path == one.path
+			}
+			c.Assert(found, qt.IsTrue, qt.Commentf("%v", err))
+		})
+	}
+}
+
+func TestAllProblemsAreReportedAtOnce(t *testing.T) {
+	c := qt.New(t)
+	text := strings.ReplaceAll(examples.Seminars, `"slots": 2`, `"slots": 0`)
+	_, err := estate.Parse("seminars.json", []byte(text))
+	var problems *estate.TextError
+	c.Assert(errors.As(err, &problems), qt.IsTrue)
+	c.Assert(problems.Problems, qt.HasLen, 3)
+}
+
+func TestTreatmentFollowsKindAndDependents(t *testing.T) {
+	c := qt.New(t)
+	parsed, err := estate.Parse("seminars.json", []byte(examples.Seminars))
+	c.Assert(err, qt.IsNil)
+	c.Assert(estate.Class(parsed, "calendar", true), qt.Equals, admission.Check)
+	c.Assert(estate.Class(parsed, "registrations", false), qt.Equals, admission.Order)
+	c.Assert(estate.Class(parsed, "registrations", true), qt.Equals, admission.Check)
+	c.Assert(estate.Class(parsed, "media", true), qt.Equals, admission.Download)
+	needed := strings.Replace(examples.Seminars, `"depends-on": []`, `"depends-on": ["media"]`, 1)
+	needed = strings.ReplaceAll(needed, `"depends-on": ["calendar"]`, `"depends-on": []`)
+	parsed, err = estate.Parse("seminars.json", []byte(needed))
+	c.Assert(err, qt.IsNil)
+	c.Assert(estate.Class(parsed, "media", true), qt.Equals, admission.Check)
+}
+
+func TestLongestPrefixWins(t *testing.T) {
+	c := qt.New(t)
+	text := strings.Replace(examples.Seminars, `"/media/"`, `"/calendar/media/"`, 1)
+	parsed, err := estate.Parse("seminars.json", []byte(text))
+	c.Assert(err, qt.IsNil)
+	c.Assert(estate.Find(parsed, "/calendar/media/1").GetName(), qt.Equals, "media")
+	c.Assert(estate.Find(parsed, "/calendar/1").GetName(), qt.Equals, "calendar")
+	c.Assert(estate.Find(parsed, "/other/1"), qt.IsNil)
+}
+
+func TestDifferenceNamesFields(t *testing.T) {
+	c := qt.New(t)
+	from, err := estate.Parse("a", []byte(examples.Seminars))
+	c.Assert(err, qt.IsNil)
+	to, err := estate.Parse("b", []byte(strings.Replace(examples.Seminars, `"queue": 512`, `"queue": 600`, 1)))
+	c.Assert(err, qt.IsNil)
+	c.Assert(estate.Difference(from, to), qt.DeepEquals, []string{"~ calendar: queue 512 -> 600"})
+	c.Assert(estate.Difference(from, from), qt.HasLen, 0)
+}
+
+func FuzzParse(f *testing.F) {
+	f.Add([]byte(examples.Seminars))
+	f.Add([]byte(`{"name":"a","services":[{"name":"b"}]}`))
+	f.Add([]byte(`{"services":[{},{}]}`))
+	f.Add([]byte("\x00{"))
+	f.Fuzz(func(t *testing.T, text []byte) {
+		parsed, err := estate.Parse("fuzz", text)
+		if err == nil && len(parsed.GetServices()) == 0 {
+			t.Fatal("a text without services passed")
+		}
+	})
+}
--- a/core/ownership/guardian.go
+++ b/core/ownership/guardian.go
@@ -208,7 +208,8 @@
 		return
 	}
 	unresolved := g.write != nil && !g.write.inFlight
-	if !unresolved && g.now-g.readSent < g.config.Timing.Poll {
+	// Reads go at the same times for all services, so that one request serves them all.
+	if !unresolved && g.readSent != never && g.now/g.config.Timing.Poll == g.readSent/g.config.Timing.Poll {
 		return
 	}
 	if unresolved && g.now-g.readSent < g.config.Timing.Poll/4 {
--- a/core/ownership/peer.go
+++ b/core/ownership/peer.go
@@ -1,6 +1,7 @@
 package ownership
 
 import (
+	"fmt"
 	"sort"
 	"time"
 
@@ -32,6 +33,8 @@
 	rowAt time.Duration
 	// documentTold is when the peer was last sent a document.
 	documentTold time.Duration
+	// holdersPrint is of the holder states that the peer was told last.
+	holdersPrint string
 	// loadsTold is the round of loads that the peer was told last.
 	loadsTold uint64
 }
@@ -71,6 +74,9 @@
 	}
 	p.seen = view.GetSequence()
 	p.heard = g.now
+	if !view.GetHoldersTold() {
+		view.Holders = p.view.GetHolders()
+	}
 	p.view = view
 	g.takeLoads(view.GetLoads())
 	if view.GetDocument() != nil {
@@ -228,7 +234,6 @@
 		ConfirmAgeMs: g.confirmAge(),
 		Ask:          g.asking(),
 		Released:     p.released,
-		Holders:      g.holderStates(),
 		Evicted:      sortedNames(g.evicted),
 		IdleSince:    g.idleSince,
 		Leaving:      g.stopping,
@@ -237,6 +242,7 @@
 		view.Loads = g.facts.GetLoads()
 		p.loadsTold = g.loadsRound
 	}
+	g.tellHolders(p, view)
 	if view.GetAsk() && p.asked == 0 {
 		p.asked = p.sent
 	}
@@ -260,6 +266,21 @@
 	})
 }
 
+// holdersEvery is how many views later holder states are told again though nothing changed: a view may be lost.
+const holdersEvery = 5
+
+// tellHolders adds the states of the upstreams that this guardian keeps where they changed since the last view to p.
+func (g *Guardian) tellHolders(p *peer, view *schema.View) {
+	states := g.holderStates()
+	print := fmt.Sprint(states)
+	if print == p.holdersPrint && p.sent%holdersEvery != 0 {
+		return
+	}
+	p.holdersPrint = print
+	view.Holders = states
+	view.HoldersTold = true
+}
+
 func sortedNames(set map[string]bool) []string {
 	names := make([]string, 0, len(set))
 	for name := range set {
--- /dev/null
+++ b/core/retry/retry_test.go
@@ -0,0 +1,47 @@
+package retry_test
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"cuminlift/core/retry"
+)
+
+func TestBudgetIsAShareOfTraffic(t *testing.T) {
+	c := qt.New(t)
+	b := retry.NewBudget(0.1)
+	taken := 0
+	for range 10000 {
+		b.Earn()
+		if b.Take() {
+			taken++
+		}
+	}
+	c.Assert(taken >= 1000 && taken <= 1001, qt.IsTrue, qt.Commentf("%d", taken))
+}
+
+func TestQuietTimeSavesUpLittle(t *testing.T) {
+	c := qt.New(t)
+	b := retry.NewBudget(0.1)
+	for range 100000 {
+		b.Earn()
+	}
+	taken := 0
+	for b.Take() {
+		taken++
+	}
+	c.Assert(taken, qt.Equals, 20)
+}
+
+func TestBackoffHasFullJitterBelowItsCap(t *testing.T) {
+	c := qt.New(t)
+	b := retry.Backoff{
+		Base: 10 * time.Millisecond,
+		Cap:  time.Second,
+	}
+	c.Assert(b.Delay(1, 0), qt.Equals, time.Duration(0))
+	c.Assert(b.Delay(3, 0.5), qt.Equals, 20*time.Millisecond)
+	c.Assert(b.Delay(60, 0.999) < time.Second, qt.IsTrue)
+}
--- a/internal/daemon/configuration.go
+++ b/internal/daemon/configuration.go
@@ -147,14 +147,14 @@
 	return newService(d, spec, index)
 }
 
-// addConfiguration tells the member which version is in force here, and all of it where it has an older one.
+// addConfiguration tells the member which version is in force here, and all of it where it is known to have an older one.
 func (d *Daemon) addConfiguration(h *schema.Heartbeat, to string) {
 	c := d.current.Load()
 	if c == nil {
 		return
 	}
 	h.ConfigurationVersion = c.version()
-	if d.members.configuration(to) < c.version() {
+	if d.members.behind(to, c.version()) {
 		h.Configuration = c.record
 		h.Text = c.text
 	}
--- a/internal/daemon/control.go
+++ b/internal/daemon/control.go
@@ -162,6 +162,7 @@
 		o.targets[to.GetId()] = to
 	}
 	if view != nil {
+		view.From = ""
 		h.Views = append(h.Views, view)
 	}
 }
@@ -176,6 +177,9 @@
 		return
 	}
 	o.based = now
+	for _, m := range o.daemon.members.askers(o.version) {
+		o.add(m, nil)
+	}
 	for _, m := range o.daemon.members.targets(now) {
 		if news || now-o.last[m.GetId()] >= basePeriod {
 			o.add(m, nil)
@@ -242,9 +246,10 @@
 	d.hearConfiguration(h)
 	for _, view := range h.GetViews() {
 		s := d.service(view.GetService())
-		if s == nil || view.GetFrom() != h.GetFrom().GetId() {
+		if s == nil {
 			continue
 		}
+		view.From = h.GetFrom().GetId()
 		d.post(s, &schema.OwnershipEvent{
 			Kind: schema.EventKind_heard,
 			View: view,
--- /dev/null
+++ b/internal/daemon/daemon_test.go
@@ -0,0 +1,500 @@
+package daemon_test
+
+import (
+	"bufio"
+	"context"
+	"crypto/tls"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"google.golang.org/protobuf/proto"
+
+	"cuminlift/examples"
+	"cuminlift/internal/tryout"
+	"cuminlift/io/identity"
+	"cuminlift/io/instance"
+	"cuminlift/schema"
+)
+
+// patience bounds waits for what must come; nothing is said of how soon.
+const patience = time.Minute
+
+// fakeUpstream is an upstream whose answers a test writes byte by byte.
+type fakeUpstream struct {
+	listener net.Listener
+	runs     atomic.Int64
+	answer   func(connection net.Conn, request *http.Request)
+}
+
+func startFake(c *qt.C, answer func(net.Conn, *http.Request)) *fakeUpstream {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	c.Assert(err, qt.IsNil)
+	f := &fakeUpstream{
+		listener: listener,
+		answer:   answer,
+	}
+	c.Cleanup(func() { _ = listener.Close() })
+	go f.accept()
+	return f
+}
+
+func (f *fakeUpstream) accept() {
+	for {
+		connection, err := f.listener.Accept()
+		if err != nil {
+			return
+		}
+		go f.serve(connection)
+	}
+}
+
+func (f *fakeUpstream) serve(connection net.Conn) {
+	defer connection.Close()
+	reader := bufio.NewReader(connection)
+	for {
+		request, err := http.ReadRequest(reader)
+		if err != nil {
+			return
+		}
+		body, err := io.ReadAll(request.Body)
+		if err != nil {
+			return
+		}
+		if request.URL.Path == "/control/grant" {
+			f.grant(connection, body)
+			continue
+		}
+		f.runs.Add(1)
+		f.answer(connection, request)
+	}
+}
+
+func (f *fakeUpstream) grant(connection net.Conn, body []byte) {
+	grant := &schema.Grant{}
+	if proto.Unmarshal(body, grant) != nil {
+		return
+	}
+	content, err := proto.Marshal(&schema.GrantReply{
+		Upstream:    grant.GetUpstream(),
+		Incarnation: "1",
+		Fence:       grant.GetFence(),
+		Stamp:       time.Now().UnixMilli(),
+		Accepted:    true,
+		Sequence:    grant.GetSequence(),
+	})
+	if err == nil {
+		fmt.Fprintf(connection, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(content), content)
+	}
+}
+
+// startWith starts one instance whose only upstream of every service is f.
+func startWith(c *qt.C, f *fakeUpstream) *tryout.Cluster {
+	cluster, err := tryout.Start(tryout.Config{
+		Folder:    c.TempDir(),
+		Zones:     []string{"zone-a"},
+		Instances: 1,
+	})
+	c.Assert(err, qt.IsNil)
+	c.Cleanup(cluster.Close)
+	cluster.SetListed(func(list *schema.InstanceList) {
+		for _, service := range []string{"calendar", "registrations", "media"} {
+			list.Upstreams = append(list.Upstreams, &schema.ListedUpstream{
+				Name:    service + "-1",
+				Service: service,
+				Zone:    "zone-a",
+				Address: f.listener.Addr().String(),
+			})
+		}
+	})
+	_, err = cluster.Apply(context.Background(), strings.ReplaceAll(examples.Seminars, `"cold-start-ms": 3000`, `"cold-start-ms": 0`))
+	c.Assert(err, qt.IsNil)
+	ok := tryout.WaitUntil(patience, func() bool {
+		usable := 0
+		for _, s := range cluster.Instances[0].Daemon.Status().GetServices() {
+			for _, u := range s.GetUpstreams() {
+				if u.GetUsable() {
+					usable++
+				}
+			}
+		}
+		return usable == 3
+	})
+	c.Assert(ok, qt.IsTrue)
+	return cluster
+}
+
+func send(c *qt.C, cluster *tryout.Cluster, method, path string, header map[string]string) (*http.Response, []byte, error) {
+	request, err := http.NewRequest(method, "http://"+cluster.Instances[0].Daemon.Callers()+path, strings.NewReader("seat"))
+	c.Assert(err, qt.IsNil)
+	for name, value := range header {
+		request.Header.Set(name, value)
+	}
+	client := &http.Client{
+		Transport: &http.Transport{
+			DisableKeepAlives: true,
+		},
+	}
+	response, err := client.Do(request)
+	if err != nil {
+		return nil, nil, err
+	}
+	defer response.Body.Close()
+	body, err := io.ReadAll(response.Body)
+	return response, body, err
+}
+
+func TestOrderWhoseConnectionEndsIsUnknownAndNeverSentAgain(t *testing.T) {
+	c := qt.New(t)
+	f := startFake(c, func(connection net.Conn, _ *http.Request) { _ = connection.Close() })
+	cluster := startWith(c, f)
+	for n := range 5 {
+		before := f.runs.Load()
+		response, _, err := send(c, cluster, http.MethodPost, "/registrations/talk", map[string]string{
+			"Idempotency-Key": fmt.Sprint("seat-", n),
+		})
+		c.Assert(err, qt.IsNil)
+		c.Assert(response.Header.Get("Cuminlift-Outcome"), qt.Equals, "unknown")
+		c.Assert(f.runs.Load(), qt.Equals, before+1)
+	}
+}
+
+func TestRepeatOfAnOrderInDoubtIsNotSent(t *testing.T) {
+	c := qt.New(t)
+	f := startFake(c, func(connection net.Conn, _ *http.Request) { _ = connection.Close() })
+	cluster := startWith(c, f)
+	header := map[string]string{
+		"Idempotency-Key": "seat-1",
+	}
+	for range 3 {
+		response, _, err := send(c, cluster, http.MethodPost, "/registrations/talk", header)
+		c.Assert(err, qt.IsNil)
+		c.Assert(response.Header.Get("Cuminlift-Outcome"), qt.Equals, "unknown")
+	}
+	c.Assert(f.runs.Load(), qt.Equals, int64(1))
+}
+
+func TestShedOrderIsTriedAgainAndThenTrulyNotRun(t *testing.T) {
+	c := qt.New(t)
+	f := startFake(c, func(connection net.Conn, _ *http.Request) {
+		fmt.Fprint(connection, "HTTP/1.1 503 Busy\r\nCuminlift-Outcome: not-run\r\nContent-Length: 0\r\n\r\n")
+	})
+	cluster := startWith(c, f)
+	response, _, err := send(c, cluster, http.MethodPost, "/registrations/talk", nil)
+	c.Assert(err, qt.IsNil)
+	c.Assert(response.StatusCode, qt.Equals, http.StatusServiceUnavailable)
+	c.Assert(response.Header.Get("Cuminlift-Outcome"), qt.Equals, "not-run")
+	c.Assert(response.Header.Get("Retry-After"), qt.Not(qt.Equals), "")
+	c.Assert(f.runs.Load() >= 1 && f.runs.Load() <= 3, qt.IsTrue)
+}
+
+func TestCutBodyNeverLooksWhole(t *testing.T) {
+	for name, answer := range map[string]string{
+		"with a length":  "HTTP/1.1 200 OK\r\nContent-Length: 1000\r\n\r\nonly this",
+		"in chunks":      "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n9\r\nonly this\r\n",
+		"within a chunk": "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nff\r\nonly this",
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			f := startFake(c, func(connection net.Conn, _ *http.Request) {
+				fmt.Fprint(connection, answer)
+				_ = connection.Close()
+			})
+			cluster := startWith(c, f)
+			_, _, err := send(c, cluster, http.MethodGet, "/media/slides", nil)
+			c.Assert(err, qt.Not(qt.IsNil))
+		})
+	}
+}
+
+func TestCrossedAnswerReachesNobody(t *testing.T) {
+	c := qt.New(t)
+	f := startFake(c, func(connection net.Conn, _ *http.Request) {
+		fmt.Fprint(connection, "HTTP/1.1 200 OK\r\nCuminlift-Request: another\r\nContent-Length: 6\r\n\r\nsecret")
+	})
+	cluster := startWith(c, f)
+	response, body, err := send(c, cluster, http.MethodGet, "/calendar/talk", nil)
+	c.Assert(err, qt.IsNil)
+	c.Assert(response.StatusCode, qt.Equals, http.StatusBadGateway)
+	c.Assert(string(body), qt.Not(qt.Contains), "secret")
+}
+
+func TestTrailingBytesReachNoLaterRequest(t *testing.T) {
+	c := qt.New(t)
+	f := startFake(c, func(connection net.Conn, request *http.Request) {
+		id := request.Header.Get("Cuminlift-Request")
+		fmt.Fprintf(connection, "HTTP/1.1 200 OK\r\nCuminlift-Request: %s\r\nContent-Length: 4\r\n\r\nmine", id)
+		fmt.Fprint(connection, "HTTP/1.1 200 OK\r\nContent-Length: 6\r\n\r\nothers")
+	})
+	cluster := startWith(c, f)
+	for range 20 {
+		_, body, err := send(c, cluster, http.MethodGet, "/calendar/talk", nil)
+		if err == nil && len(body) == 4 {
+			c.Assert(string(body), qt.Equals, "mine")
+		}
+		c.Assert(string(body), qt.Not(qt.Contains), "others")
+	}
+}
+
+func TestIdempotencyKeyIsNotPassedOn(t *testing.T) {
+	c := qt.New(t)
+	var mutex sync.Mutex
+	var seen []string
+	f := startFake(c, func(connection net.Conn, request *http.Request) {
+		mutex.Lock()
+		seen = append(seen, request.Header.Get("Idempotency-Key"), request.Header.Get("X-Idempotency-Key"))
+		mutex.Unlock()
+		fmt.Fprint(connection, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+	})
+	cluster := startWith(c, f)
+	_, _, err := send(c, cluster, http.MethodPost, "/registrations/talk", map[string]string{
+		"Idempotency-Key":   "a",
+		"X-Idempotency-Key": "b",
+	})
+	c.Assert(err, qt.IsNil)
+	mutex.Lock()
+	defer mutex.Unlock()
+	c.Assert(seen, qt.DeepEquals, []string{"", ""})
+}
+
+func TestDeadlineIsAnsweredWithWhatIsKnown(t *testing.T) {
+	c := qt.New(t)
+	hold := make(chan struct{})
+	f := startFake(c, func(net.Conn, *http.Request) { <-hold })
+	defer close(hold)
+	cluster := startWith(c, f)
+	response, _, err := send(c, cluster, http.MethodPost, "/registrations/talk", map[string]string{
+		"Cuminlift-Deadline-Ms": "200",
+	})
+	c.Assert(err, qt.IsNil)
+	c.Assert(response.StatusCode, qt.Equals, http.StatusGatewayTimeout)
+	c.Assert(response.Header.Get("Cuminlift-Outcome"), qt.Equals, "unknown")
+}
+
+func TestMalformedRequestsAreRefusedAsNotRun(t *testing.T) {
+	c := qt.New(t)
+	f := startFake(c, func(connection net.Conn, _ *http.Request) {
+		fmt.Fprint(connection, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+	})
+	cluster := startWith(c, f)
+	response, _, err := send(c, cluster, http.MethodGet, "/nowhere/1", nil)
+	c.Assert(err, qt.IsNil)
+	c.Assert(response.StatusCode, qt.Equals, http.StatusNotFound)
+	response, _, err = send(c, cluster, http.MethodGet, "/calendar/1", map[string]string{
+		"Cuminlift-Deadline-Ms": "soon",
+	})
+	c.Assert(err, qt.IsNil)
+	c.Assert(response.StatusCode, qt.Equals, http.StatusBadRequest)
+	c.Assert(response.Header.Get("Cuminlift-Outcome"), qt.Equals, "not-run")
+	request, err := http.NewRequest(http.MethodPost, "http://"+cluster.Instances[0].Daemon.Callers()+"/registrations/1",
+		strings.NewReader(strings.Repeat("x", 2<<20)))
+	c.Assert(err, qt.IsNil)
+	response, err = http.DefaultClient.Do(request)
+	if err == nil {
+		c.Assert(response.StatusCode, qt.Equals, http.StatusRequestEntityTooLarge)
+		_ = response.Body.Close()
+	}
+	c.Assert(f.runs.Load(), qt.Equals, int64(0))
+}
+
+func TestCutRequestBodyIsNeverSent(t *testing.T) {
+	c := qt.New(t)
+	f := startFake(c, func(connection net.Conn, _ *http.Request) {
+		fmt.Fprint(connection, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+	})
+	cluster := startWith(c, f)
+	connection, err := net.Dial("tcp", cluster.Instances[0].Daemon.Callers())
+	c.Assert(err, qt.IsNil)
+	fmt.Fprint(connection, "POST /registrations/talk HTTP/1.1\r\nHost: x\r\nContent-Length: 100\r\n\r\nhalf")
+	c.Assert(connection.(*net.TCPConn).CloseWrite(), qt.IsNil)
+	_, _ = io.ReadAll(connection)
+	_ = connection.Close()
+	c.Assert(f.runs.Load(), qt.Equals, int64(0))
+}
+
+func TestPlannedStopFinishesADownload(t *testing.T) {
+	c := qt.New(t)
+	began := make(chan struct{})
+	finish := make(chan struct{})
+	f := startFake(c, func(connection net.Conn, _ *http.Request) {
+		fmt.Fprint(connection, "HTTP/1.1 200 OK\r\nContent-Length: 8\r\n\r\nhalf")
+		close(began)
+		<-finish
+		fmt.Fprint(connection, "rest")
+	})
+	cluster := startWith(c, f)
+	type result struct {
+		body []byte
+		err  error
+	}
+	done := make(chan result, 1)
+	go func() {
+		_, body, err := send(c, cluster, http.MethodGet, "/media/slides", nil)
+		done <- result{
+			body: body,
+			err:  err,
+		}
+	}()
+	<-began
+	stopped := make(chan error, 1)
+	go func() { stopped <- cluster.Instances[0].Stop() }()
+	ok := tryout.WaitUntil(patience, func() bool {
+		response, err := http.Get("http://" + cluster.Instances[0].Daemon.Callers() + "/cuminlift/ready")
+		if err != nil {
+			return true
+		}
+		_ = response.Body.Close()
+		return response.StatusCode == http.StatusServiceUnavailable
+	})
+	c.Assert(ok, qt.IsTrue)
+	close(finish)
+	r := <-done
+	c.Assert(r.err, qt.IsNil)
+	c.Assert(string(r.body), qt.Equals, "halfrest")
+	c.Assert(<-stopped, qt.IsNil)
+}
+
+func TestNobodyGetsInWithoutACertificateOfTheAuthority(t *testing.T) {
+	c := qt.New(t)
+	f := startFake(c, func(net.Conn, *http.Request) {})
+	cluster := startWith(c, f)
+	self := cluster.Instances[0].Daemon.Self()
+	other, err := identity.NewAuthority(c.TempDir())
+	c.Assert(err, qt.IsNil)
+	foreign, err := other.IssueForDevelopment("operator")
+	c.Assert(err, qt.IsNil)
+	source, err := identity.Load(foreign)
+	c.Assert(err, qt.IsNil)
+	for name, config := range map[string]*tls.Config{
+		"no certificate": {
+			InsecureSkipVerify: true,
+		},
+		"certificate of another authority": {
+			InsecureSkipVerify:   true,
+			GetClientCertificate: source.Client().GetClientCertificate,
+		},
+	} {
+		for _, address := range []string{self.GetOperators(), self.GetForward()} {
+			client := &http.Client{
+				Transport: &http.Transport{
+					TLSClientConfig: config,
+				},
+			}
+			_, err := client.Get("https://" + address + "/status")
+			c.Assert(err, qt.Not(qt.IsNil), qt.Commentf("%s at %s", name, address))
+		}
+	}
+	link, err := instance.Listen(instance.Config{
+		Address:   "127.0.0.1:0",
+		Server:    source.Server(instance.Protocol),
+		Client:    source.Client(instance.Protocol),
+		Receive:   func(*schema.Heartbeat) {},
+		Malformed: func(error) {},
+	})
+	c.Assert(err, qt.IsNil)
+	defer link.Close()
+	err = link.Send(context.Background(), self.GetPeers(), &schema.Heartbeat{
+		From: &schema.Member{
+			Id:    "stranger/1",
+			Name:  "stranger",
+			Peers: link.Address(),
+		},
+	})
+	c.Assert(err, qt.IsNil)
+	time.Sleep(300 * time.Millisecond)
+	for _, m := range cluster.Instances[0].Daemon.Status().GetMembers() {
+		c.Assert(m.GetMember().GetName(), qt.Not(qt.Equals), "stranger")
+	}
+}
+
+func TestRacingOperatorsOneWinsAndTheOtherIsTold(t *testing.T) {
+	c := qt.New(t)
+	f := startFake(c, func(net.Conn, *http.Request) {})
+	cluster := startWith(c, f)
+	base := cluster.Instances[0].Daemon.Status().GetConfiguration().GetVersion()
+	var waiting sync.WaitGroup
+	replies := make([]*schema.ChangeReply, 6)
+	for i := range replies {
+		waiting.Go(func() {
+			client, err := cluster.Operator(fmt.Sprintf("operator-%d", i))
+			if err != nil {
+				return
+			}
+			replies[i], _ = client.Change(context.Background(), &schema.ChangeRequest{
+				Base:   base,
+				Text:   strings.ReplaceAll(examples.Seminars, `"queue": 512`, fmt.Sprintf(`"queue": %d`, 600+i)),
+				Reason: "race",
+			})
+		})
+	}
+	waiting.Wait()
+	won := 0
+	for _, r := range replies {
+		c.Assert(r, qt.Not(qt.IsNil))
+		if r.GetError() == "" {
+			won++
+			continue
+		}
+		c.Assert(r.GetError(), qt.Matches, ".*by operator-.*race.*cuminlift get.*")
+	}
+	c.Assert(won, qt.Equals, 1)
+}
+
+func TestLostAnswerToAChangeIsResolved(t *testing.T) {
+	c := qt.New(t)
+	f := startFake(c, func(net.Conn, *http.Request) {})
+	cluster := startWith(c, f)
+	client, err := cluster.Operator("operator")
+	c.Assert(err, qt.IsNil)
+	cluster.Platform.SetFaults(&schema.PlatformFaults{
+		LoseAnswers: 1,
+	})
+	reply, err := client.Change(context.Background(), &schema.ChangeRequest{
+		Out: &schema.Out{
+			Kind: "instance",
+			Name: "entry-zone-a-1",
+		},
+		Reason: "lost answer",
+	})
+	c.Assert(err, qt.IsNil)
+	c.Assert(reply.GetError(), qt.Equals, "")
+	ok := tryout.WaitUntil(patience, func() bool {
+		return cluster.Instances[0].Daemon.Status().GetConfiguration().GetVersion() == reply.GetVersion()
+	})
+	c.Assert(ok, qt.IsTrue)
+	audit, err := client.Audit(context.Background(), "configuration")
+	c.Assert(err, qt.IsNil)
+	c.Assert(audit.GetRecords(), qt.HasLen, int(reply.GetVersion()))
+}
+
+func TestInstanceWithoutThePlatformFollowsItsPeers(t *testing.T) {
+	c := qt.New(t)
+	cluster, err := tryout.Start(tryout.Config{
+		Folder:    c.TempDir(),
+		Zones:     []string{"zone-a", "zone-b"},
+		Instances: 1,
+	})
+	c.Assert(err, qt.IsNil)
+	c.Cleanup(cluster.Close)
+	_, err = cluster.Apply(context.Background(), examples.Seminars)
+	c.Assert(err, qt.IsNil)
+	inForce := func(version uint64) func() bool {
+		return func() bool {
+			return cluster.Instances[1].Daemon.Status().GetConfiguration().GetVersion() == version
+		}
+	}
+	c.Assert(tryout.WaitUntil(patience, inForce(1)), qt.IsTrue)
+	cluster.Platform.SetFaults(&schema.PlatformFaults{
+		Blocked: []string{"entry-zone-b-1"},
+	})
+	_, err = cluster.Apply(context.Background(), examples.Turkeys)
+	c.Assert(err, qt.IsNil)
+	c.Assert(tryout.WaitUntil(patience, inForce(2)), qt.IsTrue)
+}
--- a/internal/daemon/members.go
+++ b/internal/daemon/members.go
@@ -133,6 +133,20 @@
 	return targets
 }
 
+// askers returns members that have told of a newer configuration than version, or of an older one: they are sent a
+// heartbeat, so that the older one gets the newer text though the two are no neighbours in this direction.
+func (m *members) askers(version uint64) []*schema.Member {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	var askers []*schema.Member
+	for _, k := range m.known {
+		if k.heard != 0 && k.configuration != version {
+			askers = append(askers, k.member)
+		}
+	}
+	return askers
+}
+
 // fewMembers is the number of other members up to which each hears from all.
 const fewMembers = 16
 
@@ -189,14 +203,12 @@
 	m.bury(id)
 }
 
-// configuration returns the version that a member has in force, as of its last heartbeat.
-func (m *members) configuration(id string) uint64 {
+// behind reports whether a member is known to have an older configuration than version.
+func (m *members) behind(id string, version uint64) bool {
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
-	if k := m.known[id]; k != nil {
-		return k.configuration
-	}
-	return 0
+	k := m.known[id]
+	return k != nil && k.heard != 0 && k.configuration < version
 }
 
 // MemberState is one member as this instance sees it.
