--- a/core/ownership/check_test.go
+++ b/core/ownership/check_test.go
@@ -256,6 +256,20 @@
 		from:   ticks(1),
 		to:     ticks(30),
 	}},
+	"upstream restarts and is taken out": {
+		{
+			kind:   "restart-holder",
+			target: 0,
+			from:   ticks(1),
+			to:     ticks(1),
+		},
+		{
+			kind:   "out-holder",
+			target: 0,
+			from:   ticks(4),
+			to:     ticks(30),
+		},
+	},
 	"answer is lost before an outage": {
 		{
 			kind: "lose-answer",
@@ -318,7 +332,7 @@
 			mutant: mutant{
 				ignoreFence: true,
 			},
-			scenario: scenarios["upstream is taken out"],
+			scenario: scenarios["upstream restarts and is taken out"],
 			budget:   2,
 		},
 		"wait is too short": {
--- a/core/ownership/fakes_test.go
+++ b/core/ownership/fakes_test.go
@@ -66,6 +66,7 @@
 	zone        string
 	incarnation int
 	fence       uint64
+	set         uint64
 	ranges      []*schema.Range
 	expires     time.Duration
 	dead        bool
@@ -459,9 +460,15 @@
 	if w.mutant.ignoreFence {
 		accepted = true
 	}
+	if g.GetRenews() != 0 && g.GetRenews() != h.set {
+		accepted = false
+	}
 	if accepted && g.GetTtlMs() > 0 {
 		h.fence = g.GetFence()
-		h.ranges = g.GetRanges()
+		if g.GetRenews() == 0 {
+			h.ranges = g.GetRanges()
+			h.set++
+		}
 		from := time.Duration(g.GetStamp()) * time.Millisecond
 		if w.mutant.delayedTTL {
 			from = h.clock(w.now)
@@ -478,6 +485,7 @@
 			Fence:       h.fence,
 			Stamp:       h.clock(w.now).Milliseconds(),
 			Accepted:    accepted,
+			Set:         h.set,
 			Sequence:    g.GetSequence(),
 		},
 	})
@@ -487,6 +495,7 @@
 func (h *holder) restart() {
 	h.incarnation++
 	h.fence = 0
+	h.set = 0
 	h.ranges = nil
 	h.expires = 0
 	h.dead = false
@@ -631,7 +640,7 @@
 		n.guardian.Fingerprint(out)
 	}
 	for _, h := range w.holders {
-		fmt.Fprintln(out, h.incarnation, h.fence, len(h.ranges), h.expires, h.dead, h.frozen, h.out, len(h.inbox))
+		fmt.Fprintln(out, h.incarnation, h.fence, h.set, len(h.ranges), h.expires, h.dead, h.frozen, h.out, len(h.inbox))
 	}
 	lines := make([]string, 0, len(w.queue))
 	for _, m := range w.queue {
--- a/core/ownership/grant.go
+++ b/core/ownership/grant.go
@@ -34,7 +34,11 @@
 	busy    uint32
 	// acked is the highest fence the upstream has accepted with a range list.
 	acked uint64
-	cold  bool
+	// accepted is true where the last grant was: the next one may renew it without naming its ranges.
+	accepted bool
+	// set is the upstream's number for the ranges in granted.
+	set  uint64
+	cold bool
 }
 
 type sentGrant struct {
@@ -144,7 +148,7 @@
 	if ttl > 0 {
 		grant.Stamp = u.stamp
 		grant.TtlMs = ttl.Milliseconds()
-		grant.Ranges = g.grantable(h)
+		g.addRanges(h, u, grant)
 	}
 	u.outstanding = &sentGrant{
 		grant:     grant,
@@ -163,6 +167,28 @@
 	})
 }
 
+// addRanges puts into grant what h may own, or only renews it where the upstream has accepted just that.
+func (g *Guardian) addRanges(h *schema.Holder, u *upstream, grant *schema.Grant) {
+	ranges := g.grantable(h)
+	if u.acked == h.GetFence() && u.accepted && u.set != 0 && sameRanges(u.granted, ranges) {
+		grant.Renews = u.set
+		return
+	}
+	grant.Ranges = ranges
+}
+
+func sameRanges(a, b []*schema.Range) bool {
+	if len(a) != len(b) {
+		return false
+	}
+	for i := range a {
+		if a[i].GetStart() != b[i].GetStart() || a[i].GetEnd() != b[i].GetEnd() {
+			return false
+		}
+	}
+	return true
+}
+
 // grantDue reports whether a grant should be sent now: at the heartbeat period, and at once where the
 // upstream does not hold yet what it may, or is awaited to finish with what it lost.
 func (g *Guardian) grantDue(h *schema.Holder, u *upstream) bool {
@@ -363,7 +389,11 @@
 	if wasDown {
 		g.dirty = true
 	}
-	if !reply.GetAccepted() || sent.grant.GetTtlMs() <= 0 {
+	if sent.grant.GetTtlMs() <= 0 {
+		return
+	}
+	u.accepted = reply.GetAccepted()
+	if !reply.GetAccepted() {
 		return
 	}
 	g.noteAccepted(u, sent, reply)
@@ -376,7 +406,10 @@
 	}
 	u.acked = sent.grant.GetFence()
 	u.busy = reply.GetBusy()
-	u.granted = sent.grant.GetRanges()
+	if sent.grant.GetRenews() == 0 {
+		u.granted = sent.grant.GetRanges()
+		u.set = reply.GetSet()
+	}
 	u.fence = sent.grant.GetFence()
 	u.lease = sent.stampSent + g.config.Timing.shorter(ttl)
 }
@@ -387,6 +420,8 @@
 	u.acked = 0
 	u.busy = 0
 	u.granted = nil
+	u.accepted = false
+	u.set = 0
 	u.fence = 0
 	u.lease = never
 }
--- a/core/ownership/peer.go
+++ b/core/ownership/peer.go
@@ -188,7 +188,7 @@
 	if p.view == nil || p.view.GetVersion() >= g.document.GetVersion() {
 		return false
 	}
-	if g.now-p.documentTold < g.config.Timing.Heartbeat {
+	if g.now-p.heard >= g.config.Timing.Suspect || g.now-p.documentTold < g.config.Timing.Heartbeat {
 		return false
 	}
 	age := time.Duration(p.view.GetConfirmAgeMs()) * time.Millisecond
--- a/internal/command/client.go
+++ b/internal/command/client.go
@@ -117,6 +117,7 @@
 	Tryout   TryoutCommand   `cmd:"" help:"Run the whole path on loopback and show what happens."`
 	Load     LoadCommand     `cmd:"" help:"Send requests to instances and report latency and outcomes."`
 	Measure  MeasureCommand  `cmd:"" help:"Measure slopes and policies, and write data files and plots."`
+	Report   ReportCommand   `cmd:"" help:"Make plots and fill in the tables of pages from measured data."`
 	Version  VersionCommand  `cmd:"" help:"Print the version."`
 	Docs     DocsCommand     `cmd:"" hidden:"" help:"Print the command reference."`
 }
--- a/internal/daemon/caller.go
+++ b/internal/daemon/caller.go
@@ -44,11 +44,11 @@
 	defer d.active.Add(-1)
 	c, f := d.newCall(w, r)
 	if f != nil {
-		d.refuse(w, f)
+		d.refuse(w, c, f)
 		return
 	}
 	if !d.gate.enter(c.class) {
-		d.refuse(w, notRun(reasonBusy, time.Second))
+		d.refuse(w, c, notRun(reasonBusy, time.Second))
 		return
 	}
 	defer d.gate.leave(c.class)
@@ -60,15 +60,24 @@
 	}
 	a, f := d.route(ctx, c)
 	if f != nil {
-		d.refuse(w, f)
+		d.refuse(w, c, f)
 		return
 	}
 	d.pass(w, c, a)
 }
 
-func (d *Daemon) refuse(w http.ResponseWriter, f *refusal) {
+// refuse gives the final word on a call. c is nil where the request could not be read.
+func (d *Daemon) refuse(w http.ResponseWriter, c *call, f *refusal) {
 	if f.knowledge == request.NotRun {
 		d.metrics.Add(metrics.RefusedNotRun, 1)
+		// A later repeat with the same idempotency key may run: only requests with a name of their own are recorded.
+		if c != nil && c.repeatKey == "" {
+			d.trace.outcome(&schema.Outcome{
+				Kind:    "refused-not-run",
+				Subject: d.self.GetId(),
+				Request: c.id,
+			})
+		}
 	} else {
 		d.metrics.Add(metrics.RefusedUnknown, 1)
 	}
@@ -406,11 +415,17 @@
 		w.Header().Set("Content-Length", strconv.FormatInt(a.response.ContentLength, 10))
 	}
 	w.WriteHeader(a.response.StatusCode)
-	caller, err := copyBody(w, a.response.Body)
+	copied, caller, err := copyBody(w, a.response.Body)
 	if err == nil {
 		result = admission.Answered
+		d.traceAnswer(c, a.response, copied)
 		return
 	}
+	d.trace.outcome(&schema.Outcome{
+		Kind:    "cut",
+		Subject: d.self.GetId(),
+		Request: c.id,
+	})
 	if caller {
 		result = admission.Abandoned
 	} else {
@@ -420,8 +435,25 @@
 	panic(http.ErrAbortHandler)
 }
 
+// traceAnswer records an answer that was passed on to its end.
+func (d *Daemon) traceAnswer(c *call, response *http.Response, copied int64) {
+	whole := response.ContentLength
+	if whole < 0 || c.method == http.MethodHead {
+		// The length of a body in chunks is what came before its last one.
+		whole = copied
+	}
+	d.trace.outcome(&schema.Outcome{
+		Kind:    "answered",
+		Subject: d.self.GetId(),
+		Request: c.id,
+		From:    uint64(copied),
+		To:      uint64(whole),
+		Detail:  response.Header.Get(headerRequest),
+	})
+}
+
 // copyBody copies in pieces. caller is true where the failure is the caller's.
-func copyBody(w http.ResponseWriter, body io.Reader) (caller bool, err error) {
+func copyBody(w http.ResponseWriter, body io.Reader) (copied int64, caller bool, err error) {
 	controller := http.NewResponseController(w)
 	buffer := make([]byte, copyBuffer)
 	for {
@@ -430,15 +462,16 @@
 			if n == len(buffer) {
 				_ = controller.SetWriteDeadline(time.Now().Add(writeStall))
 			}
+			copied += int64(n)
 			if _, err := w.Write(buffer[:n]); err != nil {
-				return true, err
+				return copied, true, err
 			}
 		}
 		if errors.Is(readErr, io.EOF) {
-			return false, nil
+			return copied, false, nil
 		}
 		if readErr != nil {
-			return false, readErr
+			return copied, false, readErr
 		}
 	}
 }
--- a/internal/daemon/claims.go
+++ b/internal/daemon/claims.go
@@ -218,7 +218,7 @@
 	}
 	version, f := d.claim(ctx, w, c, key, claim)
 	if f != nil {
-		d.refuse(w, f)
+		d.refuse(w, c, f)
 		return
 	}
 	if version == 0 {
@@ -230,7 +230,7 @@
 			claim.State = claimNotRun
 			d.claims.settle(key, version, claim)
 		}
-		d.refuse(w, f)
+		d.refuse(w, c, f)
 		return
 	}
 	d.passRecorded(w, c, a, key, version, claim)
--- a/internal/daemon/configuration.go
+++ b/internal/daemon/configuration.go
@@ -131,11 +131,42 @@
 		next.services[spec.GetName()] = d.keepOrMake(old, spec, i)
 	}
 	d.current.Store(next)
+	d.traceConfiguration(old, next)
 	d.metrics.Set(metrics.ConfigurationVersion, int64(record.GetVersion()))
 	d.logs.For("configuration").WithField("version", record.GetVersion()).WithField("author", record.GetAuthor()).
 		WithField("reason", record.GetReason()).Info("configuration in force")
 }
 
+// traceConfiguration records what came into force, and which zones went out or came back.
+func (d *Daemon) traceConfiguration(old, next *inForce) {
+	d.trace.outcome(&schema.Outcome{
+		Kind:    "in-force",
+		Subject: d.self.GetId(),
+		Fence:   next.version(),
+	})
+	zones := map[string]bool{}
+	for _, o := range next.record.GetOut() {
+		zones[o.GetName()] = o.GetKind() == "zone"
+		if o.GetKind() == "zone" && (old == nil || !old.isOut("zone", o.GetName())) {
+			d.trace.outcome(&schema.Outcome{
+				Kind:    "zone-out",
+				Subject: o.GetName(),
+			})
+		}
+	}
+	if old == nil {
+		return
+	}
+	for _, o := range old.record.GetOut() {
+		if o.GetKind() == "zone" && !zones[o.GetName()] {
+			d.trace.outcome(&schema.Outcome{
+				Kind:    "zone-in",
+				Subject: o.GetName(),
+			})
+		}
+	}
+}
+
 // keepOrMake returns the service that runs already, with its new treatment, or a new one.
 func (d *Daemon) keepOrMake(old *inForce, spec *schema.Service, index int) *service {
 	if old != nil {
@@ -154,7 +185,7 @@
 		return
 	}
 	h.ConfigurationVersion = c.version()
-	if d.members.behind(to, c.version()) {
+	if d.members.behind(to, c.version(), d.clock.Now()) {
 		h.Configuration = c.record
 		h.Text = c.text
 	}
--- a/internal/daemon/control.go
+++ b/internal/daemon/control.go
@@ -123,7 +123,7 @@
 		d.post(s, failed)
 		return
 	}
-	reply.Busy = max(reply.GetBusy(), s.busyOutside(send.Grant))
+	reply.Busy = max(reply.GetBusy(), s.busyLost(send.Grant.GetUpstream()))
 	d.post(s, &schema.OwnershipEvent{
 		Kind:  schema.EventKind_replied,
 		Reply: reply,
@@ -177,7 +177,7 @@
 		return
 	}
 	o.based = now
-	for _, m := range o.daemon.members.askers(o.version) {
+	for _, m := range o.daemon.members.askers(o.version, now) {
 		o.add(m, nil)
 	}
 	for _, m := range o.daemon.members.targets(now) {
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -240,6 +240,10 @@
 		return
 	}
 	d.logs.For("daemon").WithField("bound", bound).Info("graceful stop begins")
+	d.trace.outcome(&schema.Outcome{
+		Kind:    "stop-begins",
+		Subject: d.self.GetId(),
+	})
 	ctx, cancel := context.WithTimeout(context.Background(), bound)
 	defer cancel()
 	d.leave(ctx)
--- a/internal/daemon/home.go
+++ b/internal/daemon/home.go
@@ -15,6 +15,7 @@
 	"cuminlift/core/ownership"
 	"cuminlift/core/request"
 	"cuminlift/internal/metrics"
+	"cuminlift/schema"
 )
 
 // answer is an upstream's answer. done must be called once, after the body was passed on or given up.
@@ -117,7 +118,7 @@
 	if err := r.request.Advance(request.Queued); err != nil {
 		return nil, refused(r.request, err.Error(), time.Second)
 	}
-	r.waiter = p.submit(ticket, c.hash)
+	r.waiter = p.submit(ticket, c.id, c.hash)
 	a, f := r.run(ctx)
 	r.close(a)
 	return a, f
@@ -198,6 +199,7 @@
 // settle judges a result. final is true where the call ends with it.
 func (r *race) settle(a *attempt) (winner *answer, f *refusal, final bool) {
 	if a.err == nil && !a.notRun {
+		r.daemon.traceRan(r.call, a.upstream)
 		if err := r.request.Advance(request.Answered); err != nil {
 			r.drop(a)
 			return nil, refused(r.request, err.Error(), time.Second), true
@@ -249,6 +251,20 @@
 	return nil, f, true
 }
 
+// traceRan records that an upstream answered the call.
+func (d *Daemon) traceRan(c *call, upstream string) {
+	detail := "check"
+	if !c.idempotent {
+		detail = "order"
+	}
+	d.trace.outcome(&schema.Outcome{
+		Kind:    "ran",
+		Subject: upstream,
+		Request: c.id,
+		Detail:  detail,
+	})
+}
+
 func (r *race) winner(a *attempt) *answer {
 	var once sync.Once
 	return &answer{
--- a/internal/daemon/members.go
+++ b/internal/daemon/members.go
@@ -135,18 +135,23 @@
 
 // askers returns members that have told of a newer configuration than version, or of an older one: they are sent a
 // heartbeat, so that the older one gets the newer text though the two are no neighbours in this direction.
-func (m *members) askers(version uint64) []*schema.Member {
+func (m *members) askers(version uint64, now time.Duration) []*schema.Member {
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
 	var askers []*schema.Member
 	for _, k := range m.known {
-		if k.heard != 0 && k.configuration != version {
+		if k.lately(now) && k.configuration != version {
 			askers = append(askers, k.member)
 		}
 	}
 	return askers
 }
 
+// lately reports whether the member was heard within twice the base period.
+func (k *knownMember) lately(now time.Duration) bool {
+	return k.heard != 0 && now-k.heard <= 2*basePeriod
+}
+
 // fewMembers is the number of other members up to which each hears from all.
 const fewMembers = 16
 
@@ -203,12 +208,12 @@
 	m.bury(id)
 }
 
-// behind reports whether a member is known to have an older configuration than version.
-func (m *members) behind(id string, version uint64) bool {
+// behind reports whether a member has lately said that it has an older configuration than version.
+func (m *members) behind(id string, version uint64, now time.Duration) bool {
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
 	k := m.known[id]
-	return k != nil && k.heard != 0 && k.configuration < version
+	return k != nil && k.lately(now) && k.configuration < version
 }
 
 // MemberState is one member as this instance sees it.
--- a/internal/daemon/operate.go
+++ b/internal/daemon/operate.go
@@ -99,6 +99,10 @@
 		var unknown *OutcomeError
 		return failedChange(err, errors.As(err, &unknown))
 	}
+	d.trace.outcome(&schema.Outcome{
+		Kind:  "accepted",
+		Fence: next.GetVersion(),
+	})
 	return result
 }
 
--- a/internal/daemon/pool.go
+++ b/internal/daemon/pool.go
@@ -29,7 +29,9 @@
 
 // waiter is a request that waits for its turn.
 type waiter struct {
-	id       uint64
+	id uint64
+	// name is the request's, for the trace.
+	name     string
 	ticket   *admission.Ticket
 	hash     uint64
 	dispatch chan admission.Dispatch
@@ -165,34 +167,27 @@
 	return p.pool.Idle()
 }
 
-func (p *pool) busyOutside(grant *schema.Grant) uint32 {
+// busyLost counts requests in progress at an upstream for keys that it no longer owns.
+func (p *pool) busyLost(upstream string) uint32 {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
 	var busy uint32
-	for _, hash := range p.hashes[grant.GetUpstream()] {
-		if !covers(grant.GetRanges(), hash) {
+	for _, hash := range p.hashes[upstream] {
+		if p.service.route(hash).Upstream != upstream {
 			busy++
 		}
 	}
 	return busy
 }
 
-func covers(ranges []*schema.Range, hash uint64) bool {
-	for _, r := range ranges {
-		if r.GetStart() <= hash && hash <= r.GetEnd() {
-			return true
-		}
-	}
-	return false
-}
-
 // submit queues a request. Its waiter gets a dispatch or a refusal.
-func (p *pool) submit(ticket *admission.Ticket, hash uint64) *waiter {
+func (p *pool) submit(ticket *admission.Ticket, name string, hash uint64) *waiter {
 	p.mutex.Lock()
 	p.next++
 	ticket.ID = p.next
 	w := &waiter{
 		id:       ticket.ID,
+		name:     name,
 		ticket:   ticket,
 		hash:     hash,
 		dispatch: make(chan admission.Dispatch, 4),
@@ -229,6 +224,7 @@
 		}
 		p.noteHash(d.Upstream, w.id, w.hash)
 		w.dispatch <- d
+		p.trace(w, d.Upstream)
 		if d.Hedge {
 			p.service.daemon.metrics.Add(metrics.Hedged, 1)
 		}
@@ -237,6 +233,23 @@
 	p.timer.Reset(p.pool.NextWake() - now)
 }
 
+// trace records that work was given to an upstream, and how much of its slots is in use.
+func (p *pool) trace(w *waiter, upstream string) {
+	t := p.service.daemon.trace
+	t.outcome(&schema.Outcome{
+		Kind:    "dispatched",
+		Subject: upstream,
+		Request: w.name,
+		Detail:  p.zone,
+	})
+	t.outcome(&schema.Outcome{
+		Kind:    "admitted",
+		Subject: upstream,
+		Value:   int64(p.pool.Running(upstream)),
+		To:      uint64(p.service.treatment().GetSlots()),
+	})
+}
+
 func (p *pool) noteHash(upstream string, id, hash uint64) {
 	if p.hashes[upstream] == nil {
 		p.hashes[upstream] = map[uint64]uint64{}
--- a/internal/daemon/service.go
+++ b/internal/daemon/service.go
@@ -153,17 +153,17 @@
 	}
 }
 
-// busyOutside counts requests of this instance in progress at the grant's upstream for keys that the grant does not
-// cover. It stands in for the count of an upstream that keeps none.
-func (s *service) busyOutside(grant *schema.Grant) uint32 {
-	if grant.GetTtlMs() <= 0 || !s.treatment().GetKeyed() {
+// busyLost counts requests of this instance in progress at an upstream for keys that it no longer owns. It stands in
+// for the count of an upstream that keeps none.
+func (s *service) busyLost(upstream string) uint32 {
+	if !s.treatment().GetKeyed() {
 		return 0
 	}
 	s.poolMutex.Lock()
 	defer s.poolMutex.Unlock()
 	var busy uint32
 	for _, p := range s.pools {
-		busy += p.busyOutside(grant)
+		busy += p.busyLost(upstream)
 	}
 	return busy
 }
--- a/internal/daemon/table.go
+++ b/internal/daemon/table.go
@@ -25,7 +25,7 @@
 	// memberPeriod is how often the rows of members are read.
 	memberPeriod = time.Second
 	// idlePeriod is how often the configuration is read while no service asks for its document.
-	idlePeriod = 250 * time.Millisecond
+	idlePeriod = time.Second
 	// readTimeout bounds one read, so that a slow platform does not hold up the next one for long.
 	readTimeout = 2 * time.Second
 )
@@ -70,11 +70,26 @@
 		case <-ctx.Done():
 			return nil
 		case <-r.signal:
+			r.gather(ctx)
 		case <-ticker.C:
 		}
 	}
 }
 
+// gather waits a moment for what other services ask for at the same time.
+func (r *reader) gather(ctx context.Context) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(gatherTime):
+	}
+	select {
+	case <-r.signal:
+	default:
+	}
+}
+
+const gatherTime = 2 * time.Millisecond
+
 func (r *reader) take() map[*service]uint64 {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
--- a/internal/daemon/tracer.go
+++ b/internal/daemon/tracer.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"os"
+	"sync"
 	"time"
 
 	"cuminlift/core/ownership"
@@ -23,8 +24,10 @@
 	out    io.Writer
 	file   *os.File
 	queue  chan *schema.TraceLine
-	// begun holds the guardians whose first line was written.
-	begun    map[*service]bool
+	// begun holds the guardians whose first line was written. Only the control loop uses it.
+	begun map[*service]bool
+	// mutex keeps sequences in the order of the queue.
+	mutex    sync.Mutex
 	sequence uint64
 }
 
@@ -53,23 +56,40 @@
 	if t.out == nil {
 		return
 	}
-	t.sequence++
 	line := &schema.TraceLine{
-		Format:   trace.Format,
-		AtUs:     now.Microseconds(),
-		Instance: t.daemon.self.GetId(),
-		Service:  s.name,
-		Input:    event,
-		Sequence: t.sequence,
-		Digest:   trace.Digest(actions),
+		AtUs:    now.Microseconds(),
+		Service: s.name,
+		Input:   event,
+		Digest:  trace.Digest(actions),
 	}
 	if !t.begun[s] {
 		t.begun[s] = true
 		line.Self = t.daemon.self
 		line.Timing = trace.TimingOf(t.daemon.config.Timing, s.extra(), s.treatment().GetKeyed(), s.index)
 	}
+	t.put(line)
+}
+
+// outcome records an observed fact. Any goroutine may call it.
+func (t *tracer) outcome(o *schema.Outcome) {
+	if t.out == nil {
+		return
+	}
+	t.put(&schema.TraceLine{
+		AtUs:    t.daemon.clock.Now().Microseconds(),
+		Outcome: o,
+	})
+}
+
+func (t *tracer) put(line *schema.TraceLine) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	line.Format = trace.Format
+	line.Instance = t.daemon.self.GetId()
+	line.Sequence = t.sequence + 1
 	select {
 	case t.queue <- line:
+		t.sequence++
 	default:
 		t.daemon.metrics.Add(metrics.TraceLost, 1)
 	}
--- a/internal/standin/upstream/upstream.go
+++ b/internal/standin/upstream/upstream.go
@@ -44,6 +44,7 @@
 	incarnation string
 	started     time.Time
 	fence       uint64
+	set         uint64
 	ranges      []*schema.Range
 	expires     time.Time
 	running     int
@@ -117,6 +118,7 @@
 	u.incarnation = hex.EncodeToString(id[:])
 	u.started = time.Now()
 	u.fence = 0
+	u.set = 0
 	u.ranges = nil
 	u.expires = time.Time{}
 	u.hashes = map[uint64]int{}
@@ -186,9 +188,15 @@
 	if u.faults.GetIgnoreFence() {
 		accepted = true
 	}
+	if grant.GetRenews() != 0 && grant.GetRenews() != u.set {
+		accepted = false
+	}
 	if accepted && grant.GetTtlMs() > 0 {
 		u.fence = grant.GetFence()
-		u.ranges = grant.GetRanges()
+		if grant.GetRenews() == 0 {
+			u.ranges = grant.GetRanges()
+			u.set++
+		}
 		u.expires = time.UnixMilli(grant.GetStamp() + grant.GetTtlMs())
 		u.observe(&schema.Outcome{
 			Kind:    "grant-accepted",
@@ -206,6 +214,7 @@
 		Accepted:    accepted,
 		Sequence:    grant.GetSequence(),
 		Cold:        u.cold(),
+		Set:         u.set,
 	}
 }
 
