Recorded traces with stated outcomes, explain, merged traces

Cause: proof by replay needs recordings of the whole path in which promises are exercised. Narrowed check: the sole-owner checker called upstream-frozen.trace broken at line 3620: the thawed upstream took a grant whose end was 1.07 s past and owned nothing by it. The trace shows the case is allowed (until before at); a grant that came after its end now counts as none, and its own test case says so.

--- a/core/promise/ownership.go
+++ b/core/promise/ownership.go
@@ -40,6 +40,10 @@
 		to:    o.GetTo(),
 		until: time.Duration(o.GetValue()) * time.Microsecond,
 	}
+	if mine.until <= at {
+		// A grant that came after its end, as to an upstream that was frozen, gives nothing.
+		return true, ""
+	}
 	c.owned[o.GetSubject()] = append(c.current(o.GetSubject(), at), mine)
 	for subject := range c.owned {
 		if subject == o.GetSubject() {
--- a/core/promise/promise_test.go
+++ b/core/promise/promise_test.go
@@ -41,6 +41,7 @@
 		kept: []*schema.TraceLine{
 			at(1, &schema.Outcome{Kind: "owns", Subject: "a", From: 0, To: 9, Value: until(2)}),
 			at(2.1, &schema.Outcome{Kind: "owns", Subject: "b", From: 5, To: 6, Value: until(3)}),
+			at(2.2, &schema.Outcome{Kind: "owns", Subject: "a", From: 0, To: 9, Value: until(2.1)}),
 		},
 		broken: []*schema.TraceLine{
 			at(1, &schema.Outcome{Kind: "owns", Subject: "a", From: 0, To: 9, Value: until(2)}),
--- /dev/null
+++ b/core/trace/recorded_test.go
@@ -0,0 +1,58 @@
+package trace_test
+
+import (
+	"encoding/json"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"cuminlift/core/promise"
+	"cuminlift/core/trace"
+)
+
+// statedOutcome is what a recorded trace is stated to show, in the file beside it.
+type statedOutcome struct {
+	// Story says what was done.
+	Story string `json:"story"`
+	// LeastInputs is the number of inputs that have to be there.
+	LeastInputs int `json:"least-inputs"`
+	// Held lists the promises that the trace exercises and keeps.
+	Held []string `json:"held"`
+}
+
+const traceFolder = "../../testdata/traces"
+
+func TestRecordedTracesHaveTheirStatedOutcomes(t *testing.T) {
+	files, err := filepath.Glob(filepath.Join(traceFolder, "*.trace"))
+	if err != nil || len(files) == 0 {
+		t.Fatalf("no recorded traces: %v", err)
+	}
+	for _, file := range files {
+		t.Run(strings.TrimSuffix(filepath.Base(file), ".trace"), func(t *testing.T) {
+			c := qt.New(t)
+			text, err := os.ReadFile(strings.TrimSuffix(file, ".trace") + ".json")
+			c.Assert(err, qt.IsNil)
+			stated := statedOutcome{}
+			c.Assert(json.Unmarshal(text, &stated), qt.IsNil)
+			recorded, err := os.Open(file)
+			c.Assert(err, qt.IsNil)
+			defer recorded.Close()
+			lines, err := trace.Read(recorded)
+			c.Assert(err, qt.IsNil)
+			replay := trace.Run(lines)
+			c.Assert(replay.Steps >= stated.LeastInputs, qt.IsTrue, qt.Commentf("%d inputs", replay.Steps))
+			c.Assert(replay.Differences, qt.HasLen, 0)
+			var held []string
+			for _, f := range promise.Check(lines) {
+				c.Assert(f.Verdict, qt.Not(qt.Equals), promise.Broken, qt.Commentf("%v", f))
+				if f.Verdict == promise.Held {
+					held = append(held, f.Promise)
+				}
+			}
+			c.Assert(held, qt.DeepEquals, stated.Held)
+		})
+	}
+}
--- a/internal/command/client.go
+++ b/internal/command/client.go
@@ -113,6 +113,8 @@
 	Audit    AuditCommand    `cmd:"" help:"List accepted changes: who, when, from, to, why."`
 	Forget   ForgetCommand   `cmd:"" help:"Declare an ended instance ended, on your word."`
 	Replay   ReplayCommand   `cmd:"" help:"Run a recorded trace again and check the promises."`
+	Explain  ExplainCommand  `cmd:"" help:"Tell what traces hold of a request, a key or a time."`
+	Record   RecordCommand   `cmd:"" help:"Record a trace of the whole path on loopback while something goes wrong."`
 	Identity IdentityCommand `cmd:"" help:"Make keys and certificates for development."`
 	Tryout   TryoutCommand   `cmd:"" help:"Run the whole path on loopback and show what happens."`
 	Load     LoadCommand     `cmd:"" help:"Send requests to instances and report latency and outcomes."`
--- a/internal/daemon/home.go
+++ b/internal/daemon/home.go
@@ -253,15 +253,11 @@
 
 // traceRan records that an upstream answered the call.
 func (d *Daemon) traceRan(c *call, upstream string) {
-	detail := "check"
-	if !c.idempotent {
-		detail = "order"
-	}
 	d.trace.outcome(&schema.Outcome{
 		Kind:    "ran",
 		Subject: upstream,
 		Request: c.id,
-		Detail:  detail,
+		Detail:  "answered",
 	})
 }
 
--- a/internal/tryout/cluster.go
+++ b/internal/tryout/cluster.go
@@ -2,6 +2,7 @@
 package tryout
 
 import (
+	"bytes"
 	"context"
 	"fmt"
 	"io"
@@ -11,9 +12,11 @@
 	"time"
 
 	"cuminlift/core/ownership"
+	"cuminlift/core/trace"
 	"cuminlift/internal/daemon"
 	"cuminlift/internal/standin/platform"
 	"cuminlift/internal/standin/upstream"
+	"cuminlift/io/clock"
 	"cuminlift/io/identity"
 	"cuminlift/io/operator"
 	"cuminlift/schema"
@@ -49,6 +52,8 @@
 	Timing    ownership.Timing
 	// Observe is called for each outcome at an upstream, or is nil.
 	Observe func(*schema.Outcome)
+	// Record keeps a trace of every instance and upstream, for Trace.
+	Record bool
 	// StopMs bounds graceful stops, 0 for the default.
 	StopMs uint32
 }
@@ -57,8 +62,10 @@
 type Instance struct {
 	Daemon   *daemon.Daemon
 	Settings *schema.Settings
-	cancel   context.CancelFunc
-	done     chan error
+	// trace holds what the instance recorded. It is read after the instance stopped.
+	trace  *bytes.Buffer
+	cancel context.CancelFunc
+	done   chan error
 }
 
 // Cluster is the running whole.
@@ -74,6 +81,9 @@
 	// cut holds the pairs of zones, or of an address and a zone, that can't reach each other.
 	cut   map[string]bool
 	zones map[string]string
+	clock *clock.Machine
+	// outcomes are what upstreams saw, guarded by mutex.
+	outcomes []*schema.TraceLine
 }
 
 // Start starts everything. Close must be called.
@@ -90,6 +100,7 @@
 		authority: authority,
 		cut:       map[string]bool{},
 		zones:     map[string]string{},
+		clock:     clock.NewMachine(),
 	}
 	if err := c.Platform.Listen("127.0.0.1:0"); err != nil {
 		return nil, err
@@ -124,7 +135,7 @@
 			Connect:    u.Connect,
 			Cold:       u.Cold,
 			ColdFactor: 5,
-			Observe:    c.config.Observe,
+			Observe:    c.observe,
 		})
 		if err := standin.Listen("127.0.0.1:0"); err != nil {
 			return err
@@ -171,12 +182,17 @@
 		log = io.Discard
 	}
 	zone := settings.GetZone()
-	d, err := daemon.New(daemon.Config{
+	config := daemon.Config{
 		Settings:  settings,
 		Timing:    c.config.Timing,
 		LogOutput: log,
 		Allow:     func(address string) bool { return c.reachable(zone, address) },
-	})
+	}
+	recorded := &bytes.Buffer{}
+	if c.config.Record {
+		config.Trace = recorded
+	}
+	d, err := daemon.New(config)
 	if err != nil {
 		return nil, err
 	}
@@ -184,6 +200,7 @@
 	i := &Instance{
 		Daemon:   d,
 		Settings: settings,
+		trace:    recorded,
 		cancel:   cancel,
 		done:     make(chan error, 1),
 	}
@@ -303,6 +320,40 @@
 	return len(usable) == len(c.Upstreams)
 }
 
+// observe takes what an upstream saw.
+func (c *Cluster) observe(o *schema.Outcome) {
+	if c.config.Observe != nil {
+		c.config.Observe(o)
+	}
+	if !c.config.Record {
+		return
+	}
+	at := c.clock.Now()
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.outcomes = append(c.outcomes, &schema.TraceLine{
+		Format:   trace.Format,
+		AtUs:     at.Microseconds(),
+		Instance: o.GetSubject(),
+		Outcome:  o,
+	})
+}
+
+// Trace returns what the instances and upstreams recorded, by time. All instances must have stopped.
+func (c *Cluster) Trace() ([]*schema.TraceLine, error) {
+	c.mutex.Lock()
+	traces := [][]*schema.TraceLine{c.outcomes}
+	c.mutex.Unlock()
+	for _, i := range c.Instances {
+		lines, err := trace.Read(bytes.NewReader(i.trace.Bytes()))
+		if err != nil {
+			return nil, err
+		}
+		traces = append(traces, lines)
+	}
+	return trace.Merge(traces...), nil
+}
+
 // Operator returns a client of the first instance for an operator called name.
 func (c *Cluster) Operator(name string) (*operator.Client, error) {
 	files, err := c.authority.IssueForDevelopment(name)
