Drain before a stop, cheaper renewals and copies, stops measured

Cause: a stop could close the listener 50 ms after it said that it was not ready, before a balancer looks; each step of the decisions looked for new ranges in all slices of all kept upstreams; each answer was copied through a new 16 KiB buffer. Change: drain-ms (1 s) between not ready and closing; an upstream that holds all it owns is not looked through again until document or evictions change; copy buffers are pooled; experiment stops with a balancer that asks for readiness.

--- a/core/ownership/grant.go
+++ b/core/ownership/grant.go
@@ -36,6 +36,8 @@
 	acked uint64
 	// accepted is true where the last grant was: the next one may renew it without naming its ranges.
 	accepted bool
+	// whole is the state in which granted was all that the upstream owns: nothing is to be looked for until it changes.
+	whole grantState
 	// set is the upstream's number for the ranges in granted.
 	set  uint64
 	cold bool
@@ -169,14 +171,35 @@
 
 // addRanges puts into grant what h may own, or only renews it where the upstream has accepted just that.
 func (g *Guardian) addRanges(h *schema.Holder, u *upstream, grant *schema.Grant) {
-	ranges := g.grantable(h)
+	if u.whole == g.state() && u.accepted && u.set != 0 && u.acked == h.GetFence() {
+		grant.Renews = u.set
+		return
+	}
+	ranges, whole := g.grantable(h)
 	if u.acked == h.GetFence() && u.accepted && u.set != 0 && sameRanges(u.granted, ranges) {
 		grant.Renews = u.set
+		if whole {
+			u.whole = g.state()
+		}
 		return
 	}
 	grant.Ranges = ranges
 }
 
+// grantState tells states apart in which the same upstream may hold different ranges.
+type grantState struct {
+	version uint64
+	// evicted is the number of evictions that all guardians follow; it only grows at one version.
+	evicted int
+}
+
+func (g *Guardian) state() grantState {
+	return grantState{
+		version: g.document.GetVersion(),
+		evicted: len(g.unanimous),
+	}
+}
+
 func sameRanges(a, b []*schema.Range) bool {
 	if len(a) != len(b) {
 		return false
@@ -203,12 +226,25 @@
 	if ttl <= 0 {
 		return false
 	}
-	if u.acked < h.GetFence() || len(u.granted) < len(g.grantable(h)) {
-		return since >= g.config.Timing.Heartbeat/20
+	if u.whole != g.state() && since >= g.config.Timing.Heartbeat/changeShare && g.lacksRanges(h, u) {
+		return true
 	}
 	return u.busy > 0 && since >= g.config.Timing.Heartbeat/10
 }
 
+// lacksRanges reports whether the upstream has not accepted yet all that it may hold now.
+func (g *Guardian) lacksRanges(h *schema.Holder, u *upstream) bool {
+	if u.acked < h.GetFence() {
+		return true
+	}
+	ranges, whole := g.grantable(h)
+	same := sameRanges(u.granted, ranges)
+	if same && whole {
+		u.whole = g.state()
+	}
+	return !same
+}
+
 // grantTTL returns how long from its stamp the upstream may hold its ranges, or 0 where only a stamp is asked for.
 func (g *Guardian) grantTTL(h *schema.Holder, u *upstream) time.Duration {
 	if u.incarnation == "" || g.evicted[h.GetName()] {
@@ -221,12 +257,17 @@
 	return g.config.Timing.shorter(until - u.stampReceived)
 }
 
-// grantable returns the ranges that h owns and that no other holder can still have a grant of.
-func (g *Guardian) grantable(h *schema.Holder) []*schema.Range {
-	var ranges []*schema.Range
+// grantable returns the ranges that h owns and that no other holder can still have a grant of. whole is true where that
+// is all that h owns.
+func (g *Guardian) grantable(h *schema.Holder) (ranges []*schema.Range, whole bool) {
 	slices := g.document.GetSlices()
+	whole = true
 	for i, s := range slices {
-		if g.OwnerOf(s) != h.GetName() || !g.freed(s) {
+		if g.OwnerOf(s) != h.GetName() {
+			continue
+		}
+		if !g.freed(s) {
+			whole = false
 			continue
 		}
 		end := SliceEnd(slices, i)
@@ -240,7 +281,7 @@
 			Fence: s.GetFence(),
 		})
 	}
-	return ranges
+	return ranges, whole
 }
 
 // OwnerOf returns the holder that owns s: the document's owner, or its first standby that is not evicted.
@@ -409,6 +450,7 @@
 	if sent.grant.GetRenews() == 0 {
 		u.granted = sent.grant.GetRanges()
 		u.set = reply.GetSet()
+		u.whole = grantState{}
 	}
 	u.fence = sent.grant.GetFence()
 	u.lease = sent.stampSent + g.config.Timing.shorter(ttl)
@@ -422,6 +464,7 @@
 	u.granted = nil
 	u.accepted = false
 	u.set = 0
+	u.whole = grantState{}
 	u.fence = 0
 	u.lease = never
 }
--- a/internal/command/measure.go
+++ b/internal/command/measure.go
@@ -57,6 +57,7 @@
 		"control":  func() (*measure.Table, error) { return measure.Control(folder, c.Length) },
 		"inforce":  func() (*measure.Table, error) { return measure.InForce(folder, c.Rounds) },
 		"failover": func() (*measure.Table, error) { return measure.Failover(folder, c.Rounds) },
+		"stops":    func() (*measure.Table, error) { return measure.Stops(folder, c.Rounds) },
 		"forward":  func() (*measure.Table, error) { return measure.Forward(folder, c.Length) },
 	}
 }
--- a/internal/daemon/caller.go
+++ b/internal/daemon/caller.go
@@ -12,6 +12,7 @@
 	"net/http/httptrace"
 	"strconv"
 	"strings"
+	"sync"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -455,7 +456,9 @@
 // copyBody copies in pieces. caller is true where the failure is the caller's.
 func copyBody(w http.ResponseWriter, body io.Reader) (copied int64, caller bool, err error) {
 	controller := http.NewResponseController(w)
-	buffer := make([]byte, copyBuffer)
+	pooled := copyBuffers.Get().(*[]byte)
+	defer copyBuffers.Put(pooled)
+	buffer := *pooled
 	for {
 		n, readErr := body.Read(buffer)
 		if n > 0 {
@@ -478,6 +481,14 @@
 
 const copyBuffer = 16 << 10
 
+// copyBuffers keeps the buffers of answers that have been passed on.
+var copyBuffers = sync.Pool{
+	New: func() any {
+		buffer := make([]byte, copyBuffer)
+		return &buffer
+	},
+}
+
 // hopByHop are the headers that belong to one connection, and those that only cuminlift sets.
 var hopByHop = map[string]bool{
 	"Connection":          true,
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -225,7 +225,8 @@
 }
 
 const (
-	defaultStop = 30 * time.Second
+	defaultStop  = 30 * time.Second
+	defaultDrain = time.Second
 	// stopStep is how often a graceful stop looks whether it is finished.
 	stopStep = 10 * time.Millisecond
 )
@@ -268,8 +269,9 @@
 	}
 	ticker := time.NewTicker(stopStep)
 	defer ticker.Stop()
+	began := time.Now()
 	for {
-		if d.left() {
+		if time.Since(began) >= d.drainTime() && d.left() {
 			return
 		}
 		select {
@@ -280,6 +282,14 @@
 	}
 }
 
+// drainTime is how long callers are still served after this instance said that it is not ready.
+func (d *Daemon) drainTime() time.Duration {
+	if ms := d.settings.GetDrainMs(); ms != 0 {
+		return time.Duration(ms) * time.Millisecond
+	}
+	return defaultDrain
+}
+
 func (d *Daemon) left() bool {
 	for _, s := range d.services() {
 		if !s.left(d.self.GetId()) {
--- a/internal/daemon/daemon_test.go
+++ b/internal/daemon/daemon_test.go
@@ -114,7 +114,7 @@
 			})
 		}
 	})
-	_, err = cluster.Apply(context.Background(), strings.ReplaceAll(examples.Seminars, `"cold-start-ms": 3000`, `"cold-start-ms": 0`))
+	_, err = cluster.Apply(context.Background(), startText)
 	c.Assert(err, qt.IsNil)
 	ok := tryout.WaitUntil(patience, func() bool {
 		usable := 0
@@ -498,3 +498,6 @@
 	c.Assert(err, qt.IsNil)
 	c.Assert(tryout.WaitUntil(patience, inForce(2)), qt.IsTrue)
 }
+
+// startText is the seminars' text without cold starts and with the slots of a fast upstream.
+var startText = strings.NewReplacer(`"cold-start-ms": 3000`, `"cold-start-ms": 0`, `"slots": 2`, `"slots": 32`).Replace(examples.Seminars)
--- a/internal/measure/table.go
+++ b/internal/measure/table.go
@@ -135,4 +135,4 @@
 }
 
 // Experiments are the names of all experiments, in the order in which they run.
-var Experiments = []string{"policy", "planning", "balance", "churn", "hotkeys", "control", "inforce", "failover", "forward"}
+var Experiments = []string{"policy", "planning", "balance", "churn", "hotkeys", "control", "inforce", "failover", "forward", "stops"}
--- a/internal/traffic/traffic.go
+++ b/internal/traffic/traffic.go
@@ -33,8 +33,9 @@
 
 // Config constructs a run.
 type Config struct {
-	// Targets are base URLs, used in turn.
+	// Targets are base URLs, used in turn. Pick, if set, chooses instead of them, as a balancer would.
 	Targets  []string
+	Pick     func(n int) string
 	Kinds    []Kind
 	Duration time.Duration
 	Seed     uint64
@@ -152,7 +153,7 @@
 		r.mutex.Unlock()
 		return
 	}
-	target := r.config.Targets[n%len(r.config.Targets)]
+	target := r.target(n)
 	r.waiting.Go(func() {
 		defer func() { <-r.slots }()
 		outcome, good := r.one(ctx, k, n, target, key)
@@ -160,6 +161,13 @@
 	})
 }
 
+func (r *run) target(n int) string {
+	if r.config.Pick != nil {
+		return r.config.Pick(n)
+	}
+	return r.config.Targets[n%len(r.config.Targets)]
+}
+
 func (r *run) one(ctx context.Context, k Kind, n int, target string, key uint64) (outcome string, good bool) {
 	var body io.Reader
 	if k.Method == http.MethodPost {
--- a/internal/tryout/cluster.go
+++ b/internal/tryout/cluster.go
@@ -56,6 +56,8 @@
 	Record bool
 	// StopMs bounds graceful stops, 0 for the default.
 	StopMs uint32
+	// DrainMs is the time between not ready and the end of service, 0 for the default.
+	DrainMs uint32
 }
 
 // Instance is one running daemon.
@@ -173,6 +175,7 @@
 		Tls:       files,
 		Log:       c.config.LogSwitch,
 		StopMs:    c.config.StopMs,
+		DrainMs:   c.config.DrainMs,
 	})
 }
 
@@ -356,6 +359,11 @@
 
 // Operator returns a client of the first instance for an operator called name.
 func (c *Cluster) Operator(name string) (*operator.Client, error) {
+	return c.OperatorAt(c.Instances[0], name)
+}
+
+// OperatorAt returns a client of an instance for an operator called name.
+func (c *Cluster) OperatorAt(i *Instance, name string) (*operator.Client, error) {
 	files, err := c.authority.IssueForDevelopment(name)
 	if err != nil {
 		return nil, err
@@ -365,7 +373,7 @@
 		return nil, err
 	}
 	return operator.NewClient(operator.Config{
-		Address: c.Instances[0].Daemon.Self().GetOperators(),
+		Address: i.Daemon.Self().GetOperators(),
 		TLS:     source.Client("http/1.1"),
 	}), nil
 }
