Restarts end old links at once, and chance moves no keys

Cause: rolling replacement refused 973 of 6,487 checks as not-home. A peer went on sending to the old process's connection for up to 3 s, so that the new one heard nothing, took a living guardian for ended and waited out its home. A new home also waited for a read younger than its own first look at each upstream. At 200 requests/s the planner moved keys all the time: 1.2 requests a slice and report are chance. Change: stateless resets with a key all runs of an identity share; holder states tell the upstreams' runs; balance begins at four standard deviations of what was counted, over a window of a minute.

--- a/core/assign/assign_test.go
+++ b/core/assign/assign_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"os"
 	"testing"
 
@@ -109,6 +110,26 @@
 	c.Assert(ownership.Check(document), qt.IsNil)
 }
 
+func TestChanceMovesNothing(t *testing.T) {
+	c := qt.New(t)
+	p := newPlanner()
+	f := facts(16)
+	document, _ := settle(p, &schema.Ownership{}, f)
+	random := rand.New(rand.NewPCG(1, 1))
+	// About 12 requests a second an upstream, counted for the time that a moving average stands for.
+	const seconds = 57
+	for range 200 * seconds {
+		s := document.GetSlices()[ownership.SliceIndex(document.GetSlices(), random.Uint64())]
+		if f.Loads[s.GetStart()] == nil {
+			f.Loads[s.GetStart()] = &schema.SliceLoad{
+				Start: s.GetStart(),
+			}
+		}
+		f.Loads[s.GetStart()].Rate += 1.0 / seconds
+	}
+	c.Assert(p.Plan(document, f), qt.IsNil)
+}
+
 // TestPlansKeepTheInvariants plans with random facts: the document stays sound, owners are usable, fences grow.
 func TestPlansKeepTheInvariants(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
--- a/core/assign/balance.go
+++ b/core/assign/balance.go
@@ -1,6 +1,7 @@
 package assign
 
 import (
+	"math"
 	"sort"
 
 	"cuminlift/core/ownership"
@@ -12,6 +13,11 @@
 	balanceStart = 1.06
 	// balanceGoal is the ratio at which they end, below the start so that noise moves nothing.
 	balanceGoal = 1.02
+	// loadWindow is how many seconds of requests a measured rate stands for: the period of reports, 3 s, with a moving
+	// average of weight 0.1.
+	loadWindow = 57.0
+	// chanceFactor is how many standard deviations count as more than chance.
+	chanceFactor = 4.0
 	// hotShare is the part of a holder's mean weight above which a key gets a slice of its own.
 	hotShare = 0.04
 	// splitShare is the part of a holder's mean weight above which a slice is split in two.
@@ -38,7 +44,8 @@
 		}
 	}
 	mean := meanWeight(bins)
-	if heaviest(bins).weight < mean*balanceStart && lightest(bins).weight > mean*(2-balanceStart)*0.9 {
+	start := d.balanceStart(len(bins))
+	if heaviest(bins).weight < mean*start && lightest(bins).weight > mean*(2-start)*0.9 {
 		return
 	}
 	for range d.config.MovesPerPlan {
@@ -60,6 +67,20 @@
 	}
 }
 
+// balanceStart returns the ratio of the heaviest holder to the mean at which moves begin: above what chance makes of the
+// few requests that were counted.
+func (d *draft) balanceStart(holders int) float64 {
+	total := 0.0
+	for _, s := range d.next.GetSlices() {
+		total += d.rate(s)
+	}
+	if total <= 0 {
+		return balanceStart
+	}
+	counted := total / float64(holders) * loadWindow
+	return max(balanceStart, 1+chanceFactor/math.Sqrt(counted))
+}
+
 func meanWeight(bins []*bin) float64 {
 	sum := 0.0
 	for _, b := range bins {
--- a/core/ownership/clone.go
+++ b/core/ownership/clone.go
@@ -30,6 +30,7 @@
 		copied := *u
 		c.upstreams[name] = &copied
 	}
+	c.sightings = maps.Clone(g.sightings)
 	c.dead = maps.Clone(g.dead)
 	c.evicted = maps.Clone(g.evicted)
 	c.unanimous = maps.Clone(g.unanimous)
@@ -64,6 +65,9 @@
 			fmt.Fprintf(w, "outstanding %d %d %d\n", outstanding.grant.GetSequence(), outstanding.at, outstanding.stampSent)
 		}
 	}
+	for _, name := range sortedKeys(g.sightings) {
+		fmt.Fprintf(w, "seen %s %v\n", name, g.sightings[name])
+	}
 	fmt.Fprintf(w, "%v %v %v\n", sortedNames(g.dead), sortedNames(g.evicted), g.unanimous)
 }
 
--- a/core/ownership/grant.go
+++ b/core/ownership/grant.go
@@ -393,8 +393,9 @@
 		}
 		u := g.upstream(h.GetName())
 		state := &schema.HolderState{
-			Holder: h.GetName(),
-			Alive:  u.alive(g.now, g.config.Timing),
+			Holder:      h.GetName(),
+			Incarnation: u.incarnation,
+			Alive:       u.alive(g.now, g.config.Timing),
 		}
 		if u.busy == 0 && g.homeReady(PoolOf(g.document, h.GetZone())) {
 			state.Fence = u.acked
@@ -421,7 +422,7 @@
 	u.heard = g.now
 	u.cold = reply.GetCold()
 	if reply.GetIncarnation() != u.incarnation {
-		u.restart(reply.GetIncarnation(), g.now)
+		u.restart(reply.GetIncarnation(), g.firstSeen(reply.GetUpstream(), reply.GetIncarnation()))
 		g.dirty = true
 	}
 	u.stamp = reply.GetStamp()
@@ -458,6 +459,35 @@
 	u.lease = sent.stampSent + g.config.Timing.shorter(ttl)
 }
 
+// sighting is when a run of an upstream was first heard of.
+type sighting struct {
+	incarnation string
+	at          time.Duration
+}
+
+// noteSightings takes the upstreams' runs from a peer's view, so that a new home need not wait for a proof that is younger
+// than its own first look.
+func (g *Guardian) noteSightings(states []*schema.HolderState) {
+	for _, state := range states {
+		if state.GetIncarnation() != "" && HolderOf(g.document, state.GetHolder()) != nil {
+			g.firstSeen(state.GetHolder(), state.GetIncarnation())
+		}
+	}
+}
+
+// firstSeen returns when this run of the upstream was first heard of, which is now for a new one.
+func (g *Guardian) firstSeen(name, incarnation string) time.Duration {
+	seen := g.sightings[name]
+	if seen.incarnation != incarnation {
+		seen = sighting{
+			incarnation: incarnation,
+			at:          g.now,
+		}
+		g.sightings[name] = seen
+	}
+	return seen.at
+}
+
 func (u *upstream) restart(incarnation string, now time.Duration) {
 	u.incarnation = incarnation
 	u.begun = now
--- a/core/ownership/guardian.go
+++ b/core/ownership/guardian.go
@@ -66,6 +66,7 @@
 	// promised holds until when this guardian abstains from writing, by the peer that relies on it.
 	promised  map[string]promise
 	upstreams map[string]*upstream
+	sightings map[string]sighting
 	// grants counts the grants sent. Their sequences are never used twice, also for an upstream that was given up and
 	// taken back: a late reply must not pass for that to a later grant.
 	grants uint64
@@ -122,6 +123,7 @@
 		peers:     map[string]*peer{},
 		promised:  map[string]promise{},
 		upstreams: map[string]*upstream{},
+		sightings: map[string]sighting{},
 		facts:     &schema.Facts{},
 		dead:      map[string]bool{},
 		evicted:   map[string]bool{},
@@ -198,7 +200,7 @@
 }
 
 // loadWeight is the weight of a new measurement of a slice's load.
-const loadWeight = 0.4
+const loadWeight = 0.1
 
 // writePatience is how many suspect times an answer to a write is waited for. Then it counts as lost, and the write as
 // unresolved.
--- a/core/ownership/peer.go
+++ b/core/ownership/peer.go
@@ -74,6 +74,7 @@
 	}
 	p.seen = view.GetSequence()
 	p.heard = g.now
+	g.noteSightings(view.GetHolders())
 	g.replan = g.replan || view.GetHoldersTold() || view.GetLeaving()
 	if !view.GetHoldersTold() {
 		view.Holders = p.view.GetHolders()
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -137,8 +137,13 @@
 	if d.operate, err = net.Listen("tcp", d.settings.GetOperators()); err != nil {
 		return fmt.Errorf("listen for operators: %w", err)
 	}
+	resetKey, err := d.identity.ResetKey()
+	if err != nil {
+		return err
+	}
 	d.link, err = instance.Listen(instance.Config{
 		Address:   d.settings.GetPeers(),
+		ResetKey:  resetKey,
 		Server:    d.identity.Server(instance.Protocol),
 		Client:    d.identity.Client(instance.Protocol),
 		Receive:   d.receive,
--- a/internal/measure/stops.go
+++ b/internal/measure/stops.go
@@ -148,20 +148,21 @@
 
 // underLoad sends mixed traffic while work goes on.
 func (r *stopRun) underLoad(t *Table, what string, stops int, work func() error) error {
-	ctx, cancel := context.WithCancel(context.Background())
-	defer cancel()
+	config := r.traffic()
+	stop := make(chan struct{})
+	config.Stop = stop
 	results := make(chan []*traffic.Result, 1)
-	go func() { results <- traffic.Run(ctx, r.traffic()) }()
+	go func() { results <- traffic.Run(context.Background(), config) }()
 	err := work()
 	time.Sleep(time.Second)
-	cancel()
+	close(stop)
 	for _, one := range <-results {
 		lost, refused := 0, 0
 		for outcome, n := range one.Outcomes {
 			switch {
 			case outcome == "cut":
 				lost += n
-			case outcome == "no-answer":
+			case strings.HasPrefix(outcome, "no-answer"):
 				lost += n
 			case strings.HasPrefix(outcome, "5") || strings.HasPrefix(outcome, "409"):
 				refused += n
--- a/internal/traffic/traffic.go
+++ b/internal/traffic/traffic.go
@@ -3,6 +3,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"math/rand/v2"
@@ -38,7 +39,9 @@
 	Pick     func(n int) string
 	Kinds    []Kind
 	Duration time.Duration
-	Seed     uint64
+	// Stop ends the sending early when it is closed; answers are waited for. Nil never does.
+	Stop <-chan struct{}
+	Seed uint64
 	// Timeout bounds one request.
 	Timeout time.Duration
 	// InFlight bounds the requests in progress; those over it count as skipped.
@@ -135,7 +138,11 @@
 		if next.Sub(began) > r.config.Duration || ctx.Err() != nil {
 			return
 		}
-		time.Sleep(time.Until(next))
+		select {
+		case <-r.config.Stop:
+			return
+		case <-time.After(time.Until(next)):
+		}
 		key := random.Uint64N(k.Keys)
 		if zipf != nil {
 			key = zipf.Uint64()
@@ -182,7 +189,7 @@
 	}
 	response, err := r.client.Do(request)
 	if err != nil {
-		return "no-answer", false
+		return "no-answer " + errorWord(err), false
 	}
 	defer response.Body.Close()
 	if _, err := io.Copy(io.Discard, response.Body); err != nil {
@@ -195,6 +202,17 @@
 	return outcome, response.StatusCode < http.StatusInternalServerError
 }
 
+// errorWord names the innermost error, without addresses.
+func errorWord(err error) string {
+	for {
+		inner := errors.Unwrap(err)
+		if inner == nil {
+			return err.Error()
+		}
+		err = inner
+	}
+}
+
 func (r *run) note(k Kind, outcome string, good bool, latency time.Duration) {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
--- a/io/identity/identity.go
+++ b/io/identity/identity.go
@@ -2,6 +2,7 @@
 package identity
 
 import (
+	"crypto/sha256"
 	"crypto/tls"
 	"crypto/x509"
 	"fmt"
@@ -103,6 +104,19 @@
 	return s.certificate, s.authorities
 }
 
+// ResetKey returns a secret that all runs of one identity share, or an error where the key file can't be read. A restarted
+// process tells its peers with it that their connections to the earlier one have ended.
+func (s *Source) ResetKey() ([32]byte, error) {
+	text, err := os.ReadFile(s.settings.GetKey())
+	if err != nil {
+		return [32]byte{}, &FileError{
+			File:  s.settings.GetKey(),
+			Cause: err,
+		}
+	}
+	return sha256.Sum256(append([]byte("stateless reset "), text...)), nil
+}
+
 // Server returns a configuration that lets in only peers with a certificate of the authorities.
 func (s *Source) Server(protocols ...string) *tls.Config {
 	return &tls.Config{
--- a/io/instance/link.go
+++ b/io/instance/link.go
@@ -40,6 +40,8 @@
 	Address string
 	Server  *tls.Config
 	Client  *tls.Config
+	// ResetKey is shared by all runs of this instance, so that a restart ends the peers' connections at once.
+	ResetKey [32]byte
 	// Receive is called for each heartbeat, from several goroutines.
 	Receive func(*schema.Heartbeat)
 	// Malformed is called for each stream that can't be read.
@@ -72,8 +74,10 @@
 	if err != nil {
 		return nil, fmt.Errorf("listen for peers: %w", err)
 	}
+	resetKey := quic.StatelessResetKey(config.ResetKey)
 	transport := &quic.Transport{
-		Conn: connection,
+		Conn:              connection,
+		StatelessResetKey: &resetKey,
 	}
 	listener, err := transport.Listen(config.Server, quicConfig())
 	if err != nil {
