A leaving instance tells that it is idle before it ends

Cause: after its homes had moved, a leaving instance ended at once; its last view with the word that it is idle was never sent, and the new home waited 1.02 s. Change: two heartbeat periods of farewell. Not the whole cause.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -232,6 +232,8 @@
 const (
 	defaultStop  = 30 * time.Second
 	defaultDrain = time.Second
+	// farewell is how many heartbeat periods a leaving instance goes on to tell that it is idle.
+	farewell = 2
 	// stopStep is how often a graceful stop looks whether it is finished.
 	stopStep = 10 * time.Millisecond
 )
@@ -275,8 +277,16 @@
 	ticker := time.NewTicker(stopStep)
 	defer ticker.Stop()
 	began := time.Now()
+	var leftAt time.Time
 	for {
-		if time.Since(began) >= d.drainTime() && d.left() {
+		if left := d.left(); left && leftAt.IsZero() {
+			leftAt = time.Now()
+		} else if !left {
+			leftAt = time.Time{}
+		}
+		// The new homes wait for this one's word that it is idle: it must be out before the process ends.
+		told := !leftAt.IsZero() && time.Since(leftAt) >= farewell*d.config.Timing.Heartbeat
+		if told && time.Since(began) >= d.drainTime() {
 			return
 		}
 		select {
