--- a/internal/daemon/caller.go
+++ b/internal/daemon/caller.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io"
 	"math"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/http/httptrace"
@@ -20,6 +21,7 @@
 	"cuminlift/core/admission"
 	"cuminlift/core/estate"
 	"cuminlift/core/request"
+	"cuminlift/core/retry"
 	"cuminlift/internal/metrics"
 	"cuminlift/schema"
 )
@@ -34,10 +36,14 @@
 	idleTimeout = 2 * time.Minute
 	// writeStall ends an answer whose caller takes nothing for so long.
 	writeStall = 20 * time.Second
-	// rerouteWait is the wait before a call looks for its home again.
-	rerouteWait = 5 * time.Millisecond
 )
 
+// reroute spaces the looks of a call for its home. Calls that look every 5 ms keep homes too busy to become ready.
+var reroute = retry.Backoff{
+	Base: 5 * time.Millisecond,
+	Cap:  100 * time.Millisecond,
+}
+
 // serveCaller takes a caller's request to its final answer.
 func (d *Daemon) serveCaller(w http.ResponseWriter, r *http.Request) {
 	d.metrics.Add(metrics.Requests, 1)
@@ -181,7 +187,7 @@
 // a planned hand-over lasts.
 func (d *Daemon) route(ctx context.Context, c *call) (*answer, *refusal) {
 	began := time.Now()
-	for {
+	for tries := 1; ; tries++ {
 		a, f := d.routeOnce(ctx, c)
 		if f == nil || !f.elsewhere || !worthWaiting(f) || time.Since(began) >= holdLimit {
 			return a, f
@@ -189,7 +195,7 @@
 		select {
 		case <-ctx.Done():
 			return nil, f
-		case <-time.After(rerouteWait):
+		case <-time.After(reroute.Base + reroute.Delay(tries, rand.Float64())):
 		}
 	}
 }
--- a/internal/daemon/home.go
+++ b/internal/daemon/home.go
@@ -68,7 +68,7 @@
 
 // serveHome queues the call for the zone's pool and returns an upstream's answer or a refusal.
 func (d *Daemon) serveHome(ctx context.Context, c *call, zone string) (*answer, *refusal) {
-	if !c.service.homeReady(zone) {
+	if !d.awaitReady(ctx, c.service, zone) {
 		f := notRun(reasonNotHome, d.config.Timing.Heartbeat)
 		f.elsewhere = true
 		return nil, f
@@ -95,6 +95,26 @@
 	}
 }
 
+// awaitReady waits until this instance may forward to the zone's pool, while it is the home to be: a caller's instance that
+// asks again and again would cost more than the wait.
+func (d *Daemon) awaitReady(ctx context.Context, s *service, zone string) bool {
+	began := time.Now()
+	for !s.homeReady(zone) {
+		if !s.isHome(zone) || time.Since(began) >= holdLimit {
+			return false
+		}
+		select {
+		case <-ctx.Done():
+			return false
+		case <-time.After(readyPoll):
+		}
+	}
+	return true
+}
+
+// readyPoll is the wait between two looks whether a home is ready.
+const readyPoll = 5 * time.Millisecond
+
 func (d *Daemon) runRace(ctx context.Context, c *call, p *pool) (*answer, *refusal) {
 	ticket := &admission.Ticket{
 		Class:      c.class,
--- a/internal/daemon/service.go
+++ b/internal/daemon/service.go
@@ -94,6 +94,11 @@
 	return s.guardian.HomeReady(s.daemon.clock.Now(), zone)
 }
 
+// isHome reports whether the document makes this instance the home of the zone's pool.
+func (s *service) isHome(zone string) bool {
+	return ownership.PoolOf(s.document(), zone).GetHome() == s.daemon.self.GetId()
+}
+
 // left reports whether the member is the home of no pool, or nobody is there to take over.
 func (s *service) left(id string) bool {
 	document := s.document()
