--- a/internal/command/report.go
+++ b/internal/command/report.go
@@ -19,6 +19,13 @@
 	if err != nil {
 		return err
 	}
+	fits, err := measure.Fits(c.Data)
+	if err != nil {
+		return err
+	}
+	if err := fits.Write(c.Data); err != nil {
+		return err
+	}
 	for _, file := range made {
 		fmt.Fprintln(e.Out, file)
 	}
