Split large files by what they do

Change: evidence for a new grant, the hop to a home, the passing of an answer, status answers, repeats, the fake upstream and the fake network have files of their own. Nothing but the place of declarations changed.

--- a/core/ownership/fakes_test.go
+++ b/core/ownership/fakes_test.go
@@ -15,9 +15,6 @@
 
 const service = "calendar"
 
-// messageKind says what a message in flight carries.
-type messageKind int
-
 const (
 	readRequest messageKind = iota
 	writeRequest
@@ -25,22 +22,6 @@
 	grantRequest
 )
 
-// message is in flight between two fakes.
-type message struct {
-	kind messageKind
-	// node is the instance that sent a request, or the one that gets an event.
-	node     int
-	from     int
-	started  time.Duration
-	base     uint64
-	next     *schema.Ownership
-	upstream int
-	grant    *schema.Grant
-	event    *schema.OwnershipEvent
-	// due is the world's time from which the message may arrive.
-	due time.Duration
-}
-
 // node is one instance: real decisions behind a clock of its own.
 type node struct {
 	guardian *ownership.Guardian
@@ -60,38 +41,10 @@
 	return now + time.Duration(int64(now)/1_000_000*n.ppm)
 }
 
-// holder is a fake upstream: it accepts fenced grants and lets them lapse by its own clock.
-type holder struct {
-	name        string
-	zone        string
-	incarnation int
-	fence       uint64
-	set         uint64
-	ranges      []*schema.Range
-	expires     time.Duration
-	dead        bool
-	frozen      bool
-	out         bool
-	ppm         int64
-	inbox       []*message
-}
-
 func (h *holder) clock(now time.Duration) time.Duration {
 	return now + time.Duration(int64(now)/1_000_000*h.ppm)
 }
 
-func (h *holder) owns(now time.Duration, hash uint64) bool {
-	if h.dead || h.clock(now) >= h.expires {
-		return false
-	}
-	for _, r := range h.ranges {
-		if r.GetStart() <= hash && hash <= r.GetEnd() {
-			return true
-		}
-	}
-	return false
-}
-
 // mutant weakens one rule of the world or of the decisions, to show that the checks can fail.
 type mutant struct {
 	// ignoreFence makes holders take grants of any fence.
@@ -296,222 +249,6 @@
 	}
 }
 
-func (w *world) note(format string, values ...any) {
-	if w.log != nil {
-		w.log(format, values...)
-	}
-}
-
-func (w *world) send(m *message) {
-	if m.kind == toNode && m.node < 0 {
-		return
-	}
-	m.due = w.now
-	if w.delay != nil {
-		d := w.delay(m)
-		if d < 0 {
-			w.lost(m)
-			return
-		}
-		m.due = w.now + d
-	}
-	w.queue = append(w.queue, m)
-}
-
-// lost tells the sender of a grant or a table request that no answer came, as a timeout would.
-func (w *world) lost(m *message) {
-	event := failure(m)
-	if event != nil {
-		w.queue = append(w.queue, &message{
-			kind:  toNode,
-			node:  m.node,
-			from:  m.node,
-			event: event,
-			due:   w.now + w.timing.Suspect/2,
-		})
-	}
-}
-
-func failure(m *message) *schema.OwnershipEvent {
-	switch m.kind {
-	case readRequest:
-		return &schema.OwnershipEvent{
-			Kind: schema.EventKind_read,
-		}
-	case writeRequest:
-		return &schema.OwnershipEvent{
-			Kind:     schema.EventKind_wrote,
-			Sequence: m.base,
-		}
-	case grantRequest:
-		return &schema.OwnershipEvent{
-			Kind:     schema.EventKind_failed,
-			Upstream: m.grant.GetUpstream(),
-			Sequence: m.grant.GetSequence(),
-		}
-	case toNode:
-		return lostAnswer(m.event)
-	}
-	return nil
-}
-
-// lostAnswer returns what the asker learns when its answer is lost, nil for a view.
-func lostAnswer(event *schema.OwnershipEvent) *schema.OwnershipEvent {
-	switch event.GetKind() {
-	case schema.EventKind_read, schema.EventKind_wrote:
-		return &schema.OwnershipEvent{
-			Kind:     event.GetKind(),
-			Sequence: event.GetSequence(),
-		}
-	case schema.EventKind_replied:
-		return &schema.OwnershipEvent{
-			Kind:     schema.EventKind_failed,
-			Upstream: event.GetReply().GetUpstream(),
-			Sequence: event.GetReply().GetSequence(),
-		}
-	}
-	return nil
-}
-
-// answer sends an event back to the node that asked.
-func (w *world) answer(m *message, event *schema.OwnershipEvent) {
-	w.send(&message{
-		kind:  toNode,
-		node:  m.node,
-		from:  m.node,
-		event: event,
-	})
-}
-
-// deliver lets one message arrive.
-func (w *world) deliver(m *message) {
-	sender := w.nodes[m.from]
-	switch m.kind {
-	case readRequest:
-		w.read(m)
-	case writeRequest:
-		w.write(m)
-	case toNode:
-		cut := m.from != m.node && (sender.isolated || w.nodes[m.node].isolated)
-		if !cut {
-			w.step(m.node, m.event)
-		}
-	case grantRequest:
-		h := w.holders[m.upstream]
-		cut := h.zone != sender.member.GetZone() && (sender.isolated || w.cutZones[h.zone])
-		if h.dead || cut {
-			w.answer(m, failure(m))
-			break
-		}
-		if h.frozen {
-			h.inbox = append(h.inbox, m)
-			break
-		}
-		w.take(h, m)
-	}
-	w.check()
-}
-
-func (w *world) read(m *message) {
-	if w.down || w.nodes[m.node].blocked {
-		w.answer(m, failure(m))
-		return
-	}
-	w.answer(m, &schema.OwnershipEvent{
-		Kind:      schema.EventKind_read,
-		Outcome:   schema.WriteOutcome_committed,
-		StartedUs: m.started.Microseconds(),
-		Document:  w.document,
-		Alive:     w.alive,
-	})
-}
-
-func (w *world) write(m *message) {
-	if w.down || w.nodes[m.node].blocked {
-		w.answer(m, failure(m))
-		return
-	}
-	event := &schema.OwnershipEvent{
-		Kind:     schema.EventKind_wrote,
-		Outcome:  schema.WriteOutcome_conflict,
-		Document: w.document,
-		Sequence: m.base,
-	}
-	if m.base == w.document.GetVersion() {
-		w.document = m.next
-		w.writes++
-		w.note("%v entry-%d writes %d: %s: %v", w.now, m.node, m.base+1, m.next.GetReason(), m.next.GetSlices())
-		event.Outcome = schema.WriteOutcome_committed
-		event.Document = nil
-	}
-	if w.loseAnswers > 0 {
-		w.loseAnswers--
-		event = failure(m)
-		if w.mutant.lostIsConflict {
-			event.Outcome = schema.WriteOutcome_conflict
-		}
-	}
-	w.answer(m, event)
-}
-
-func (w *world) take(h *holder, m *message) {
-	g := m.grant
-	accepted := g.GetIncarnation() == fmt.Sprint(h.incarnation) && g.GetFence() >= h.fence
-	if w.mutant.ignoreFence {
-		accepted = true
-	}
-	if g.GetRenews() != 0 && g.GetRenews() != h.set {
-		accepted = false
-	}
-	if accepted && g.GetTtlMs() > 0 {
-		h.fence = g.GetFence()
-		if g.GetRenews() == 0 {
-			h.ranges = g.GetRanges()
-			h.set++
-		}
-		from := time.Duration(g.GetStamp()) * time.Millisecond
-		if w.mutant.delayedTTL {
-			from = h.clock(w.now)
-		}
-		h.expires = from + time.Duration(g.GetTtlMs())*time.Millisecond
-	}
-	w.note("%v %s takes (%t) from entry-%d fence %d stamp %d ttl %d until %v: %v", w.now, h.name, accepted, m.from, g.GetFence(),
-		g.GetStamp(), g.GetTtlMs(), h.expires, g.GetRanges())
-	w.answer(m, &schema.OwnershipEvent{
-		Kind: schema.EventKind_replied,
-		Reply: &schema.GrantReply{
-			Upstream:    h.name,
-			Incarnation: fmt.Sprint(h.incarnation),
-			Fence:       h.fence,
-			Stamp:       h.clock(w.now).Milliseconds(),
-			Accepted:    accepted,
-			Set:         h.set,
-			Sequence:    g.GetSequence(),
-		},
-	})
-}
-
-// restart makes the holder a new process that has forgotten everything.
-func (h *holder) restart() {
-	h.incarnation++
-	h.fence = 0
-	h.set = 0
-	h.ranges = nil
-	h.expires = 0
-	h.dead = false
-	h.inbox = nil
-}
-
-func (w *world) thaw(h *holder) {
-	h.frozen = false
-	inbox := h.inbox
-	h.inbox = nil
-	for _, m := range inbox {
-		w.take(h, m)
-		w.check()
-	}
-}
-
 func (w *world) resume(i int) {
 	n := w.nodes[i]
 	n.paused = false
@@ -561,19 +298,6 @@
 	return n
 }
 
-// settle delivers what is due, in order of sending.
-func (w *world) settle() {
-	for {
-		i := slices.IndexFunc(w.queue, func(m *message) bool { return m.due <= w.now })
-		if i < 0 {
-			return
-		}
-		m := w.queue[i]
-		w.queue = slices.Delete(slices.Clone(w.queue), i, i+1)
-		w.deliver(m)
-	}
-}
-
 // tick lets time pass and wakes the instances.
 func (w *world) tick(d time.Duration) {
 	w.now += d
--- /dev/null
+++ b/internal/daemon/hop.go
@@ -0,0 +1,133 @@
+package daemon
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"strconv"
+	"time"
+
+	"cuminlift/core/admission"
+	"cuminlift/core/request"
+	"cuminlift/internal/metrics"
+	"cuminlift/schema"
+)
+
+// hopTo passes the call on to the instance that is the home of the zone's pool.
+func (d *Daemon) hopTo(ctx context.Context, c *call, home *schema.Member, zone string) (*answer, *refusal) {
+	d.metrics.Add(metrics.Forwarded, 1)
+	if d.config.Allow != nil && !d.config.Allow(home.GetForward()) {
+		f := notRun(reasonHopLost, d.config.Timing.Confirm)
+		f.elsewhere = true
+		return nil, f
+	}
+	connected := false
+	traced := httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+		GotConn: func(httptrace.GotConnInfo) { connected = true },
+	})
+	outgoing, err := http.NewRequestWithContext(traced, c.method, "https://"+home.GetForward()+c.uri, bytes.NewReader(c.body))
+	if err != nil {
+		return nil, notRun(reasonNoHome, time.Second)
+	}
+	copyHeader(outgoing.Header, c.header)
+	c.setHop(outgoing.Header, zone)
+	response, err := d.hop.RoundTrip(outgoing)
+	if err != nil {
+		return nil, d.hopFailure(ctx, c, connected)
+	}
+	if f := readRefusal(response); f != nil {
+		_, _ = io.Copy(io.Discard, io.LimitReader(response.Body, maxHeader))
+		_ = response.Body.Close()
+		return nil, f
+	}
+	return &answer{
+		response: response,
+		done:     func(admission.Result) { _ = response.Body.Close() },
+	}, nil
+}
+
+func (d *Daemon) hopFailure(ctx context.Context, c *call, connected bool) *refusal {
+	f := notRun(reasonHopLost, d.config.Timing.Confirm)
+	if !connected {
+		f.elsewhere = true
+		return f
+	}
+	f.knowledge = request.Unknown
+	f.status = http.StatusBadGateway
+	f.elsewhere = c.idempotent && ctx.Err() == nil
+	if ctx.Err() != nil {
+		f.reason = reasonDeadline
+		f.status = http.StatusGatewayTimeout
+	}
+	return f
+}
+
+func (c *call) setHop(h http.Header, zone string) {
+	h.Set(headerRequest, c.id)
+	h.Set(headerService, c.service.name)
+	h.Set(headerZone, zone)
+	h.Set(headerHash, strconv.FormatUint(c.hash, 16))
+	h.Set(headerClass, c.class.String())
+	h.Set(headerDeadline, strconv.FormatInt(c.remaining(), 10))
+	h.Set(headerIdempotent, strconv.FormatBool(c.idempotent))
+	h.Set(headerSoft, strconv.FormatBool(c.soft))
+}
+
+// serveForward takes a call that another instance passed on.
+func (d *Daemon) serveForward(w http.ResponseWriter, r *http.Request) {
+	s := d.service(r.Header.Get(headerService))
+	if s == nil {
+		notRun(reasonNoService, d.config.Timing.Heartbeat).write(w, d.self.GetName())
+		return
+	}
+	hash, err := strconv.ParseUint(r.Header.Get(headerHash), 16, 64)
+	if err != nil {
+		f := notRun(reasonBody, time.Minute)
+		f.status = http.StatusBadRequest
+		f.write(w, d.self.GetName())
+		return
+	}
+	c := &call{
+		id:         r.Header.Get(headerRequest),
+		service:    s,
+		class:      parseClass(r.Header.Get(headerClass)),
+		idempotent: r.Header.Get(headerIdempotent) == "true" && idempotent(r.Method),
+		hash:       hash,
+		soft:       r.Header.Get(headerSoft) == "true",
+		method:     r.Method,
+		uri:        r.URL.RequestURI(),
+		header:     r.Header,
+	}
+	f := c.setDeadline(s.treatment(), r.Header.Get(headerDeadline))
+	if f == nil {
+		f = c.readBody(w, r)
+	}
+	if f != nil {
+		f.write(w, d.self.GetName())
+		return
+	}
+	ctx, cancel := context.WithDeadline(r.Context(), c.deadline)
+	defer cancel()
+	a, f := d.serveHome(ctx, c, r.Header.Get(headerZone))
+	if f != nil {
+		f.write(w, d.self.GetName())
+		return
+	}
+	d.pass(w, c, a)
+}
+
+func (d *Daemon) newHop() *http.Transport {
+	return &http.Transport{
+		MaxIdleConnsPerHost:    256,
+		IdleConnTimeout:        time.Minute,
+		DisableCompression:     true,
+		MaxResponseHeaderBytes: 2 * maxHeader,
+		TLSClientConfig:        d.identity.Client("http/1.1"),
+		DialContext: (&net.Dialer{
+			Timeout: d.config.Timing.Suspect / 2,
+		}).DialContext,
+	}
+}
