An answer without a name is another's where names are given; views are never changed

(1) TestTrailingBytesReachNoLaterRequest: bytes that an upstream sent after its answer were read as the answer to the next request on that connection when that one was quick enough, and having no name they passed the check of the echo: a caller got another's answer. (2) A race in the model checker: taking a view over changed it, and views are shared. Change: a run of an upstream that has named a request in an answer must name it in all; a peer's holder states are kept beside its view. Result: both tests red before; green after, 3 times with the race detector. Upstreams that never echo stay without this check (docs/PROMISES.md).

--- a/core/ownership/clone.go
+++ b/core/ownership/clone.go
@@ -48,8 +48,8 @@
 	}
 	for _, id := range sortedKeys(g.peers) {
 		p := g.peers[id]
-		fmt.Fprintf(w, "peer %s %d %v %d %d %d %d %d %d %d %d %d %s\n", id, p.sent, p.recent(), p.heard, p.seen, p.held,
-			p.asked, p.released, p.lastTold, p.promiseEcho, p.documentTold, p.rowAt, viewPrint(p.view))
+		fmt.Fprintf(w, "peer %s %d %v %d %d %d %d %d %d %d %d %d %s %v\n", id, p.sent, p.recent(), p.heard, p.seen, p.held,
+			p.asked, p.released, p.lastTold, p.promiseEcho, p.documentTold, p.rowAt, viewPrint(p.view), p.holders)
 	}
 	for _, id := range sortedKeys(g.promised) {
 		fmt.Fprintf(w, "promised %s %v\n", id, g.promised[id])
@@ -75,7 +75,7 @@
 	if v == nil {
 		return "-"
 	}
-	return fmt.Sprint(v.GetSequence(), v.GetVersion(), v.GetEvicted(), v.GetIdleSince(), v.GetLeaving(), v.GetHolders())
+	return fmt.Sprint(v.GetSequence(), v.GetVersion(), v.GetEvicted(), v.GetIdleSince(), v.GetLeaving())
 }
 
 func sortedKeys[V any](m map[string]V) []string {
--- a/core/ownership/evidence.go
+++ b/core/ownership/evidence.go
@@ -128,7 +128,7 @@
 	if p == nil || p.view == nil || p.view.GetVersion() < fence {
 		return false
 	}
-	for _, state := range p.view.GetHolders() {
+	for _, state := range p.holders {
 		if state.GetHolder() == name {
 			return state.GetFence() >= fence
 		}
--- a/core/ownership/peer.go
+++ b/core/ownership/peer.go
@@ -18,6 +18,8 @@
 	heard time.Duration
 	seen  uint64
 	view  *schema.View
+	// holders is what the peer told last of the upstreams in its pools. Views are shared and never changed.
+	holders []*schema.HolderState
 	// held is until when the peer surely abstains from writing.
 	held time.Duration
 	// asked is the lowest sequence whose promise counts; 0 before the first question at this version.
@@ -76,8 +78,8 @@
 	p.heard = g.now
 	g.noteSightings(view.GetHolders())
 	g.replan = g.replan || view.GetHoldersTold() || view.GetLeaving()
-	if !view.GetHoldersTold() {
-		view.Holders = p.view.GetHolders()
+	if view.GetHoldersTold() {
+		p.holders = view.GetHolders()
 	}
 	p.view = view
 	g.takeLoads(view.GetLoads())
--- a/core/ownership/plan.go
+++ b/core/ownership/plan.go
@@ -198,7 +198,7 @@
 	if p == nil || p.view == nil || g.lost(pool.GetHome()) {
 		return false, false
 	}
-	for _, state := range p.view.GetHolders() {
+	for _, state := range p.holders {
 		if state.GetHolder() == h.GetName() {
 			return state.GetAlive(), true
 		}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -68,10 +68,12 @@
 	stopping atomic.Bool
 	active   atomic.Int64
 	gate     *gate
-	callers  net.Listener
-	forward  net.Listener
-	operate  net.Listener
-	servers  []*http.Server
+	// echoing holds the run of each upstream that names requests in its answers, by the upstream's name.
+	echoing sync.Map
+	callers net.Listener
+	forward net.Listener
+	operate net.Listener
+	servers []*http.Server
 }
 
 // eventQueue bounds the events that wait for the control loop.
--- a/internal/daemon/home.go
+++ b/internal/daemon/home.go
@@ -344,13 +344,19 @@
 		a.notRun = !connected
 		return a
 	}
-	d.judge(c, a)
+	d.judge(c, a, lease.Incarnation)
 	return a
 }
 
-// judge looks whether the answer is a refusal of the upstream, and whether it belongs to the call.
-func (d *Daemon) judge(c *call, a *attempt) {
-	if echo := a.response.Header.Get(headerRequest); echo != "" && echo != c.id {
+// judge looks whether the answer is a refusal of the upstream, and whether it belongs to the call. A run of an upstream
+// that has once named the request in an answer does so in all: an answer without a name is then another's.
+func (d *Daemon) judge(c *call, a *attempt, incarnation string) {
+	echo := a.response.Header.Get(headerRequest)
+	if echo == c.id {
+		d.echoing.Store(a.upstream, incarnation)
+	}
+	known, _ := d.echoing.Load(a.upstream)
+	if echo != c.id && (echo != "" || known == incarnation) {
 		d.metrics.Add(metrics.CrossedAnswers, 1)
 		a.err = &CrossedError{
 			Upstream: a.upstream,
