A view for an earlier run at the same address is ignored

Cause: found at last by writing down what is sent and heard: for some time a peer sends to both the ended and the new run of a restarted instance, at one address. The new run took the views meant for the old one, whose sequences are higher, and then dropped its own as old for up to 45 heartbeats. Worse, echoes and promises of the old run's sequences could have passed for answers to the new one's. Ruled out before: links, missing farewell, load of repeated looks. Change: heartbeats and views name the run they are for.

--- a/core/ownership/peer.go
+++ b/core/ownership/peer.go
@@ -70,6 +70,10 @@
 	if view == nil || view.GetService() != g.config.Service || view.GetFrom() == g.config.Self.GetId() {
 		return
 	}
+	if view.GetTo() != "" && view.GetTo() != g.config.Self.GetId() {
+		// It is for an earlier run at this address: its sequences and promises are not for this one.
+		return
+	}
 	p := g.peer(view.GetFrom())
 	if view.GetSequence() <= p.seen {
 		return
@@ -232,6 +236,7 @@
 	view := &schema.View{
 		Service:      g.config.Service,
 		From:         g.config.Self.GetId(),
+		To:           p.member.GetId(),
 		Sequence:     p.sent,
 		Echo:         p.seen,
 		Version:      g.document.GetVersion(),
--- a/internal/daemon/control.go
+++ b/internal/daemon/control.go
@@ -163,6 +163,7 @@
 	}
 	if view != nil {
 		view.From = ""
+		view.To = ""
 		h.Views = append(h.Views, view)
 	}
 }
@@ -206,6 +207,7 @@
 	now := o.daemon.clock.Now()
 	for id, h := range o.pending {
 		h.From = o.from(id)
+		h.To = id
 		h.Sequence = o.daemon.sequence.Add(1)
 		h.Leaving = o.daemon.stopping.Load()
 		o.daemon.addConfiguration(h, id)
@@ -242,6 +244,12 @@
 	if h.GetFrom() == nil || h.GetFrom().GetId() == d.self.GetId() {
 		return
 	}
+	if h.GetTo() != d.self.GetId() {
+		// A peer that does not know yet that this run took the place of an earlier one: it learns it from this one's
+		// heartbeats.
+		d.members.learn(h.GetFrom())
+		return
+	}
 	d.members.heard(d.clock.Now(), h)
 	d.hearConfiguration(h)
 	for _, view := range h.GetViews() {
