Take out state and checks that stood twice

Cause: a last read of the whole change. An upstream's fence was kept beside the fence it acknowledged, always the same; a search was written again that the standard library has; alive members were searched for the own one, which they never hold; the stops experiment checked for guardians but looked at documents; one comment named another thing. Change: one field, slices.Contains, no search, a name that says what is checked. Behaviour and all assertions stay.

--- a/core/ownership/grant.go
+++ b/core/ownership/grant.go
@@ -27,7 +27,6 @@
 	// lease is until when the upstream surely holds the granted ranges.
 	lease   time.Duration
 	granted []*schema.Range
-	fence   uint64
 	busy    uint32
 	// acked is the highest fence the upstream has accepted with a range list.
 	acked uint64
@@ -300,7 +299,6 @@
 		u.set = reply.GetSet()
 		u.whole = grantState{}
 	}
-	u.fence = sent.grant.GetFence()
 	u.lease = sent.stampSent + g.config.Timing.shorter(ttl)
 }
 
@@ -313,7 +311,6 @@
 	u.accepted = false
 	u.set = 0
 	u.whole = grantState{}
-	u.fence = 0
 	u.lease = never
 }
 
--- a/core/ownership/right.go
+++ b/core/ownership/right.go
@@ -1,6 +1,7 @@
 package ownership
 
 import (
+	"slices"
 	"time"
 
 	"cuminlift/schema"
@@ -140,18 +141,9 @@
 			continue
 		}
 		view := g.peer(m.GetId()).view
-		if view == nil || view.GetVersion() != g.document.GetVersion() || !contains(view.GetEvicted(), name) {
+		if view == nil || view.GetVersion() != g.document.GetVersion() || !slices.Contains(view.GetEvicted(), name) {
 			return false
 		}
 	}
 	return true
 }
-
-func contains(names []string, name string) bool {
-	for _, n := range names {
-		if n == name {
-			return true
-		}
-	}
-	return false
-}
--- a/core/ownership/route.go
+++ b/core/ownership/route.go
@@ -81,7 +81,7 @@
 	return Lease{
 		Upstream:    name,
 		Address:     h.GetAddress(),
-		Fence:       u.fence,
+		Fence:       u.acked,
 		Incarnation: u.incarnation,
 		Until:       until,
 		Cold:        u.cold,
--- a/internal/daemon/call.go
+++ b/internal/daemon/call.go
@@ -147,7 +147,7 @@
 	return max(1, time.Until(c.deadline).Milliseconds())
 }
 
-// classes holds each class by its name.
+// parseClass returns the class called name, and the last one for a name that is none.
 func parseClass(name string) admission.Class {
 	for c := admission.Order; c < admission.Classes; c++ {
 		if c.String() == name {
--- a/internal/daemon/service.go
+++ b/internal/daemon/service.go
@@ -210,12 +210,9 @@
 
 func (d *Daemon) facts(s *service, list *schema.InstanceList, measure bool, period time.Duration) *schema.Facts {
 	facts := &schema.Facts{
-		Members: d.members.alive(d.clock.Now()),
+		Members: append([]*schema.Member{d.self}, d.members.alive(d.clock.Now())...),
 		Dead:    d.deadGuardians(s.document()),
 	}
-	if facts.GetMembers() == nil || !containsMember(facts.GetMembers(), d.self.GetId()) {
-		facts.Members = append([]*schema.Member{d.self}, facts.GetMembers()...)
-	}
 	for _, u := range list.GetUpstreams() {
 		if u.GetService() == s.name {
 			facts.Upstreams = append(facts.Upstreams, u)
@@ -231,15 +228,6 @@
 	return facts
 }
 
-func containsMember(members []*schema.Member, id string) bool {
-	for _, m := range members {
-		if m.GetId() == id {
-			return true
-		}
-	}
-	return false
-}
-
 // deadGuardians returns guardians that are proved to have ended: a later run holds their address.
 func (d *Daemon) deadGuardians(document *schema.Ownership) []string {
 	dead := d.members.ended()
--- a/internal/measure/stops.go
+++ b/internal/measure/stops.go
@@ -92,22 +92,22 @@
 	r.current[index] = next
 	r.mutex.Unlock()
 	ok := tryout.WaitUntil(30*time.Second, func() bool {
-		return len(next.Daemon.Status().GetServices()) == 3 && guards(r.cluster, next)
+		return len(next.Daemon.Status().GetServices()) == 3 && hasDocuments(next)
 	})
 	if !ok {
-		return fmt.Errorf("%s is no guardian 30 s after its start", next.Daemon.Self().GetName())
+		return fmt.Errorf("%s has no documents 30 s after its start", next.Daemon.Self().GetName())
 	}
 	return nil
 }
 
-// guards reports whether the instance takes part in every service, as its own documents say.
-func guards(cluster *tryout.Cluster, i *tryout.Instance) bool {
+// hasDocuments reports whether the instance has the document of every service.
+func hasDocuments(i *tryout.Instance) bool {
 	for _, s := range i.Daemon.Status().GetServices() {
 		if s.GetVersion() == 0 {
 			return false
 		}
 	}
-	return len(cluster.Instances) > 0
+	return true
 }
 
 // Stops replaces instances under load, and counts requests that were cut, got no answer or were refused.
