core/dispatch: an upstream that joins is used soon

Change: unknown or long unasked upstreams are put at 0.4 of the usual time. Result: TestJoinedUpstreamIsUsedSoon red before, green after.

--- a/core/dispatch/decide.go
+++ b/core/dispatch/decide.go
@@ -93,11 +93,12 @@
 func (p *Pool) choose(now time.Duration, t *Ticket) *upstream {
 	var best *upstream
 	var bestCost float64
+	usual := p.usual()
 	for _, u := range p.order {
 		if u.free(now, p) <= 0 {
 			continue
 		}
-		cost := float64(u.expected(now))
+		cost := float64(u.expected(now, usual))
 		if u.state.Zone != t.Zone {
 			if t.Bulk {
 				cost *= 1 + bulkZoneCost
--- a/core/dispatch/dispatch_test.go
+++ b/core/dispatch/dispatch_test.go
@@ -289,3 +289,28 @@
 		}
 	}
 }
+
+// The load: an upstream joins a service whose others are fast and mostly idle. It stayed without a request for the whole day, because its
+// unknown time was put above what the others were known to take.
+func TestJoinedUpstreamIsUsedSoon(t *testing.T) {
+	c := qt.New(t)
+	p := newPool(1)
+	p.SetUpstreams(0, states(3))
+	id := uint64(0)
+	serve := func(from, to time.Duration) map[string]int {
+		got := map[string]int{}
+		for now := from; now < to; now += 60 * time.Millisecond {
+			id++
+			p.Submit(now, ticket(id, now))
+			for _, d := range p.Decide(now) {
+				got[d.Upstream]++
+				p.End(now+50*time.Millisecond, d.Ticket.ID, dispatch.Answered, 50*time.Millisecond, nil)
+			}
+		}
+		return got
+	}
+	serve(0, 5*time.Second)
+	p.SetUpstreams(5*time.Second, states(4))
+	got := serve(5*time.Second, 9*time.Second)
+	c.Check(got["u03"] > 0, qt.IsTrue, qt.Commentf("%v", got))
+}
--- a/core/dispatch/upstream.go
+++ b/core/dispatch/upstream.go
@@ -17,8 +17,9 @@
 // upstream is what a pool measured of one upstream.
 type upstream struct {
 	state UpstreamState
-	// running holds when each ticket was sent.
+	// running holds when each ticket was sent, and last is when the last one was.
 	running map[uint64]time.Duration
+	last    time.Duration
 	// latency is the moving average of the time to an answer, 0 before the first one.
 	latency time.Duration
 	// errors is the moving share of attempts that ended in a failure of the upstream, 0 to 1.
@@ -127,6 +128,7 @@
 
 func (u *upstream) sent(now time.Duration, id uint64) {
 	u.running[id] = now
+	u.last = now
 	if !u.cold(now) {
 		u.sends = u.sends[:0]
 	}
@@ -137,8 +139,14 @@
 }
 
 // expected estimates the time to an answer of one more request, with its failures counted as repeats.
-func (u *upstream) expected(now time.Duration) time.Duration {
+// One that is new, or was not asked for long, is taken for fast: what it can do is found out by asking.
+func (u *upstream) expected(now, usual time.Duration) time.Duration {
 	estimate := float64(u.typical())
+	if u.latency == 0 {
+		estimate = hope * float64(usual)
+	} else if now-u.last > stale {
+		estimate = min(estimate, hope*float64(usual))
+	}
 	if now-u.slownessAt < slownessLasts && u.slowness > 0 {
 		estimate *= float64(u.slowness) / 100
 	}
@@ -150,6 +158,10 @@
 }
 
 const (
+	// hope is the part of the usual time at which an unknown upstream is put, low enough to go before all but the fastest; stale is how
+	// long a measurement holds without a new one: upstreams that join are to be in use within 4 s.
+	hope  = 0.4
+	stale = 2 * time.Second
 	// runningCost is the part by which an upstream slows with each request that it runs.
 	runningCost = 0.2
 	// failureCost weighs a share of failures as time: a failed attempt costs its own time and that of another one.
