core/dispatch: requests that can still be in time go first; ranges are merged in batches

In calm times the keeper wrote 10 merges a second, one pair each. Ruled out: that merged ranges run cold (a trial without merging: 178 of 4042 cold against 152 of 3907). Change: two passes, those in time first; a late request waits for what is left for 0.35 of its time, then is refused. Merges are gathered every 2 s. TestUnderOverloadThoseServedAreInTime red before, green after.

--- a/core/dispatch/decide.go
+++ b/core/dispatch/decide.go
@@ -9,18 +9,37 @@
 	bulkZoneCost = 3
 	// ownerWait is how long a request waits for its key to get an owner: the time of a hand-over.
 	ownerWait = 600 * time.Millisecond
+	// lateWork is the part of the usual time that must be left before the objective for an answer to be likely within it: half of all
+	// answers take less than about 0.8 of the mean.
+	lateWork = 0.8
+	// lateHold is the part of the time from arrival to deadline that a late request waits for what others leave.
+	lateHold = 0.35
 	// reserve is the part of an upstream's usual time that must be left before the deadline to send at all.
 	reserve = 0.5
 )
 
-// Decide returns all tickets whose fate is known at now.
+// Decide returns all tickets whose fate is known at now. Requests that can still be answered within their objective go first: where
+// there are more than can be served, whoever would be late anyway waits for what they leave.
 func (p *Pool) Decide(now time.Duration) []Decision {
-	decisions := p.refusals
-	p.refusals = nil
+	decisions := p.takeRefusals()
+	if len(p.queue) == 0 {
+		return decisions
+	}
+	placed := map[uint64]Decision{}
+	for _, late := range []bool{false, true} {
+		for _, t := range p.queue {
+			if _, done := placed[t.ID]; done || p.late(now, t) != late {
+				continue
+			}
+			if decision, decided := p.place(now, t); decided {
+				placed[t.ID] = decision
+			}
+		}
+	}
 	kept := p.queue[:0]
 	for _, t := range p.queue {
-		decision, decided := p.place(now, t)
-		if !decided {
+		decision, done := placed[t.ID]
+		if !done {
 			kept = append(kept, t)
 			continue
 		}
@@ -33,6 +52,17 @@
 	return append(decisions, p.takeRefusals()...)
 }
 
+// late reports whether t would miss its objective if it were sent now.
+func (p *Pool) late(now time.Duration, t *Ticket) bool {
+	work := time.Duration(0)
+	if owner, _ := p.owner(now, t); owner != nil {
+		work = owner.typical()
+	} else {
+		work = p.usual()
+	}
+	return now+time.Duration(lateWork*float64(work)) > t.Objective
+}
+
 func (p *Pool) takeRefusals() []Decision {
 	refusals := p.refusals
 	p.refusals = nil
@@ -68,8 +98,8 @@
 	return Decision{}, false
 }
 
-// hopeless reports whether t has waited for so long that it is turned away: no answer before its deadline, or one that
-// is late and keeps others waiting.
+// hopeless reports whether t has waited for so long that it is turned away: no answer would come before its deadline, or it is late
+// and has had its time to wait for room.
 func (p *Pool) hopeless(now time.Duration, t *Ticket, owner *upstream) bool {
 	work := p.usual()
 	if owner != nil {
@@ -78,7 +108,7 @@
 	if now+work > t.Deadline {
 		return true
 	}
-	return now+work/2 > t.Objective && now-t.arrived > work*lateWaits
+	return p.late(now, t) && now-t.arrived > time.Duration(lateHold*float64(t.Deadline-t.arrived))
 }
 
 func (p *Pool) refusal(t *Ticket, reason Reason, after time.Duration) Decision {
--- a/core/dispatch/pool.go
+++ b/core/dispatch/pool.go
@@ -36,6 +36,8 @@
 	budget    *budget
 	started   bool
 	refusals  []Decision
+	// median is the cached answer of usual, 0 for none.
+	median time.Duration
 }
 
 // NewPool returns a pool without upstreams.
@@ -150,13 +152,10 @@
 	if finish <= t.Objective {
 		return "", true
 	}
-	// It will be late. It may wait for a part of the time that is left; longer, and another one waits for nothing.
-	return TooLate, wait <= work*lateWaits && finish+work < t.Deadline
+	// It will be late. It waits where an answer is likely before the time that it may wait is over.
+	return TooLate, wait <= time.Duration(lateHold*float64(t.Deadline-now)) && finish+work < t.Deadline
 }
 
-// lateWaits bounds the wait of a request that will miss its objective, in times of work.
-const lateWaits = 2
-
 func (p *Pool) anyUsable() bool {
 	for _, u := range p.order {
 		if u.state.Usable {
@@ -256,6 +255,7 @@
 	switch outcome {
 	case Answered:
 		u.measure(took)
+		p.median = 0
 		u.fail(false)
 		u.answered(now, p)
 	case Erred:
@@ -327,8 +327,15 @@
 	return u != nil && u.suspect
 }
 
-// usual returns the median of the measured times to an answer.
+// usual returns the median of the measured times to an answer. It is worked out anew only after an answer.
 func (p *Pool) usual() time.Duration {
+	if p.median == 0 {
+		p.median = p.medianLatency()
+	}
+	return p.median
+}
+
+func (p *Pool) medianLatency() time.Duration {
 	var times []time.Duration
 	for _, u := range p.order {
 		if u.latency > 0 {
--- a/core/keyspace/keyspace.go
+++ b/core/keyspace/keyspace.go
@@ -122,6 +122,8 @@
 	proposal *proposal
 	// planned is when a plan was last made.
 	planned time.Duration
+	// merged is when ranges were last joined.
+	merged time.Duration
 	// raise holds spans whose fence an upstream refused.
 	raise map[uint64]bool
 	// first is when upstreams were first seen without an assignment.
--- a/core/keyspace/plan.go
+++ b/core/keyspace/plan.go
@@ -404,22 +404,36 @@
 	return best, bestSum / memory, found
 }
 
-// merge grants neighbouring ranges of one holder as one, when there are many and all is calm.
+// mergeStep is the shortest time between merges, so that calm times cost few writes.
+const mergeStep = 2 * time.Second
+
+// merge grants neighbouring ranges of one holder as one, when there are many and these are calm: each range costs a renewal.
 func (k *Keeper) merge(now time.Duration) []move {
-	if len(k.spans) <= 3*len(k.upstreams) {
+	if len(k.spans) <= 2*len(k.upstreams) || now-k.merged < mergeStep {
 		return nil
 	}
+	k.merged = now
+	var moves []move
 	for i := 1; i < len(k.spans); i++ {
 		a, b := k.spans[i-1], k.spans[i]
-		calm := len(a.priors) == 0 && len(b.priors) == 0 && now-a.moved > longMemory && now-b.moved > longMemory && !a.calling && !b.calling
-		if calm && a.holder.id == b.holder.id && a.holder.born == b.holder.born {
-			return []move{{
-				from:     a.from,
-				to:       b.to,
-				upstream: a.holder.id,
-				born:     a.holder.born,
-			}}
+		if !k.calm(now, a) || !k.calm(now, b) || a.holder.id != b.holder.id || a.holder.born != b.holder.born {
+			continue
+		}
+		if n := len(moves); n > 0 && moves[n-1].to == a.to {
+			moves[n-1].to = b.to
+			continue
 		}
+		moves = append(moves, move{
+			from:     a.from,
+			to:       b.to,
+			upstream: a.holder.id,
+			born:     a.holder.born,
+		})
 	}
-	return nil
+	return moves
+}
+
+// calm reports whether a range has not moved of late and nothing is on its way.
+func (k *Keeper) calm(now time.Duration, s *span) bool {
+	return len(s.priors) == 0 && !s.calling && now-s.moved > mergeStep && now < s.sure
 }
