core/keyspace: grants name the upstream, and fences rise where it may have started anew

The model, given a registry that lags and restarts under the same id, then found four more: a new incarnation in the registry was taken as proof that nothing is held, though the new one may have taken the old one's grants; releases went only to the registered incarnation; a new coordinator renewed under old fences. Change: grants and releases name the upstream (421 where another answers: the old one has ended); after a reset, a refused connection or 1.2 s of silence, and by each new coordinator, a range is granted only with a fence raised in the store; no shortcut from the registry; incarnations under one id count as one holder.

--- a/core/keyspace/keyspace.go
+++ b/core/keyspace/keyspace.go
@@ -84,6 +84,10 @@
 	// failures counts grants in a row that were not answered, and failingSince is when the first of them was sent.
 	failures     int
 	failingSince time.Duration
+	// answered is when the holder last accepted a grant.
+	answered time.Duration
+	// gone is true once another upstream answered at the holder's address.
+	gone bool
 	// moved is when the span got its holder.
 	moved time.Duration
 }
@@ -176,6 +180,8 @@
 			})
 		}
 		k.spans = append(k.spans, s)
+		// Its holder may have started anew since the last grant: it is granted again only with a higher fence.
+		k.raise[s.id] = true
 	}
 	return k
 }
@@ -291,7 +297,6 @@
 func (k *Keeper) Advance(now time.Duration) Actions {
 	var actions Actions
 	k.heat.decay(now)
-	k.forgetEnded(now)
 	if k.proposal == nil {
 		if p := k.plan(now); p != nil {
 			k.proposal = p
@@ -304,24 +309,6 @@
 	return actions
 }
 
-// forgetEnded settles the claims of incarnations whose successor has registered: their process has ended.
-func (k *Keeper) forgetEnded(now time.Duration) {
-	for _, s := range k.spans {
-		for _, p := range s.priors {
-			if k.ended(p.holder) {
-				p.released = true
-				p.unanswered = 0
-				p.calling = false
-			}
-		}
-	}
-}
-
-func (k *Keeper) ended(h holder) bool {
-	u, known := k.upstreams[h.id]
-	return known && u.Born > h.born
-}
-
 func (k *Keeper) advanceSpan(now time.Duration, s *span, actions *Actions) {
 	kept := s.priors[:0]
 	for _, p := range s.priors {
@@ -333,7 +320,7 @@
 	}
 	s.priors = kept
 	u, known := k.upstreams[s.holder.id]
-	if len(kept) > 0 || !known || u.Born != s.holder.born || s.calling || (s.sent != 0 && now-s.sent < k.config.Renew) {
+	if len(kept) > 0 || !known || u.Born != s.holder.born || s.calling || s.gone || k.raise[s.id] || (s.sent != 0 && now-s.sent < k.config.Renew) {
 		return
 	}
 	s.calling = true
@@ -343,6 +330,7 @@
 		Upstream: u.ID,
 		Address:  u.Address,
 		Grant: cuminlift.KeyGrant{
+			Upstream: u.ID,
 			From:     s.from,
 			To:       s.to,
 			Fence:    s.holder.fence,
@@ -357,7 +345,7 @@
 
 func (k *Keeper) release(now time.Duration, s *span, p *prior, actions *Actions) {
 	u, known := k.lookUp(p.holder.id)
-	if p.released || p.releasing || p.calling || now < p.retryAt || !known || u.Born != p.holder.born {
+	if p.released || p.releasing || p.calling || now < p.retryAt || !known {
 		return
 	}
 	p.releasing = true
@@ -367,9 +355,10 @@
 		Born:     u.Born,
 		Address:  u.Address,
 		Grant: cuminlift.KeyGrant{
-			From:  s.from,
-			To:    s.to,
-			Fence: p.holder.fence,
+			Upstream: u.ID,
+			From:     s.from,
+			To:       s.to,
+			Fence:    p.holder.fence,
 		},
 	})
 }
@@ -396,6 +385,12 @@
 	NotAnswered
 	// NotSent: no connection could be made, so nothing reached the upstream.
 	NotSent
+	// Reset: as NotAnswered, and the connection broke: the process may have ended.
+	Reset
+	// Refused: as NotSent, and connections are refused: the process may have ended.
+	Refused
+	// Gone: another upstream answers at the address, so the process has ended.
+	Gone
 )
 
 // Granted reports the result of call, sent at sent, at now. A call for a span that was split meanwhile counts for all
@@ -423,9 +418,11 @@
 	switch result {
 	case Granted:
 		c.held = max(c.held, now+k.longest())
-	case NotAnswered:
+	case NotAnswered, Reset:
 		c.unanswered = max(c.unanswered, now+k.longest())
-	case FenceSeen, NotSent:
+	case Gone:
+		c.sure, c.held, c.unanswered = 0, 0, 0
+	case FenceSeen, NotSent, Refused:
 	}
 }
 
@@ -435,18 +432,28 @@
 	case Granted:
 		s.sure = sent + k.config.Hold
 		s.failures = 0
+		s.answered = now
 		s.handover = ""
 	case FenceSeen:
 		s.sure = 0
 		k.raise[s.id] = true
-	case NotAnswered, NotSent:
+	case Gone:
+		s.gone = true
+	case NotAnswered, NotSent, Reset, Refused:
 		if s.failures == 0 {
 			s.failingSince = sent
 		}
 		s.failures++
+		if result == Reset || result == Refused || now-s.answered > raiseAfter {
+			k.raise[s.id] = true
+		}
 	}
 }
 
+// raiseAfter is the silence after which an upstream may have started anew under its id, which takes longer: its keys then need a higher
+// fence, also at the same upstream.
+const raiseAfter = 1200 * time.Millisecond
+
 // Released reports the end of a release at now; answered is false where it is unknown whether it was carried out.
 func (k *Keeper) Released(now time.Duration, call ReleaseCall, handover string, answered bool) {
 	for _, s := range k.spans {
--- a/core/keyspace/proposal.go
+++ b/core/keyspace/proposal.go
@@ -97,8 +97,15 @@
 		born:  m.born,
 		fence: fence,
 	}
-	if s.holder.id == m.upstream && s.holder.born == m.born {
-		// The same incarnation with a higher fence holds on; nobody has to let go.
+	if s.holder.id == m.upstream {
+		// The same upstream with a higher fence holds on; nobody has to let go. Of two incarnations under one id only one runs, and the new
+		// one may have taken grants that were meant for the old one.
+		if s.holder.born != m.born {
+			n.sure = 0
+			n.failures = 0
+			n.answered = now
+			n.gone = false
+		}
 		if n.calling {
 			n.unanswered = max(n.unanswered, k.lateEnd(now))
 		}
@@ -117,7 +124,7 @@
 	}
 	kept := n.priors[:0]
 	for _, p := range n.priors {
-		if p.holder.id != m.upstream || p.holder.born != m.born {
+		if p.holder.id != m.upstream {
 			kept = append(kept, p)
 			continue
 		}
@@ -130,6 +137,8 @@
 	}
 	n.priors = kept
 	n.failures = 0
+	n.answered = now
+	n.gone = false
 	n.moved = now
 	return n
 }
@@ -205,7 +214,12 @@
 		return
 	}
 	k.spans, k.nextFence = k.apply(now, p.moves)
-	k.raise = map[uint64]bool{}
+	// Ranges that were moved have other numbers now.
+	for id := range k.raise {
+		if k.byID(id) == nil {
+			delete(k.raise, id)
+		}
+	}
 }
 
 // NotRecorded reports that the assignment of the last Record is surely not in the store, and never will be.
--- a/internal/gateway/keys.go
+++ b/internal/gateway/keys.go
@@ -5,6 +5,7 @@
 	"context"
 	"errors"
 	"net/http"
+	"syscall"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -216,16 +217,24 @@
 
 func grantResult(err error) keyspace.GrantResult {
 	var seen *cuminlift.FenceSeenError
+	var other *cuminlift.OtherUpstreamError
 	var unsent *cuminlift.UnsentError
+	refused := errors.Is(err, syscall.ECONNREFUSED) || errors.Is(err, syscall.ECONNRESET)
 	switch {
 	case err == nil:
 		return keyspace.Granted
 	case errors.As(err, &seen):
 		return keyspace.FenceSeen
+	case errors.As(err, &other):
+		return keyspace.Gone
+	case errors.As(err, &unsent) && refused:
+		return keyspace.Refused
 	case errors.As(err, &unsent):
 		return keyspace.NotSent
+	case errors.Is(err, context.DeadlineExceeded):
+		return keyspace.NotAnswered
 	}
-	return keyspace.NotAnswered
+	return keyspace.Reset
 }
 
 // releaseLimit bounds a release, which is answered when the work on its keys has ended.
@@ -237,7 +246,9 @@
 		defer cancel()
 		handover, err := c.config.Keys.Release(ctx, call.Address, call.Grant)
 		c.post(func(now time.Duration) {
-			d.keeper.Released(now, call, handover, err == nil)
+			var other *cuminlift.OtherUpstreamError
+			gone := errors.As(err, &other)
+			d.keeper.Released(now, call, handover, err == nil || gone)
 			if err != nil {
 				c.log.WithFields(logrus.Fields{
 					"service":  d.name,
--- a/internal/standin/keyholder/keyholder.go
+++ b/internal/standin/keyholder/keyholder.go
@@ -46,8 +46,8 @@
 		runs:   map[string]int{},
 	}
 	mux := http.NewServeMux()
-	mux.HandleFunc("POST /cuminlift/grant", u.grant)
-	mux.HandleFunc("POST /cuminlift/release", u.release)
+	mux.HandleFunc("POST /cuminlift/grant", u.meant(u.grant))
+	mux.HandleFunc("POST /cuminlift/release", u.meant(u.release))
 	mux.HandleFunc("GET /healthz", func(http.ResponseWriter, *http.Request) {})
 	mux.HandleFunc("/", u.run)
 	u.server = httptest.NewServer(mux)
@@ -90,6 +90,17 @@
 	Hold  string `json:"hold_time"`
 }
 
+// meant refuses what is meant for another upstream.
+func (u *Upstream) meant(handle http.HandlerFunc) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		if r.Header.Get("Expect-Instance") != u.config.ID {
+			w.WriteHeader(http.StatusMisdirectedRequest)
+			return
+		}
+		handle(w, r)
+	}
+}
+
 func (u *Upstream) grant(w http.ResponseWriter, r *http.Request) {
 	arrived := time.Now()
 	var c call
--- a/store.go
+++ b/store.go
@@ -74,6 +74,8 @@
 
 // KeyGrant is the ownership of a range of keys, both ends inclusive.
 type KeyGrant struct {
+	// Upstream is the id of the one that is meant; addresses are used again.
+	Upstream string
 	From, To uint32
 	// Fence is above that of every other holder of one of the keys.
 	Fence uint64
@@ -86,12 +88,22 @@
 // KeyControl grants keys to upstreams and takes them back. After an error that is not a *FenceSeenError it is unknown
 // whether the call was or will be carried out, but for an *UnsentError.
 type KeyControl interface {
-	// Grant returns a *FenceSeenError where the upstream has seen a higher fence on one of the keys.
+	// Grant returns a *FenceSeenError where the upstream has seen a higher fence on one of the keys, and an *OtherUpstreamError where another
+	// one than the grant's answers at the address.
 	Grant(ctx context.Context, address string, grant KeyGrant) error
-	// Release returns, once no work runs on the keys any more, the token that hands them over.
+	// Release returns, once no work runs on the keys any more, the token that hands them over. It also returns an *OtherUpstreamError.
 	Release(ctx context.Context, address string, grant KeyGrant) (handover string, err error)
 }
 
+// OtherUpstreamError reports that another upstream answers at an address: the one that was there has ended.
+type OtherUpstreamError struct {
+	Address, Want string
+}
+
+func (e *OtherUpstreamError) Error() string {
+	return fmt.Sprintf("another upstream than %s answers at %s: wait for its entry in the registry", e.Want, e.Address)
+}
+
 // FenceSeenError reports a grant below a fence that the upstream has seen.
 type FenceSeenError struct {
 	Grant KeyGrant
