core/estate: routes by host and prefix, with splits, in the text, its checks, the diff and the daemon

Change: schema, checks that name each problem's place and remedy, the diff, translation to core/route, and the daemon's choice of the service; texts without routes stay as they were.

--- a/core/estate/estate.go
+++ b/core/estate/estate.go
@@ -8,6 +8,7 @@
 	"strings"
 
 	"google.golang.org/protobuf/encoding/protojson"
+	"google.golang.org/protobuf/proto"
 
 	"cuminlift/core/admission"
 	"cuminlift/schema"
@@ -124,6 +125,7 @@
 		c.checkService(path, s)
 	}
 	c.checkDependencies(names)
+	c.checkRoutes(names)
 }
 
 func (c *checker) checkService(path string, s *schema.Service) {
@@ -264,25 +266,28 @@
 	return found
 }
 
-// Difference lists what changes between two estates, a line each, sorted by service.
+// Difference lists what changes between two estates, a line each, sorted by service, then by route.
 func Difference(from, to *schema.Estate) []string {
+	lines := difference("", byName(from), byName(to))
+	return append(lines, difference("route ", routesByName(from), routesByName(to))...)
+}
+
+// difference compares what is kept by name. What is a word before each name.
+func difference[M proto.Message](what string, before, after map[string]M) []string {
 	var lines []string
-	before := byName(from)
-	after := byName(to)
 	for name, s := range after {
-		old := before[name]
-		if old == nil {
-			lines = append(lines, "+ "+name)
+		old, known := before[name]
+		if !known {
+			lines = append(lines, "+ "+what+name)
 			continue
 		}
-		a, b := protojson.Format(old), protojson.Format(s)
-		if a != b {
-			lines = append(lines, "~ "+name+": "+changedFields(old, s))
+		if !proto.Equal(old, s) {
+			lines = append(lines, "~ "+what+name+": "+changedFields(old, s))
 		}
 	}
 	for name := range before {
-		if after[name] == nil {
-			lines = append(lines, "- "+name)
+		if _, stays := after[name]; !stays {
+			lines = append(lines, "- "+what+name)
 		}
 	}
 	sort.Strings(lines)
@@ -297,7 +302,7 @@
 	return services
 }
 
-func changedFields(a, b *schema.Service) string {
+func changedFields(a, b proto.Message) string {
 	var changed []string
 	fields := a.ProtoReflect().Descriptor().Fields()
 	for i := range fields.Len() {
--- a/core/estate/estate_test.go
+++ b/core/estate/estate_test.go
@@ -9,6 +9,7 @@
 
 	"cuminlift/core/admission"
 	"cuminlift/core/estate"
+	"cuminlift/core/route"
 	"cuminlift/examples"
 )
 
@@ -100,6 +101,74 @@
 	c.Assert(estate.Difference(from, from), qt.HasLen, 0)
 }
 
+const routes = `"routes": [
+    {"name": "browse", "host": "seminars.example", "prefix": "/calendar/", "kind": "idempotent", "timeout-ms": 1000, "objective-ms": 300,
+     "attempts": 2, "priority": 2, "parts": [{"service": "calendar", "weight": 90}, {"service": "media", "weight": 10}]},
+    {"name": "register", "host": "seminars.example", "prefix": "/calendar/seats/", "kind": "once", "timeout-ms": 1200, "objective-ms": 400,
+     "attempts": 1, "priority": 1, "parts": [{"service": "registrations", "weight": 1}]}],
+  "services"`
+
+func withRoutes() string {
+	return strings.Replace(examples.Seminars, `"services"`, routes, 1)
+}
+
+func TestRoutesAreTranslatedAndTheLongestPrefixWins(t *testing.T) {
+	c := qt.New(t)
+	parsed, err := estate.Parse("seminars.json", []byte(withRoutes()))
+	c.Assert(err, qt.IsNil)
+	table, err := estate.Routes(3, parsed)
+	c.Assert(err, qt.IsNil)
+	c.Check(table.Find("seminars.example", "/calendar/x").Name, qt.Equals, "browse")
+	register := table.Find("seminars.example", "/calendar/seats/7")
+	c.Check(register.Kind, qt.Equals, route.Once)
+	c.Check(register.Attempts, qt.Equals, 1)
+	c.Check(table.Find("other.example", "/calendar/x"), qt.IsNil)
+	without, err := estate.Parse("seminars.json", []byte(examples.Seminars))
+	c.Assert(err, qt.IsNil)
+	table, err = estate.Routes(3, without)
+	c.Check(err, qt.IsNil)
+	c.Check(table, qt.IsNil)
+}
+
+func TestEveryProblemOfARouteNamesItsPlace(t *testing.T) {
+	for name, one := range map[string]struct{ old, replaced, path string }{
+		"unknown service": {`{"service": "media", "weight": 10}`, `{"service": "mediaa", "weight": 10}`, "routes[0].parts[1].service"},
+		"twice a service": {`{"service": "media", "weight": 10}`, `{"service": "calendar", "weight": 10}`, "routes[0].parts[1].service"},
+		"no weight":       {`"weight": 90`, `"weight": 0`, "routes[0].parts[0].weight"},
+		"no kind":         {`"kind": "once",`, ``, "routes[1].kind"},
+		"same prefix":     {`"/calendar/seats/"`, `"/calendar/"`, "routes[1].prefix"},
+		"bare prefix":     {`"/calendar/seats/"`, `"/calendar/seats"`, "routes[1].prefix"},
+		"same name":       {`"name": "register"`, `"name": "browse"`, "routes[1].name"},
+		"late objective":  {`"objective-ms": 400`, `"objective-ms": 1300`, "routes[1].objective-ms"},
+		"no attempt":      {`"attempts": 1`, `"attempts": 0`, "routes[1].attempts"},
+		"host with port":  {`"host": "seminars.example", "prefix": "/calendar/seats/"`, `"host": "a:80", "prefix": "/calendar/seats/"`, "routes[1].host"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			_, err := estate.Parse("seminars.json", []byte(strings.Replace(withRoutes(), one.old, one.replaced, 1)))
+			var problems *estate.TextError
+			c.Assert(errors.As(err, &problems), qt.IsTrue)
+			found := false
+			for _, p := range problems.Problems {
+				found = found || (p.Path == one.path && p.Remedy != "")
+			}
+			c.Check(found, qt.IsTrue, qt.Commentf("%v", err))
+		})
+	}
+}
+
+func TestDifferenceNamesRoutes(t *testing.T) {
+	c := qt.New(t)
+	from, err := estate.Parse("a", []byte(withRoutes()))
+	c.Assert(err, qt.IsNil)
+	to, err := estate.Parse("b", []byte(strings.Replace(withRoutes(), `"timeout-ms": 1200`, `"timeout-ms": 1500`, 1)))
+	c.Assert(err, qt.IsNil)
+	c.Check(estate.Difference(from, to), qt.DeepEquals, []string{"~ route register: timeout-ms 1200 -> 1500"})
+	without, err := estate.Parse("c", []byte(examples.Seminars))
+	c.Assert(err, qt.IsNil)
+	c.Check(estate.Difference(from, without), qt.DeepEquals, []string{"- route browse", "- route register"})
+}
+
 func FuzzParse(f *testing.F) {
 	f.Add([]byte(examples.Seminars))
 	f.Add([]byte(`{"name":"a","services":[{"name":"b"}]}`))
--- a/internal/daemon/caller.go
+++ b/internal/daemon/caller.go
@@ -7,6 +7,7 @@
 	"io"
 	"math"
 	"math/rand/v2"
+	"net"
 	"net/http"
 	"strconv"
 	"strings"
@@ -18,6 +19,7 @@
 	"cuminlift/core/estate"
 	"cuminlift/core/request"
 	"cuminlift/core/retry"
+	"cuminlift/core/route"
 	"cuminlift/internal/metrics"
 	"cuminlift/schema"
 )
@@ -93,7 +95,7 @@
 	if current == nil {
 		return nil, notRun(reasonConfiguration, time.Second)
 	}
-	spec := estate.Find(current.estate, r.URL.Path)
+	spec, chosen := d.destination(current, r)
 	if spec == nil {
 		f := notRun(reasonNoService, time.Minute)
 		f.status = http.StatusNotFound
@@ -108,17 +110,44 @@
 		header:     r.Header,
 		repeatKey:  r.Header.Get(headerRepeatKey),
 	}
+	if chosen != nil {
+		// Only what both the route and the method allow may run twice.
+		c.idempotent = c.idempotent && chosen.Kind != route.Once
+	}
 	c.class = estate.Class(current.estate, spec.GetName(), c.idempotent)
 	c.id = d.newRequestID(c)
 	if spec.GetKeyed() {
 		c.hash = xxhash.Sum64String(requestKey(spec, r))
 	}
-	if f := c.setDeadline(spec, r.Header.Get(headerDeadline)); f != nil {
+	limit := time.Duration(spec.GetDeadlineMs()) * time.Millisecond
+	if chosen != nil {
+		limit = min(limit, chosen.Timeout)
+	}
+	if f := c.setDeadline(limit, r.Header.Get(headerDeadline)); f != nil {
 		return nil, f
 	}
 	return c, c.readBody(w, r)
 }
 
+// destination returns the service for a request, by the estate's routes where it has any. The route is nil otherwise.
+func (d *Daemon) destination(current *inForce, r *http.Request) (*schema.Service, *route.Route) {
+	if current.routes == nil {
+		return estate.Find(current.estate, r.URL.Path), nil
+	}
+	host, _, err := net.SplitHostPort(r.Host)
+	if err != nil {
+		host = r.Host
+	}
+	chosen := current.routes.Find(host, r.URL.Path)
+	if chosen == nil {
+		return nil, nil
+	}
+	d.splitting.Lock()
+	name := d.splitter.Next(chosen)
+	d.splitting.Unlock()
+	return current.services[name].treatment(), chosen
+}
+
 // idempotent reports whether a method may run more than once. PUT and DELETE are taken at their word only by callers.
 func idempotent(method string) bool {
 	return method == http.MethodGet || method == http.MethodHead || method == http.MethodOptions
@@ -142,8 +171,7 @@
 	return key
 }
 
-func (c *call) setDeadline(spec *schema.Service, header string) *refusal {
-	limit := time.Duration(spec.GetDeadlineMs()) * time.Millisecond
+func (c *call) setDeadline(limit time.Duration, header string) *refusal {
 	if header != "" {
 		ms, err := strconv.ParseInt(header, 10, 64)
 		if err != nil || ms <= 0 {
--- a/internal/daemon/configuration.go
+++ b/internal/daemon/configuration.go
@@ -10,6 +10,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"cuminlift/core/estate"
+	"cuminlift/core/route"
 	"cuminlift/internal/metrics"
 	"cuminlift/schema"
 )
@@ -21,6 +22,8 @@
 	estate   *schema.Estate
 	services map[string]*service
 	order    []string
+	// routes is nil where the estate has none: then the services' path prefixes decide.
+	routes *route.Table
 }
 
 // Digest returns the name under which a text is stored.
@@ -120,11 +123,17 @@
 		d.logs.For("configuration").WithError(err).Error("accepted text can't be read; the configuration in force stays")
 		return
 	}
+	routes, err := estate.Routes(record.GetVersion(), parsed)
+	if err != nil {
+		d.logs.For("configuration").WithError(err).Error("routes of the accepted text can't be served; the configuration in force stays")
+		return
+	}
 	next := &inForce{
 		record:   record,
 		text:     text,
 		estate:   parsed,
 		services: map[string]*service{},
+		routes:   routes,
 	}
 	for i, spec := range parsed.GetServices() {
 		next.order = append(next.order, spec.GetName())
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -17,6 +17,7 @@
 
 	"cuminlift"
 	"cuminlift/core/ownership"
+	"cuminlift/core/route"
 	"cuminlift/internal/logs"
 	"cuminlift/internal/metrics"
 	"cuminlift/io/clock"
@@ -58,16 +59,19 @@
 	members  *members
 	current  atomic.Pointer[inForce]
 	applying sync.Mutex
-	reader   *reader
-	claims   *claims
-	trace    *tracer
-	audit    *auditor
-	hop      *http.Transport
-	upstream *http.Transport
-	sequence atomic.Uint64
-	stopping atomic.Bool
-	active   atomic.Int64
-	gate     *gate
+	// splitting guards splitter, which deals the requests of split routes.
+	splitting sync.Mutex
+	splitter  *route.Splitter
+	reader    *reader
+	claims    *claims
+	trace     *tracer
+	audit     *auditor
+	hop       *http.Transport
+	upstream  *http.Transport
+	sequence  atomic.Uint64
+	stopping  atomic.Bool
+	active    atomic.Int64
+	gate      *gate
 	// echoing holds the run of each upstream that names requests in its answers, by the upstream's name.
 	echoing sync.Map
 	callers net.Listener
@@ -106,6 +110,7 @@
 		events:   make(chan serviceEvent, eventQueue),
 		control:  upstream.NewControl(config.Timing.Suspect / 2),
 		gate:     newGate(),
+		splitter: route.NewSplitter(),
 	}
 	client := platform.NewClient(platform.Config{
 		URL:    s.GetPlatform(),
--- a/internal/daemon/hop.go
+++ b/internal/daemon/hop.go
@@ -101,7 +101,7 @@
 		uri:        r.URL.RequestURI(),
 		header:     r.Header,
 	}
-	f := c.setDeadline(s.treatment(), r.Header.Get(headerDeadline))
+	f := c.setDeadline(time.Duration(s.treatment().GetDeadlineMs())*time.Millisecond, r.Header.Get(headerDeadline))
 	if f == nil {
 		f = c.readBody(w, r)
 	}
