core/authority: a take-over counts from the last heartbeat; core/keyspace: upstreams that answer are not lost

Change: heartbeats tell the lease's version, so its standing still counts from the last one heard; a holder that answered a request within 0.7 s is not lost; a failed grant is sent again at the call's limit and not at the next renewal.

--- a/core/authority/authority.go
+++ b/core/authority/authority.go
@@ -146,10 +146,14 @@
 	}
 }
 
-// Heard notes the acknowledgement of a heartbeat of a coordinator that acts.
-func (w *Watch) Heard(now time.Duration) {
+// Heard notes the acknowledgement of a heartbeat of a coordinator that acts, and the lease's version and term that it told: the lease
+// stood there no earlier than that, so the time from then on counts as silence.
+func (w *Watch) Heard(now time.Duration, version, term uint64) {
 	w.heard = now
-	w.known = false
+	w.known = true
+	w.version = version
+	w.term = term
+	w.since = now
 }
 
 // Resigned notes that the holder of the lease of a term stopped for good.
--- a/core/authority/authority_test.go
+++ b/core/authority/authority_test.go
@@ -261,12 +261,12 @@
 	if w.cut[i.name+o.name] {
 		return
 	}
-	sent, l, term := w.now, i.lead, i.term
+	sent, l, term, version := w.now, i.lead, i.term, i.version
 	w.send(o, w.way(), func() {
 		if o.lead != nil && o.term >= term || o.taking || w.cut[o.name+i.name] {
 			return
 		}
-		o.watch.Heard(w.now)
+		o.watch.Heard(w.now, version, term)
 		reached := w.now-o.reach < 25*time.Second
 		w.send(i, w.way(), func() {
 			if w.lateCount {
--- a/core/dispatch/pool.go
+++ b/core/dispatch/pool.go
@@ -279,6 +279,7 @@
 // answered notes that the upstream lives.
 func (u *upstream) answered(now time.Duration, p *Pool) {
 	u.blocks = 0
+	u.alive = now
 	if u.suspect {
 		u.suspect = false
 		u.coldUntil = max(u.coldUntil, now+p.service.Cold)
@@ -327,6 +328,15 @@
 	return u != nil && u.suspect
 }
 
+// livelyFor is how long an answer shows that an upstream lives.
+const livelyFor = 700 * time.Millisecond
+
+// Lively reports whether an upstream answered of late.
+func (p *Pool) Lively(now time.Duration, id string) bool {
+	u := p.upstreams[id]
+	return u != nil && u.alive != 0 && now-u.alive < livelyFor
+}
+
 // usual returns the median of the measured times to an answer. It is worked out anew only after an answer.
 func (p *Pool) usual() time.Duration {
 	if p.median == 0 {
--- a/core/dispatch/upstream.go
+++ b/core/dispatch/upstream.go
@@ -20,6 +20,8 @@
 	// running holds when each ticket was sent, and last is when the last one was.
 	running map[uint64]time.Duration
 	last    time.Duration
+	// alive is when it last answered.
+	alive time.Duration
 	// latency is the moving average of the time to an answer, 0 before the first one.
 	latency time.Duration
 	// errors is the moving share of attempts that ended in a failure of the upstream, 0 to 1.
--- a/core/keyspace/keyspace.go
+++ b/core/keyspace/keyspace.go
@@ -44,6 +44,8 @@
 	Capacity float64
 	// Unreachable is true while no connection to it can be made.
 	Unreachable bool
+	// Lively is true while it answers requests: its grants fail for another reason than its loss.
+	Lively bool
 }
 
 // holder is one incarnation with the fence that it was granted.
@@ -320,7 +322,7 @@
 	}
 	s.priors = kept
 	u, known := k.upstreams[s.holder.id]
-	if len(kept) > 0 || !known || u.Born != s.holder.born || s.calling || s.gone || k.raise[s.id] || (s.sent != 0 && now-s.sent < k.config.Renew) {
+	if len(kept) > 0 || !known || u.Born != s.holder.born || s.calling || s.gone || k.raise[s.id] || !k.due(now, s) {
 		return
 	}
 	s.calling = true
@@ -340,6 +342,17 @@
 	})
 }
 
+// due reports whether a grant of s is to be sent: in time before it ends, and at once after one that failed.
+func (k *Keeper) due(now time.Duration, s *span) bool {
+	if s.sent == 0 {
+		return true
+	}
+	if s.failures > 0 {
+		return now-s.sent >= k.config.CallLimit
+	}
+	return now-s.sent >= k.config.Renew
+}
+
 // releaseRetry is the time between releases that were not answered.
 const releaseRetry = 300 * time.Millisecond
 
--- a/core/keyspace/plan.go
+++ b/core/keyspace/plan.go
@@ -137,7 +137,7 @@
 	var moves []move
 	for _, s := range k.spans {
 		u, known := k.upstreams[s.holder.id]
-		lost := s.gone || (s.failures > 1 && now-s.failingSince > lostAfter)
+		lost := s.gone || (s.failures > 1 && now-s.failingSince > lostAfter && !u.Lively)
 		sound := known && u.Usable && u.Born == s.holder.born && !lost && !k.raise[s.id]
 		if sound {
 			continue
--- a/internal/gateway/coordinator.go
+++ b/internal/gateway/coordinator.go
@@ -178,13 +178,14 @@
 	return &schema.Frame{
 		Body: &schema.Frame_Beat{
 			Beat: &schema.Beat{
-				Name:        c.config.Settings.Name,
-				Incarnation: c.incarnation,
-				Term:        c.term,
-				Sequence:    uint64(c.clock.Now()),
-				Resigned:    resigned,
-				Instances:   uint32(len(c.links)),
-				StoreFails:  c.lead.Failing(),
+				Name:         c.config.Settings.Name,
+				Incarnation:  c.incarnation,
+				Term:         c.term,
+				Sequence:     uint64(c.clock.Now()),
+				Resigned:     resigned,
+				Instances:    uint32(len(c.links)),
+				StoreFails:   c.lead.Failing(),
+				LeaseVersion: c.leaseVersion,
 			},
 		},
 	}
--- a/internal/gateway/follow.go
+++ b/internal/gateway/follow.go
@@ -92,7 +92,7 @@
 		// Whoever is about to take the lease acknowledges nobody else.
 		return false
 	}
-	o.watch.Heard(now)
+	o.watch.Heard(now, beat.GetLeaseVersion(), beat.GetTerm())
 	o.instances = int(beat.GetInstances())
 	if beat.GetStoreFails() {
 		o.tryStore()
--- a/internal/gateway/keys.go
+++ b/internal/gateway/keys.go
@@ -107,6 +107,7 @@
 			Usable:      list.Usable(u),
 			Capacity:    max(capacity, 1),
 			Unreachable: d.pool.Blocked(u.ID),
+			Lively:      d.pool.Lively(now, u.ID),
 		})
 	}
 	return holders
