--- a/core/dispatch/decide.go
+++ b/core/dispatch/decide.go
@@ -93,7 +93,8 @@
 		}, true
 	}
 	if p.hopeless(now, t, owner) {
-		return p.refusal(t, TooLate, minRetryAfter), true
+		wait, work := p.expectedWait(now, t)
+		return p.refusal(t, TooLate, max(wait, work/2, minRetryAfter)), true
 	}
 	return Decision{}, false
 }
--- a/docs/commands.sh
+++ b/docs/commands.sh
@@ -8,3 +8,4 @@
 go run ./cmd/cuminlift docs
 go run ./cmd/cuminliftd docs
 go run ./cmd/cuminlift-standin docs
+go run ./cmd/cuminlift-gateway docs
--- a/internal/boot/boot.go
+++ b/internal/boot/boot.go
@@ -17,6 +17,7 @@
 	"cuminlift/core/keyspace"
 	"cuminlift/internal/gateway"
 	"cuminlift/internal/logs"
+	"cuminlift/internal/reference"
 	"cuminlift/io/clock"
 	"cuminlift/io/upstream"
 	"cuminlift/platform"
@@ -24,19 +25,32 @@
 
 // Tree is the command tree.
 type Tree struct {
-	Settings string    `help:"Settings file, JSON." env:"CUMINLIFT_BOOT" required:"" type:"path"`
-	Run      RunCmd    `cmd:"" default:"1" help:"Run an instance until SIGTERM."`
-	Check    CheckCmd  `cmd:"" help:"Check the settings file."`
-	Out      io.Writer `kong:"-"`
+	Run   RunCmd    `cmd:"" default:"withargs" help:"Run an instance until SIGTERM."`
+	Check CheckCmd  `cmd:"" help:"Check the settings file, and say what is wrong with it."`
+	Docs  DocsCmd   `cmd:"" hidden:"" help:"Print the command reference."`
+	Out   io.Writer `kong:"-"`
 	// Context ends with the order to stop.
 	Context context.Context `kong:"-"`
 }
 
 // RunCmd runs an instance.
-type RunCmd struct{}
+type RunCmd struct {
+	Settings string `help:"Settings file, JSON." env:"${settings_variable}" required:"" type:"path"`
+}
 
 // CheckCmd checks settings.
-type CheckCmd struct{}
+type CheckCmd struct {
+	Settings string `help:"Settings file, JSON." env:"${settings_variable}" required:"" type:"path"`
+}
+
+// DocsCmd prints the command reference.
+type DocsCmd struct{}
+
+// Run implements the command.
+func (*DocsCmd) Run(t *Tree, parser *kong.Kong) error {
+	reference.Write(t.Out, parser)
+	return nil
+}
 
 // Exit codes.
 const (
@@ -53,7 +67,10 @@
 	}
 	parser, err := kong.New(tree, kong.Name("cuminlift-gateway"),
 		kong.Description("Router for servers that own keys exclusively - an instance on the operators' platform."),
-		kong.Writers(out, errOut))
+		kong.Writers(out, errOut),
+		kong.Vars{
+			"settings_variable": platform.SettingsVariable,
+		})
 	if err != nil {
 		fmt.Fprintln(errOut, err)
 		return exitFailed
@@ -71,12 +88,12 @@
 }
 
 // Run implements the command.
-func (*CheckCmd) Run(t *Tree) error {
-	settings, err := platform.ReadSettings(t.Settings)
+func (c *CheckCmd) Run(t *Tree) error {
+	settings, err := platform.ReadSettings(c.Settings)
 	if err != nil {
 		return err
 	}
-	_, err = fmt.Fprintf(t.Out, "%s: settings of instance %s in zone %s are sound\n", t.Settings, settings.Name, settings.Zone)
+	_, err = fmt.Fprintf(t.Out, "%s: settings of instance %s in zone %s are sound\n", c.Settings, settings.Name, settings.Zone)
 	return err
 }
 
@@ -84,8 +101,8 @@
 const logRing = 2048
 
 // Run implements the command. SIGHUP is taken and changes nothing: all that an instance reads from its settings holds for its life.
-func (*RunCmd) Run(t *Tree) error {
-	settings, err := platform.ReadSettings(t.Settings)
+func (c *RunCmd) Run(t *Tree) error {
+	settings, err := platform.ReadSettings(c.Settings)
 	if err != nil {
 		return err
 	}
--- a/internal/command/docs.go
+++ b/internal/command/docs.go
@@ -1,11 +1,9 @@
 package command
 
 import (
-	"fmt"
-	"io"
-	"strings"
-
 	"github.com/alecthomas/kong"
+
+	"cuminlift/internal/reference"
 )
 
 // DocsCommand prints the command reference in Markdown, from the command tree itself.
@@ -13,46 +11,6 @@
 
 // Run implements the command.
 func (c *DocsCommand) Run(e *Environment, parser *kong.Kong) error {
-	fmt.Fprintf(e.Out, "## %s\n\n%s\n\n", parser.Model.Name, parser.Model.Help)
-	writeNode(e.Out, parser.Model.Name, parser.Model.Node)
+	reference.Write(e.Out, parser)
 	return nil
 }
-
-func writeNode(w io.Writer, path string, node *kong.Node) {
-	for _, child := range node.Children {
-		if child.Hidden {
-			continue
-		}
-		full := path + " " + child.Name
-		if len(child.Children) > 0 {
-			writeNode(w, full, child)
-			continue
-		}
-		writeLeaf(w, full, child)
-	}
-}
-
-func writeLeaf(w io.Writer, path string, node *kong.Node) {
-	arguments := ""
-	for _, a := range node.Positional {
-		arguments += " " + a.Summary()
-	}
-	fmt.Fprintf(w, "### `%s%s`\n\n%s\n\n", path, arguments, node.Help)
-	if node.Detail != "" {
-		fmt.Fprintf(w, "```\n%s\n```\n\n", strings.TrimSpace(node.Detail))
-	}
-	if len(node.Positional)+len(node.Flags) == 0 {
-		return
-	}
-	fmt.Fprint(w, "| flag or argument | meaning | default |\n| --- | --- | --- |\n")
-	for _, a := range node.Positional {
-		fmt.Fprintf(w, "| `%s` | %s | %s |\n", a.Name, a.Help, a.Default)
-	}
-	for _, f := range node.Flags {
-		if f.Hidden {
-			continue
-		}
-		fmt.Fprintf(w, "| `--%s` | %s | %s |\n", f.Name, f.Help, f.Default)
-	}
-	fmt.Fprintln(w)
-}
