--- a/internal/gateway/coordinator.go
+++ b/internal/gateway/coordinator.go
@@ -11,7 +11,6 @@
 	"cuminlift/core/authority"
 	"cuminlift/core/dispatch"
 	"cuminlift/core/keyspace"
-	"cuminlift/core/roster"
 	"cuminlift/schema"
 )
 
@@ -47,7 +46,6 @@
 	stop         context.CancelFunc
 	ctx          context.Context
 	probed       time.Duration
-	listed       roster.List
 }
 
 // serviceDuty is what the coordinator keeps of one service.
@@ -70,8 +68,7 @@
 	link *link
 	id   uint64
 	// ends is when a ticket that runs is given up: its instance is lost, or its end was.
-	ends    time.Duration
-	request time.Duration
+	ends time.Duration
 }
 
 const (
@@ -309,110 +306,3 @@
 	}
 	c.lead.Resign()
 }
-
-// decide sends the pool's decisions to those who asked.
-func (c *coordinator) decide(now time.Duration, d *serviceDuty) {
-	for _, decision := range d.pool.Decide(now) {
-		id := decision.Ticket.ID
-		p, known := d.tickets[id]
-		if !known {
-			d.pool.Cancel(now, id)
-			continue
-		}
-		if decision.Upstream == "" {
-			delete(d.tickets, id)
-		} else {
-			p.ends = decision.Ticket.Deadline + ticketGrace
-			d.tickets[id] = p
-		}
-		p.link.tell(&schema.Frame{
-			Body: &schema.Frame_Reply{
-				Reply: &schema.TicketReply{
-					Id:           p.id,
-					Upstream:     decision.Upstream,
-					Address:      decision.Address,
-					Reason:       string(decision.Reason),
-					RetryAfterMs: uint32(decision.RetryAfter.Milliseconds()),
-				},
-			},
-		})
-	}
-}
-
-// reclaim takes back the slots of tickets whose end was never told.
-func (c *coordinator) reclaim(now time.Duration, d *serviceDuty) {
-	for id, p := range d.tickets {
-		if p.ends != 0 && now > p.ends {
-			delete(d.tickets, id)
-			d.pool.Cancel(now, id)
-		}
-	}
-}
-
-// takeFrame acts on a message of an instance.
-func (c *coordinator) takeFrame(now time.Duration, l *link, frame *schema.Frame) {
-	switch body := frame.GetBody().(type) {
-	case *schema.Frame_BeatReply:
-		c.lead.Acknowledged(l.name, time.Duration(body.BeatReply.GetSequence()), body.BeatReply.GetStoreReached())
-	case *schema.Frame_Request:
-		c.takeRequest(now, l, body.Request)
-	case *schema.Frame_End:
-		c.takeEnd(now, l, body.End)
-	case *schema.Frame_Cancel:
-		c.takeCancel(now, l, body.Cancel)
-	}
-}
-
-func (c *coordinator) takeRequest(now time.Duration, l *link, request *schema.TicketRequest) {
-	d := c.services[request.GetService()]
-	if d == nil {
-		// A configuration that this instance has not read yet: the next step knows more.
-		l.tell(&schema.Frame{
-			Body: &schema.Frame_Reply{
-				Reply: &schema.TicketReply{
-					Id:           request.GetId(),
-					Reason:       string(dispatch.NoUpstream),
-					RetryAfterMs: uint32(reserveStep.Milliseconds() * 10),
-				},
-			},
-		})
-		return
-	}
-	id := l.global(request.GetId())
-	deadline := now + time.Duration(request.GetRemainingMs())*time.Millisecond
-	objective := now + time.Duration(request.GetObjectiveMs())*time.Millisecond
-	d.tickets[id] = ticketPlace{
-		link: l,
-		id:   request.GetId(),
-	}
-	l.services[request.GetId()] = d
-	if d.keeper != nil && request.GetKey() > 0 && request.GetAttempt() == 0 {
-		d.keeper.Count(request.GetKey() - 1)
-	}
-	d.pool.Submit(now, ticketOf(request, id, l.zone, deadline, objective))
-	c.decide(now, d)
-}
-
-func (c *coordinator) takeEnd(now time.Duration, l *link, end *schema.TicketEnd) {
-	d := l.services[end.GetId()]
-	if d == nil {
-		return
-	}
-	delete(l.services, end.GetId())
-	id := l.global(end.GetId())
-	delete(d.tickets, id)
-	d.pool.End(now, id, dispatch.Outcome(end.GetOutcome()), time.Duration(end.GetTookUs())*time.Microsecond, end.GetLoad())
-	c.decide(now, d)
-}
-
-func (c *coordinator) takeCancel(now time.Duration, l *link, cancel *schema.TicketCancel) {
-	d := l.services[cancel.GetId()]
-	if d == nil {
-		return
-	}
-	delete(l.services, cancel.GetId())
-	id := l.global(cancel.GetId())
-	delete(d.tickets, id)
-	d.pool.Cancel(now, id)
-	c.decide(now, d)
-}
