internal/gateway: the coordinator passes the operators' and upstreams' rows on

Change: the coordinator sends all rows to an instance that connects and each change after; from then on that instance reads the store no more. It does again when the coordinator is lost or says that the store does not answer it, and when rows older than its own come. Pauses after failed calls double up to 1 s. TestOneInstanceReadsTheStoreForAll (11 changes, 4 instances: 44 reads before, at most 22 after) and TestConfigurationReachesAnInstanceThatTheStoreDenies.

--- a/internal/gateway/coordinator.go
+++ b/internal/gateway/coordinator.go
@@ -43,9 +43,11 @@
 	links        map[string]*link
 	nextLink     uint64
 	services     map[string]*serviceDuty
-	stop         context.CancelFunc
-	ctx          context.Context
-	probed       time.Duration
+	// tables are passed on to all instances.
+	tables []*tableDuty
+	stop   context.CancelFunc
+	ctx    context.Context
+	probed time.Duration
 }
 
 // serviceDuty is what the coordinator keeps of one service.
@@ -124,6 +126,7 @@
 	c.step(c.clock.Now())
 	ticker := time.NewTicker(coordinatorStep)
 	defer ticker.Stop()
+	c.passOn()
 	go c.followInstances()
 	for {
 		select {
@@ -160,6 +163,9 @@
 func (c *coordinator) end() {
 	c.lead.Resign()
 	c.stop()
+	for _, d := range c.tables {
+		d.listen(nil)
+	}
 	for _, l := range c.links {
 		l.tell(c.beatFrame(true))
 	}
@@ -280,8 +286,15 @@
 func (c *coordinator) takeRenewal(now, sent time.Duration, version uint64, err error) {
 	c.renewing = false
 	if err == nil {
+		failed := c.lead.Failing()
 		c.leaseVersion = version
 		c.lead.Renewed(sent)
+		if failed {
+			// The instances began to read the store themselves.
+			for _, l := range c.links {
+				c.tellTables(l)
+			}
+		}
 		return
 	}
 	c.lead.Refused(now)
--- a/internal/gateway/election.go
+++ b/internal/gateway/election.go
@@ -16,11 +16,13 @@
 
 // election is the duty that takes the lease when its holder is lost, and runs the coordinator while this instance holds it.
 type election struct {
-	config      Config
-	clock       cuminlift.Clock
-	log         *logrus.Entry
-	office      *office
-	view        func() *view
+	config Config
+	clock  cuminlift.Clock
+	log    *logrus.Entry
+	office *office
+	view   func() *view
+	// tables are passed on by the coordinator.
+	tables      []*tableDuty
 	incarnation string
 	// rank spreads the instances over a fraction of a second.
 	rank int
@@ -156,7 +158,9 @@
 	e.office.mutex.Lock()
 	e.office.taking = false
 	e.office.mutex.Unlock()
+	e.office.loseTables(nil)
 	c := newCoordinator(ctx, e.config, e.log, e.view, e.incarnation, term+1, written, sent)
+	c.tables = e.tables
 	c.run()
 }
 
--- a/internal/gateway/follow.go
+++ b/internal/gateway/follow.go
@@ -68,6 +68,10 @@
 		if c == o.carrier {
 			o.takeReply(body.Reply)
 		}
+	case *schema.Frame_Rows:
+		if c == o.carrier && o.holder != o.config.Settings.Name {
+			o.takeRows(c, body.Rows)
+		}
 	case *schema.Frame_Owners:
 		if c == o.carrier {
 			o.takeOwners(body.Owners)
@@ -96,6 +100,8 @@
 	o.instances = int(beat.GetInstances())
 	if beat.GetStoreFails() {
 		o.tryStore()
+		// What such a coordinator passes on is old.
+		o.loseTables(c)
 	}
 	if o.carrier != c {
 		o.join(c, beat)
@@ -114,6 +120,7 @@
 // join makes c the connection with the coordinator. What waits in the own pools is submitted again.
 func (o *office) join(c carrier, beat *schema.Beat) {
 	o.carrier = c
+	o.loseTables(nil)
 	o.term = beat.GetTerm()
 	o.holder = beat.GetName()
 	o.log.WithFields(logrus.Fields{
@@ -173,6 +180,21 @@
 	list.ranges = owners.GetRanges()
 }
 
+func (o *office) takeRows(c carrier, rows *schema.TableRows) {
+	for _, d := range o.tables {
+		if d.table == rows.GetTable() {
+			d.takePassedOn(c, rows)
+		}
+	}
+}
+
+// loseTables reads tables from the store that from passed on, or whoever did where from is nil.
+func (o *office) loseTables(from carrier) {
+	for _, d := range o.tables {
+		d.lose(from)
+	}
+}
+
 // lose forgets a connection that has ended.
 func (o *office) lose(c carrier) {
 	o.mutex.Lock()
@@ -185,6 +207,7 @@
 		return
 	}
 	o.carrier = nil
+	o.loseTables(c)
 	o.log.WithFields(logrus.Fields{
 		"coordinator": o.holder,
 		"term":        o.term,
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -64,6 +64,7 @@
 	g.office = newOffice(config, set.For("instance"), g.follower.view)
 	g.office.storeReached = func() bool { return g.follower.storeReached(reachedLately) }
 	g.office.tryStore = func() { g.follower.try(context.Background()) }
+	g.office.tables = []*tableDuty{g.follower.configuration, g.follower.upstreams}
 	g.entry = &entry{
 		config:    config,
 		log:       set.For("caller"),
@@ -79,6 +80,7 @@
 		log:         set.For("ownership"),
 		office:      g.office,
 		view:        g.follower.view,
+		tables:      g.office.tables,
 		incarnation: hex.EncodeToString(incarnation),
 		rank:        rankOf(config.Settings.Name),
 	}
@@ -116,8 +118,8 @@
 	duties, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
 	group, duties := errgroup.WithContext(duties)
-	group.Go(func() error { return g.follower.followConfiguration(duties) })
-	group.Go(func() error { return g.follower.followUpstreams(duties) })
+	group.Go(func() error { return g.follower.follow(duties, g.follower.configuration) })
+	group.Go(func() error { return g.follower.follow(duties, g.follower.upstreams) })
 	group.Go(func() error { return g.office.listenPeers(duties, peers) })
 	group.Go(func() error { return g.office.run(duties) })
 	// The coordinator hands over as soon as the order to stop comes.
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -25,8 +25,10 @@
 
 // cluster is a few instances in one process, over loopback, with stand-ins for store and upstreams.
 type cluster struct {
-	c         *qt.C
-	store     *rowstore.Store
+	c     *qt.C
+	store *rowstore.Store
+	// rows is the store as the instances that are started next see it.
+	rows      cuminlift.RowStore
 	instances map[string]*instance
 	upstreams map[string]*keyholder.Upstream
 	names     int
@@ -45,6 +47,7 @@
 		instances: map[string]*instance{},
 		upstreams: map[string]*keyholder.Upstream{},
 	}
+	k.rows = k.store
 	for i := range instances {
 		k.start(fmt.Sprint("n", i))
 	}
@@ -85,7 +88,7 @@
 	}
 	g, err := gateway.New(gateway.Config{
 		Settings:   settings,
-		Store:      k.store,
+		Store:      k.rows,
 		Registry:   platform.Operator{},
 		Keys:       platform.NewKeys(&http.Client{}),
 		Clock:      clock.NewMachine(),
--- a/internal/gateway/keys.go
+++ b/internal/gateway/keys.go
@@ -274,9 +274,7 @@
 		return
 	}
 	d.ownersTold = told
-	for _, l := range c.links {
-		l.tell(frame)
-	}
+	c.tellAll(frame)
 }
 
 func ownersFrame(d *serviceDuty) *schema.Frame {
--- a/internal/gateway/links.go
+++ b/internal/gateway/links.go
@@ -68,14 +68,14 @@
 		c.post(func(time.Duration) { c.setInstances(registered) })
 	}
 	// The follower only ends with the context.
-	_ = f.follow(c.ctx, tableDuty{
+	_ = f.follow(c.ctx, &tableDuty{
 		table: instanceTable,
 		whole: func(list []cuminlift.Row) {
 			clear(rows)
 			take(list)
 		},
 		change:   take,
-		regained: func(time.Duration) {},
+		regained: func(context.Context, time.Duration) {},
 		pause:    gatherChanges,
 	})
 }
@@ -143,6 +143,7 @@
 			l.out = f
 			l.tell(l.coordinator.beatFrame(false))
 			l.coordinator.tellOwners(l)
+			l.coordinator.tellTables(l)
 		})
 		l.serve(ctx, f)
 		stop()
@@ -207,6 +208,37 @@
 	l.services = map[uint64]*serviceDuty{}
 }
 
+// passOn tells all instances of what changes in the operators' and upstreams' tables.
+func (c *coordinator) passOn() {
+	for _, d := range c.tables {
+		d.listen(func(page cuminlift.RowPage, whole bool) {
+			frame := rowsFrame(d.table, page, whole)
+			// The caller holds the table, which the coordinator's goroutine may wait for: this must not block.
+			select {
+			case c.events <- func(time.Duration) { c.tellAll(frame) }:
+			default:
+				c.log.Error("coordinator stops: its ring is full")
+				c.stop()
+			}
+		})
+	}
+}
+
+func (c *coordinator) tellAll(frame *schema.Frame) {
+	for _, l := range c.links {
+		l.tell(frame)
+	}
+}
+
+// tellTables tells a newly connected instance all rows. While the store does not answer, they may be old, and it reads for itself.
+func (c *coordinator) tellTables(l *link) {
+	for _, d := range c.tables {
+		if page, ok := d.snapshot(); ok && !c.lead.Failing() {
+			l.tell(rowsFrame(d.table, page, true))
+		}
+	}
+}
+
 func conflictRows(err error) ([]cuminlift.Row, bool) {
 	var conflict *cuminlift.ConflictError
 	if errors.As(err, &conflict) {
--- /dev/null
+++ b/internal/gateway/poll_test.go
@@ -0,0 +1,93 @@
+package gateway_test
+
+import (
+	"context"
+	"net/http"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"cuminlift"
+	"cuminlift/internal/standin/rowstore"
+)
+
+// counting counts the reads for changes of the operators' table.
+type counting struct {
+	*rowstore.Store
+	reads atomic.Int64
+}
+
+func (s *counting) Changes(ctx context.Context, table string, after uint64, wait time.Duration) (cuminlift.RowPage, error) {
+	if table == "op" {
+		s.reads.Add(1)
+	}
+	return s.Store.Changes(ctx, table, after, wait)
+}
+
+func TestOneInstanceReadsTheStoreForAll(t *testing.T) {
+	c := qt.New(t)
+	k := newCluster(c, 0)
+	store := &counting{
+		Store: k.store,
+	}
+	k.rows = store
+	for _, name := range []string{"n0", "n1", "n2", "n3"} {
+		k.start(name)
+	}
+	// Keys are served only through a coordinator.
+	k.configure(1, "keyed")
+	k.upstream("k0", "keyed", "z1")
+	for name := range k.instances {
+		k.serves(name)
+	}
+	before := store.reads.Load()
+	for version := 2; version < 12; version++ {
+		k.configure(version, "keyed")
+		time.Sleep(20 * time.Millisecond)
+	}
+	k.configure(12, "plain")
+	// All instances follow, and each change was read about once.
+	for name := range k.instances {
+		eventually(func() bool {
+			status, _, _ := k.send(name, http.MethodGet, "/read/x", 0, "")
+			return status == http.StatusServiceUnavailable
+		})
+	}
+	c.Check(store.reads.Load()-before <= 2*11, qt.IsTrue, qt.Commentf("%d reads of 11 changes by 4 instances", store.reads.Load()-before))
+}
+
+// denying is a store that turns its user away while denied.
+type denying struct {
+	*rowstore.Store
+	denied atomic.Bool
+}
+
+func (s *denying) Changes(ctx context.Context, table string, after uint64, wait time.Duration) (cuminlift.RowPage, error) {
+	if s.denied.Load() {
+		return cuminlift.RowPage{}, rowstore.ErrAway
+	}
+	return s.Store.Changes(ctx, table, after, wait)
+}
+
+func TestConfigurationReachesAnInstanceThatTheStoreDenies(t *testing.T) {
+	c := qt.New(t)
+	k := newCluster(c, 1)
+	k.configure(1, "plain")
+	k.upstream("p0", "plain", "z1")
+	served := func(name string) bool {
+		status, _, _ := k.send(name, http.MethodGet, "/read/x", 0, "")
+		return status == http.StatusOK
+	}
+	eventually(func() bool { return served("n0") })
+	store := &denying{
+		Store: k.store,
+	}
+	k.rows = store
+	k.start("n1")
+	eventually(func() bool { return served("n1") })
+	store.denied.Store(true)
+	k.configure(2, "keyed")
+	eventually(func() bool { return !served("n1") })
+}
--- a/internal/gateway/tickets.go
+++ b/internal/gateway/tickets.go
@@ -40,6 +40,8 @@
 	// storeReached reports whether the store answered of late, and tryStore asks it.
 	storeReached func() bool
 	tryStore     func()
+	// tables are read from the store, or passed on by the coordinator.
+	tables []*tableDuty
 	// watch is this instance's view of the coordinator.
 	mutex sync.Mutex
 	watch *authority.Watch
--- a/internal/gateway/view.go
+++ b/internal/gateway/view.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -38,6 +37,9 @@
 	trying atomic.Bool
 	clock  cuminlift.Clock
 
+	// configuration and upstreams are the duties of the two tables.
+	configuration, upstreams *tableDuty
+
 	mutex sync.Mutex
 	next  view
 	rows  map[string]upstreamRow
@@ -56,8 +58,10 @@
 	longPoll = 25 * time.Second
 	// gatherChanges is the pause between reads of upstreams, so that a burst of entries takes one call; small against the bounds of seconds.
 	gatherChanges = 100 * time.Millisecond
-	// storePause is the pause after a failed call to the store.
-	storePause = 250 * time.Millisecond
+	// storePause is the pause after a failed call to the store; it doubles up to storePauseMost, which is half of the time in which a
+	// configuration has to be in force.
+	storePause     = 250 * time.Millisecond
+	storePauseMost = time.Second
 	// storeRead bounds a read that waits for nothing.
 	storeRead = 2 * time.Second
 	// tryLimit bounds a try of the store for a coordinator that does not reach it, and reachedLately is how long its success counts.
@@ -86,6 +90,8 @@
 			},
 		},
 	}
+	f.configuration = f.configurationDuty()
+	f.upstreams = f.upstreamDuty()
 	f.publish()
 	return f
 }
@@ -130,68 +136,6 @@
 	}()
 }
 
-// tableDuty is what is done with the rows of a table.
-type tableDuty struct {
-	table string
-	// whole takes all rows, change those that changed.
-	whole, change func([]cuminlift.Row)
-	// regained is called when the store answers again after failing for some time.
-	regained func(failed time.Duration)
-	// pause is the time between reads, so that a burst of changes takes one call.
-	pause time.Duration
-}
-
-// follow reads a table as a whole, then its changes, until ctx ends.
-func (f *follower) follow(ctx context.Context, d tableDuty) error {
-	after := uint64(0)
-	read := false
-	failing := time.Duration(0)
-	for ctx.Err() == nil {
-		page, err := f.readTable(ctx, d.table, read, after)
-		var history *cuminlift.HistoryError
-		if errors.As(err, &history) {
-			f.log.WithField("after", after).Info("history is gone, reading the table as a whole")
-			read = false
-			continue
-		}
-		if err != nil {
-			if failing == 0 && ctx.Err() == nil {
-				f.log.WithField("table", d.table).WithError(err).Warn("store lost")
-				failing = f.clock.Now()
-			}
-			sleep(ctx, storePause)
-			continue
-		}
-		if failing != 0 {
-			f.log.WithField("table", d.table).Info("store regained")
-			d.regained(f.clock.Now() - failing)
-			failing = 0
-		}
-		after = max(after, page.Version)
-		if !read {
-			d.whole(page.Rows)
-			read = true
-			continue
-		}
-		if len(page.Rows) > 0 {
-			d.change(page.Rows)
-			sleep(ctx, d.pause)
-		}
-	}
-	return nil
-}
-
-func (f *follower) readTable(ctx context.Context, table string, read bool, after uint64) (cuminlift.RowPage, error) {
-	if !read {
-		limited, cancel := context.WithTimeout(ctx, storeRead)
-		defer cancel()
-		return f.store.Rows(limited, table, "")
-	}
-	limited, cancel := context.WithTimeout(ctx, longPoll+storeRead)
-	defer cancel()
-	return f.store.Changes(limited, table, after, longPoll)
-}
-
 // sleep waits, or returns early when ctx ends.
 func sleep(ctx context.Context, pause time.Duration) {
 	if pause <= 0 {
@@ -205,9 +149,9 @@
 	}
 }
 
-// followConfiguration keeps the operators' rows.
-func (f *follower) followConfiguration(ctx context.Context) error {
-	return f.follow(ctx, tableDuty{
+// configurationDuty keeps the operators' rows.
+func (f *follower) configurationDuty() *tableDuty {
+	return &tableDuty{
 		table: f.registry.ConfigurationTable(),
 		whole: func(rows []cuminlift.Row) {
 			f.update(func() {
@@ -219,8 +163,8 @@
 		change: func(rows []cuminlift.Row) {
 			f.update(func() { f.takeOperatorRows(rows) })
 		},
-		regained: func(time.Duration) {},
-	})
+		regained: func(context.Context, time.Duration) {},
+	}
 }
 
 func (f *follower) update(change func()) {
@@ -266,9 +210,9 @@
 	}).Info("availability zone changed")
 }
 
-// followUpstreams keeps the upstreams' rows.
-func (f *follower) followUpstreams(ctx context.Context) error {
-	return f.follow(ctx, tableDuty{
+// upstreamDuty keeps the upstreams' rows.
+func (f *follower) upstreamDuty() *tableDuty {
+	return &tableDuty{
 		table: f.registry.UpstreamTable(),
 		whole: func(rows []cuminlift.Row) {
 			f.update(func() { f.takeAllUpstreams(rows) })
@@ -276,13 +220,13 @@
 		change: func(rows []cuminlift.Row) {
 			f.update(func() { f.takeUpstreams(rows) })
 		},
-		regained: func(failed time.Duration) {
+		regained: func(ctx context.Context, failed time.Duration) {
 			if failed > outage {
 				f.doubtMissing(ctx)
 			}
 		},
 		pause: gatherChanges,
-	})
+	}
 }
 
 // doubtMissing keeps entries that are missing for the time in which living upstreams register again.
