internal/gateway: large instances take the lease first

Cause: on the first grown site the coordinator was whichever instance came first, also one of 0.16 core, while six have 0.8. Change: the steps by which instances are spread depend on the share of a core that the settings give.

--- a/internal/gateway/config.go
+++ b/internal/gateway/config.go
@@ -25,6 +25,8 @@
 	StoreAddress string
 	// MemoryBytes is the most that the process may use, 0 for no limit.
 	MemoryBytes int64
+	// CPUShare is the part of a core that the process may use, 0 where it is not known.
+	CPUShare float64
 	// HoldLimit is the longest time for which a grant may last.
 	HoldLimit time.Duration
 	// StopLimit is the time from the order to stop until the process is killed.
--- a/internal/gateway/election.go
+++ b/internal/gateway/election.go
@@ -36,10 +36,24 @@
 // ranks is the number of steps over which instances are spread.
 const ranks = 8
 
-func rankOf(name string) int {
+// Instances with less than smallShare of a core come a full round after the others, and those with less than largeShare a step: the
+// coordinator's work grows with all requests, so that a large instance is to take the lease where there is one.
+const (
+	smallShare = 0.25
+	largeShare = 0.5
+)
+
+func rankOf(settings Settings) int {
 	h := fnv.New32a()
-	_, _ = h.Write([]byte(name)) // A hash takes everything.
-	return int(h.Sum32() % ranks)
+	_, _ = h.Write([]byte(settings.Name)) // A hash takes everything.
+	rank := int(h.Sum32() % ranks)
+	switch {
+	case settings.CPUShare == 0 || settings.CPUShare >= largeShare:
+		return rank
+	case settings.CPUShare >= smallShare:
+		return rank + 1
+	}
+	return rank + ranks
 }
 
 // run watches and takes over until ctx ends.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -82,7 +82,7 @@
 		view:        g.follower.view,
 		tables:      g.office.tables,
 		incarnation: hex.EncodeToString(incarnation),
-		rank:        rankOf(config.Settings.Name),
+		rank:        rankOf(config.Settings),
 	}
 	return g, nil
 }
