internal/gateway: a read of the store that is never answered is given up within 2.7 s

Ruled out: the cut of zone c (5 s later), a refused version (no such line). Each instance alone had the same fault before rows were passed on. Change: reads wait for 2 s and 0.7 s for the answer, below the 3 s after which the store counts as sound.

--- a/internal/gateway/poll.go
+++ b/internal/gateway/poll.go
@@ -81,7 +81,7 @@
 }
 
 func (f *follower) readTable(ctx context.Context, d *tableDuty) (page cuminlift.RowPage, whole bool, err error) {
-	limit := longPoll + storeRead
+	limit := longPoll + pollReserve
 	d.mutex.Lock()
 	whole = !d.read
 	if whole {
--- a/internal/gateway/poll_test.go
+++ b/internal/gateway/poll_test.go
@@ -69,6 +69,38 @@
 	c.Check(found, qt.Equals, "")
 }
 
+// silent is a store that takes reads for changes and never answers them, as one that goes down does.
+type silent struct {
+	*rowstore.Store
+	longest atomic.Int64
+}
+
+func (s *silent) Changes(ctx context.Context, _ string, _ uint64, wait time.Duration) (cuminlift.RowPage, error) {
+	allowed := 24 * time.Hour
+	if until, ok := ctx.Deadline(); ok {
+		allowed = time.Until(until)
+	}
+	s.longest.Store(max(s.longest.Load(), int64(allowed), int64(wait)))
+	<-ctx.Done()
+	return cuminlift.RowPage{}, ctx.Err()
+}
+
+// What was seen: the coordinator's read was swallowed by a store that was down, and for the 27 s that it waited no instance heard of a
+// configuration.
+func TestReadThatIsNeverAnsweredIsGivenUpInTime(t *testing.T) {
+	c := qt.New(t)
+	k := newCluster(c, 0)
+	store := &silent{
+		Store: k.store,
+	}
+	k.rows = store
+	k.start("n0")
+	k.configure(1, "plain")
+	eventually(func() bool { return store.longest.Load() > 0 })
+	// The store counts as sound 3 s after its trouble has ended.
+	c.Check(time.Duration(store.longest.Load()) < 3*time.Second, qt.IsTrue, qt.Commentf("%v", time.Duration(store.longest.Load())))
+}
+
 // denying is a store that turns its user away while denied.
 type denying struct {
 	*rowstore.Store
--- a/internal/gateway/view.go
+++ b/internal/gateway/view.go
@@ -54,8 +54,10 @@
 }
 
 const (
-	// longPoll is how long a read waits for changes: each read costs a call, and a dead connection is found out by its probes.
-	longPoll = 25 * time.Second
+	// longPoll is how long a read waits for changes, and pollReserve how much longer its answer may take. A read that the store took and never
+	// answers must be given up before the store counts as sound again, 3 s after its last trouble.
+	longPoll    = 2 * time.Second
+	pollReserve = 700 * time.Millisecond
 	// gatherChanges is the pause between reads of upstreams, so that a burst of entries takes one call; small against the bounds of seconds.
 	gatherChanges = 100 * time.Millisecond
 	// storePause is the pause after a failed call to the store; it doubles up to storePauseMost, which is half of the time in which a
