--- a/core/keyspace/keyspace.go
+++ b/core/keyspace/keyspace.go
@@ -208,8 +208,3 @@
 func (k *Keeper) Ranges() []*schema.KeyRange {
 	return ranges(k.spans)
 }
-
-// Spans returns the number of ranges.
-func (k *Keeper) Spans() int {
-	return len(k.spans)
-}
--- a/core/roster/roster.go
+++ b/core/roster/roster.go
@@ -30,38 +30,3 @@
 func (l List) Usable(u Upstream) bool {
 	return !u.Draining && !l.Out[u.Zone]
 }
-
-// Change is a difference between two lists.
-type Change struct {
-	ID string
-	// Before and After are nil where the upstream is not on the list.
-	Before, After *Upstream
-}
-
-// Differences returns the changes from one list to another, without order.
-func Differences(before, after List) []Change {
-	var changes []Change
-	for id, u := range after.Upstreams {
-		old, known := before.Upstreams[id]
-		if known && old == u {
-			continue
-		}
-		change := Change{
-			ID:    id,
-			After: &u,
-		}
-		if known {
-			change.Before = &old
-		}
-		changes = append(changes, change)
-	}
-	for id, u := range before.Upstreams {
-		if _, known := after.Upstreams[id]; !known {
-			changes = append(changes, Change{
-				ID:     id,
-				Before: &u,
-			})
-		}
-	}
-	return changes
-}
--- a/internal/gateway/coordinator.go
+++ b/internal/gateway/coordinator.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -319,3 +320,12 @@
 	}
 	c.lead.Resign()
 }
+
+// conflictRows returns the rows of a conflict as they are; ok is false for another error.
+func conflictRows(err error) (rows []cuminlift.Row, ok bool) {
+	var conflict *cuminlift.ConflictError
+	if errors.As(err, &conflict) {
+		return conflict.Rows, true
+	}
+	return nil, false
+}
--- a/internal/gateway/links.go
+++ b/internal/gateway/links.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"time"
 
 	"google.golang.org/protobuf/proto"
@@ -238,11 +237,3 @@
 		}
 	}
 }
-
-func conflictRows(err error) ([]cuminlift.Row, bool) {
-	var conflict *cuminlift.ConflictError
-	if errors.As(err, &conflict) {
-		return conflict.Rows, true
-	}
-	return nil, false
-}
--- a/io/upstream/connection.go
+++ b/io/upstream/connection.go
@@ -132,16 +132,6 @@
 	p.idle[address] = append(p.idle[address], c)
 }
 
-func (p *connections) forget(address string) {
-	p.mutex.Lock()
-	list := p.idle[address]
-	delete(p.idle, address)
-	p.mutex.Unlock()
-	for _, c := range list {
-		c.abort()
-	}
-}
-
 // Dialer returns a dialer whose connections find out in silenceLimit that the other side is gone.
 func Dialer(limit time.Duration) *net.Dialer {
 	return &net.Dialer{
--- a/io/upstream/exchange.go
+++ b/io/upstream/exchange.go
@@ -102,11 +102,6 @@
 	}
 }
 
-// Forget closes the idle connections to an address.
-func (e *Exchanger) Forget(address string) {
-	e.pool.forget(address)
-}
-
 // Dials returns the number of connections made.
 func (e *Exchanger) Dials() int64 {
 	return e.pool.dials.Load()
