--- a/core/dispatch/decide.go
+++ b/core/dispatch/decide.go
@@ -57,13 +57,16 @@
 
 // late reports whether t would miss its objective if it were sent now.
 func (p *Pool) late(now time.Duration, t *Ticket) bool {
-	work := time.Duration(0)
-	if owner, _ := p.owner(now, t); owner != nil {
-		work = owner.typical()
-	} else {
-		work = p.usual()
+	owner, _ := p.owner(now, t)
+	return now+time.Duration(lateWork*float64(p.work(owner))) > t.Objective
+}
+
+// work returns the usual time to an answer of the owner, or of all upstreams where owner is nil.
+func (p *Pool) work(owner *upstream) time.Duration {
+	if owner != nil {
+		return owner.typical()
 	}
-	return now+time.Duration(lateWork*float64(work)) > t.Objective
+	return p.usual()
 }
 
 func (p *Pool) takeRefusals() []Decision {
@@ -105,11 +108,7 @@
 // hopeless reports whether t has waited for so long that it is turned away: no answer would come before its deadline, or it is late
 // and has had its time to wait for room.
 func (p *Pool) hopeless(now time.Duration, t *Ticket, owner *upstream) bool {
-	work := p.usual()
-	if owner != nil {
-		work = owner.typical()
-	}
-	if now+work > t.Deadline {
+	if now+p.work(owner) > t.Deadline {
 		return true
 	}
 	return p.late(now, t) && now-t.arrived > time.Duration(lateHold*float64(t.Deadline-t.arrived))
--- a/core/keyspace/plan.go
+++ b/core/keyspace/plan.go
@@ -31,9 +31,8 @@
 type seat struct {
 	upstream Upstream
 	// rate is the requests a second for its keys.
-	rate  float64
-	spans int
-	keys  int
+	rate float64
+	keys int
 }
 
 func (s *seat) use() float64 {
@@ -124,7 +123,6 @@
 	for _, s := range k.spans {
 		if seat := byID[s.holder.id]; seat != nil && seat.upstream.Born == s.holder.born {
 			seat.rate += k.heat.rate(s.from, s.to, m)
-			seat.spans++
 			seat.keys += int(s.to-s.from) + 1
 		}
 	}
--- a/core/keyspace/proposal.go
+++ b/core/keyspace/proposal.go
@@ -61,9 +61,6 @@
 		q := *p
 		c.priors = append(c.priors, &q)
 	}
-	if from != s.from || to != s.to {
-		c.handover = s.handover
-	}
 	return &c
 }
 
--- a/internal/gateway/coordinator.go
+++ b/internal/gateway/coordinator.go
@@ -60,7 +60,6 @@
 	loading    bool
 	keyed      bool
 	version    uint64
-	recording  bool
 	ownersSent time.Duration
 	ownersTold []byte
 	tickets    map[uint64]ticketPlace
--- a/internal/gateway/keys.go
+++ b/internal/gateway/keys.go
@@ -113,7 +113,8 @@
 	return holders
 }
 
-// record writes an assignment. The lease is a condition too, so that a coordinator whose right has ended writes nothing.
+// record writes an assignment over the one that this coordinator knows. Whichever of two coordinators writes second finds another
+// version, and resigns.
 func (c *coordinator) record(d *serviceDuty, assignment *schema.Assignment) {
 	value, err := proto.Marshal(assignment)
 	if err != nil {
@@ -121,7 +122,6 @@
 		d.keeper.NotRecorded()
 		return
 	}
-	d.recording = true
 	version := d.version
 	c.log.WithFields(logrus.Fields{
 		"service":     d.name,
@@ -158,10 +158,8 @@
 	switch {
 	case err == nil:
 		d.version = version
-		d.recording = false
 		d.keeper.Recorded(now)
 	case errors.As(err, &refused):
-		d.recording = false
 		d.keeper.NotRecorded()
 	case conflict:
 		c.resolve(now, d, rows)
@@ -183,7 +181,6 @@
 		}
 		if recorded.GetTerm() == c.term && d.keeper.Proposed(recorded) {
 			d.version = row.Version
-			d.recording = false
 			d.keeper.Recorded(now)
 			return
 		}
--- a/internal/gateway/view.go
+++ b/internal/gateway/view.go
@@ -29,8 +29,6 @@
 	registry Registry
 	log      *logrus.Entry
 	current  atomic.Pointer[view]
-	// changed is called after each change of the view.
-	changed func()
 	// reached is when the store last answered a try for a coordinator that does not reach it.
 	reached atomic.Int64
 	// trying is true while the store is asked for the coordinator's sake.
@@ -82,7 +80,6 @@
 		registry: config.Registry,
 		log:      log,
 		clock:    config.Clock,
-		changed:  func() {},
 		rows:     map[string]upstreamRow{},
 		doubted:  map[string]bool{},
 		next: view{
@@ -174,7 +171,6 @@
 	change()
 	f.publish()
 	f.mutex.Unlock()
-	f.changed()
 }
 
 func (f *follower) takeOperatorRows(rows []cuminlift.Row) {
