Queue requests by owner, so that an event costs no more when more wait

Cause: on the grown sites the coordinator spent its share of a core in the dispatch pool. Each event looked at every waiting request, each look asked for the key's owner, and each placing went over all upstreams: the work grew with the square of what waits. The median time to an answer is worked out at most each 50 ms. A cold report counts from when it came. The estimate of the wait is made once for each request.

--- a/core/dispatch/decide.go
+++ b/core/dispatch/decide.go
@@ -21,52 +21,131 @@
 	reserve = 0.5
 )
 
+// sweepStep is the time between looks at all that waits, for what depends on time alone. Lanes to which something happened are looked at
+// with each call.
+const sweepStep = 10 * time.Millisecond
+
 // Decide returns all tickets whose fate is known at now. Requests that can still be answered within their objective go first: where
 // there are more than can be served, whoever would be late anyway waits for what they leave.
 func (p *Pool) Decide(now time.Duration) []Decision {
 	decisions := p.takeRefusals()
-	if len(p.queue) == 0 {
-		return decisions
+	sweeps := now-p.swept >= sweepStep
+	if sweeps {
+		p.swept = now
+		for _, l := range p.lanes() {
+			p.rehome(now, l)
+			p.mark(l)
+		}
+	}
+	// A ticket whose key has another owner by now makes another lane dirty: the list may grow.
+	for i := 0; i < len(p.dirty); i++ {
+		l := p.dirty[i]
+		l.dirty = false
+		decisions = p.serve(now, l, decisions)
+	}
+	p.dirty = p.dirty[:0]
+	if sweeps {
+		for _, l := range p.lanes() {
+			decisions = p.turnAway(now, l, decisions)
+		}
 	}
-	placed := map[uint64]Decision{}
+	return decisions
+}
+
+// serve places what it can of a lane.
+func (p *Pool) serve(now time.Duration, l *lane, decisions []Decision) []Decision {
+	full := p.full(now, l)
 	for _, late := range []bool{false, true} {
-		for _, t := range p.queue {
-			if _, done := placed[t.ID]; done || p.late(now, t) != late {
+		for i := 0; i < len(l.tickets) && !full; {
+			t := l.tickets[i]
+			if p.late(now, t, l.owner) != late {
+				i++
 				continue
 			}
-			if decision, decided := p.place(now, t); decided {
-				placed[t.ID] = decision
+			if right := p.laneOf(now, t); right != l {
+				l.remove(t)
+				right.insert(t)
+				p.mark(right)
+				continue
 			}
+			u := l.owner
+			if u == nil {
+				u = p.choose(now, t)
+			}
+			if u == nil || now+time.Duration(reserve*float64(u.typical())) >= t.Deadline {
+				i++
+				continue
+			}
+			decisions = append(decisions, p.send(now, t, u))
+			full = p.full(now, l)
+		}
+	}
+	return decisions
+}
+
+// full reports whether nobody who may run the lane's tickets has room.
+func (p *Pool) full(now time.Duration, l *lane) bool {
+	if l.ownerless {
+		return true
+	}
+	if l.owner != nil {
+		return l.owner.free(now, p) <= 0
+	}
+	for _, u := range p.order {
+		if u.free(now, p) > 0 {
+			return false
 		}
 	}
-	kept := p.queue[:0]
-	for _, t := range p.queue {
-		decision, done := placed[t.ID]
-		if !done {
-			kept = append(kept, t)
+	return true
+}
+
+func (p *Pool) send(now time.Duration, t *Ticket, u *upstream) Decision {
+	p.leave(t)
+	u.sent(now, t.ID)
+	p.running[t.ID] = u
+	return Decision{
+		Ticket:   t,
+		Upstream: u.state.ID,
+		Address:  u.state.Address,
+	}
+}
+
+// turnAway refuses what has waited in a lane for too long.
+func (p *Pool) turnAway(now time.Duration, l *lane, decisions []Decision) []Decision {
+	for i := 0; i < len(l.tickets); {
+		t := l.tickets[i]
+		decision := Decision{
+			Ticket: t,
+		}
+		switch {
+		case l.ownerless && (now-t.arrived > ownerWait || now >= t.Deadline):
+			decision.Reason = NoOwner
+			decision.RetryAfter = ownerWait
+		case !l.ownerless && p.hopeless(now, t, l.owner):
+			wait, work := p.expectedWait(now, t, l)
+			decision.Reason = TooLate
+			decision.RetryAfter = max(wait, work/2, minRetryAfter)
+		default:
+			i++
 			continue
 		}
+		p.leave(t)
 		decisions = append(decisions, decision)
 	}
-	for i := len(kept); i < len(p.queue); i++ {
-		p.queue[i] = nil
-	}
-	p.queue = kept
-	return append(decisions, p.takeRefusals()...)
+	return decisions
 }
 
-// late reports whether t would miss its objective if it were sent now.
-func (p *Pool) late(now time.Duration, t *Ticket) bool {
-	owner, _ := p.owner(now, t)
-	return now+time.Duration(lateWork*float64(p.work(owner))) > t.Objective
+// late reports whether t would miss its objective if it were sent now to owner, or to any upstream where owner is nil.
+func (p *Pool) late(now time.Duration, t *Ticket, owner *upstream) bool {
+	return now+time.Duration(lateWork*float64(p.work(now, owner))) > t.Objective
 }
 
 // work returns the usual time to an answer of the owner, or of all upstreams where owner is nil.
-func (p *Pool) work(owner *upstream) time.Duration {
+func (p *Pool) work(now time.Duration, owner *upstream) time.Duration {
 	if owner != nil {
 		return owner.typical()
 	}
-	return p.usual()
+	return p.usual(now)
 }
 
 func (p *Pool) takeRefusals() []Decision {
@@ -75,58 +154,20 @@
 	return refusals
 }
 
-func (p *Pool) place(now time.Duration, t *Ticket) (Decision, bool) {
-	owner, owned := p.owner(now, t)
-	if !owned {
-		if now-t.arrived > ownerWait || now >= t.Deadline {
-			return p.refusal(t, NoOwner, ownerWait), true
-		}
-		return Decision{}, false
-	}
-	u := owner
-	if u == nil {
-		u = p.choose(now, t)
-	} else if u.free(now, p) <= 0 {
-		u = nil
-	}
-	if u != nil && now+time.Duration(reserve*float64(u.typical())) < t.Deadline {
-		u.sent(now, t.ID)
-		p.running[t.ID] = u
-		return Decision{
-			Ticket:   t,
-			Upstream: u.state.ID,
-			Address:  u.state.Address,
-		}, true
-	}
-	if p.hopeless(now, t, owner) {
-		wait, work := p.expectedWait(now, t)
-		return p.refusal(t, TooLate, max(wait, work/2, minRetryAfter)), true
-	}
-	return Decision{}, false
-}
-
 // hopeless reports whether t has waited for so long that it is turned away: no answer would come before its deadline, or it is late
 // and has had its time to wait for room.
 func (p *Pool) hopeless(now time.Duration, t *Ticket, owner *upstream) bool {
-	if now+p.work(owner) > t.Deadline {
+	if now+p.work(now, owner) > t.Deadline {
 		return true
 	}
-	return p.late(now, t) && now-t.arrived > time.Duration(lateHold*float64(t.Deadline-t.arrived))
-}
-
-func (p *Pool) refusal(t *Ticket, reason Reason, after time.Duration) Decision {
-	return Decision{
-		Ticket:     t,
-		Reason:     reason,
-		RetryAfter: after,
-	}
+	return p.late(now, t, owner) && now-t.arrived > time.Duration(lateHold*float64(t.Deadline-t.arrived))
 }
 
 // choose returns the upstream that is expected to answer t first, or nil where none has room.
 func (p *Pool) choose(now time.Duration, t *Ticket) *upstream {
 	var best *upstream
 	var bestCost float64
-	usual := p.usual()
+	usual := p.usual(now)
 	near := t.Bulk && p.waitsNear(now, t)
 	for _, u := range p.order {
 		if u.free(now, p) <= 0 || (near && u.state.Zone != t.Zone) {
--- a/core/dispatch/pool.go
+++ b/core/dispatch/pool.go
@@ -31,13 +31,19 @@
 	service   route.Service
 	upstreams map[string]*upstream
 	order     []*upstream
-	queue     []*Ticket
-	running   map[uint64]*upstream
-	budget    *budget
-	started   bool
-	refusals  []Decision
-	// median is the cached answer of usual, 0 for none.
-	median time.Duration
+	// open holds tickets for any upstream, ownerless those whose key has no owner; each upstream has a lane of its own besides.
+	open, ownerless *lane
+	// tickets are those that wait, by their number.
+	tickets map[uint64]*Ticket
+	// dirty are the lanes to look at, and swept is when all were looked at last.
+	dirty    []*lane
+	swept    time.Duration
+	running  map[uint64]*upstream
+	budget   *budget
+	started  bool
+	refusals []Decision
+	// median is the cached answer of usual, 0 for none, and medianAt is when it was worked out.
+	median, medianAt time.Duration
 }
 
 // NewPool returns a pool without upstreams.
@@ -45,8 +51,14 @@
 	return &Pool{
 		config:    config,
 		upstreams: map[string]*upstream{},
-		running:   map[uint64]*upstream{},
-		budget:    newBudget(config),
+		open:      &lane{},
+		ownerless: &lane{
+			ownerless: true,
+		},
+		tickets: map[uint64]*Ticket{},
+		swept:   -sweepStep,
+		running: map[uint64]*upstream{},
+		budget:  newBudget(config),
 	}
 }
 
@@ -76,7 +88,7 @@
 	for id, u := range p.upstreams {
 		if !present[id] {
 			u.state.Usable = false
-			if len(u.running) == 0 {
+			if len(u.running) == 0 && len(u.lane.tickets) == 0 {
 				delete(p.upstreams, id)
 				continue
 			}
@@ -85,6 +97,7 @@
 	}
 	sort.Slice(p.order, func(i, j int) bool { return p.order[i].state.ID < p.order[j].state.ID })
 	p.started = true
+	p.swept = now - sweepStep
 }
 
 func (p *Pool) setUpstream(now time.Duration, state UpstreamState) {
@@ -95,6 +108,9 @@
 		u = &upstream{
 			running: map[uint64]time.Duration{},
 		}
+		u.lane = &lane{
+			owner: u,
+		}
 		p.upstreams[state.ID] = u
 	}
 	if fresh {
@@ -103,7 +119,8 @@
 	if (fresh && p.started) || returned {
 		u.coldUntil = now + max(state.Cold, p.service.Cold)
 	}
-	if state.Cold > 0 {
+	// A report counts from when it came; it is told again with each change of another upstream.
+	if state.Cold > 0 && (fresh || state.Cold != u.state.Cold) {
 		u.coldUntil = max(u.coldUntil, now+state.Cold)
 	}
 	u.state = state
@@ -125,26 +142,27 @@
 	}
 	if t.Attempt == 0 {
 		p.budget.request(now)
-	} else if !p.budget.take(now) {
-		p.refuse(now, t, NoBudget)
+	}
+	l := p.laneOf(now, t)
+	wait, work := p.expectedWait(now, t, l)
+	if t.Attempt > 0 && !p.budget.take(now) {
+		p.refuse(t, NoBudget, wait, work)
 		return
 	}
-	if reason, ok := p.admit(now, t); !ok {
-		p.refuse(now, t, reason)
+	if reason, ok := p.admit(now, t, wait, work); !ok {
+		p.refuse(t, reason, wait, work)
 		return
 	}
-	at := sort.Search(len(p.queue), func(i int) bool { return p.queue[i].rank > t.rank })
-	p.queue = append(p.queue, nil)
-	copy(p.queue[at+1:], p.queue[at:])
-	p.queue[at] = t
+	l.insert(t)
+	p.tickets[t.ID] = t
+	p.mark(l)
 }
 
 // admit reports whether t may wait: it is expected to be answered while that is worth something.
-func (p *Pool) admit(now time.Duration, t *Ticket) (Reason, bool) {
+func (p *Pool) admit(now time.Duration, t *Ticket, wait, work time.Duration) (Reason, bool) {
 	if !p.anyUsable() {
 		return NoUpstream, false
 	}
-	wait, work := p.expectedWait(now, t)
 	if wait == 0 {
 		return "", true
 	}
@@ -178,23 +196,17 @@
 	return u, u != nil
 }
 
-// expectedWait estimates how long t waits for a slot, and how long its work takes then.
-func (p *Pool) expectedWait(now time.Duration, t *Ticket) (wait, work time.Duration) {
-	owner, ok := p.owner(now, t)
-	if !ok {
+// expectedWait estimates how long t, which is or would be in lane l, waits for a slot, and how long its work takes then.
+func (p *Pool) expectedWait(now time.Duration, t *Ticket, l *lane) (wait, work time.Duration) {
+	if l.ownerless {
 		return 0, firstLatency
 	}
-	if owner != nil {
-		if owner.free(now, p) > 0 && !p.ownerWaiting(now, owner, t) {
+	ahead := l.ahead(t.rank)
+	if owner := l.owner; owner != nil {
+		if ahead == 0 && owner.free(now, p) > 0 {
 			return 0, owner.typical()
 		}
-		ahead := 1
-		for _, w := range p.queue {
-			if o, _ := p.owner(now, w); o == owner && w.rank <= t.rank {
-				ahead++
-			}
-		}
-		return owner.typical() * time.Duration(ahead) / time.Duration(owner.state.Slots), owner.typical()
+		return owner.typical() * time.Duration(ahead+1) / time.Duration(owner.state.Slots), owner.typical()
 	}
 	slots := 0
 	rate := 0.0
@@ -202,44 +214,35 @@
 		if !u.state.Usable {
 			continue
 		}
-		if u.free(now, p) > 0 && len(p.queue) == 0 {
+		if len(l.tickets) == 0 && u.free(now, p) > 0 {
 			return 0, u.typical()
 		}
 		slots += u.state.Slots
 		rate += float64(u.state.Slots) / u.typical().Seconds()
 	}
-	if slots == 0 || rate == 0 {
+	if slots == 0 {
 		return 0, firstLatency
 	}
-	ahead := 1
-	for _, w := range p.queue {
-		if w.rank <= t.rank {
-			ahead++
-		}
-	}
-	return time.Duration(float64(ahead) / rate * float64(time.Second)), time.Duration(float64(slots) / rate * float64(time.Second))
-}
-
-func (p *Pool) ownerWaiting(now time.Duration, owner *upstream, t *Ticket) bool {
-	for _, w := range p.queue {
-		if o, _ := p.owner(now, w); o == owner && w.rank <= t.rank {
-			return true
-		}
-	}
-	return false
+	return time.Duration(float64(ahead+1) / rate * float64(time.Second)), time.Duration(float64(slots) / rate * float64(time.Second))
 }
 
 // Cancel takes a ticket back, whether it waits or runs.
 func (p *Pool) Cancel(now time.Duration, id uint64) {
-	for i, t := range p.queue {
-		if t.ID == id {
-			p.queue = append(p.queue[:i], p.queue[i+1:]...)
-			return
-		}
+	if t := p.tickets[id]; t != nil {
+		p.leave(t)
+		return
 	}
 	p.End(now, id, Abandoned, 0, nil)
 }
 
+// leave takes a waiting ticket out.
+func (p *Pool) leave(t *Ticket) {
+	if t.lane != nil {
+		t.lane.remove(t)
+	}
+	delete(p.tickets, t.ID)
+}
+
 // End gives the slot of a ticket back. load is the upstream's own report, nil without one.
 func (p *Pool) End(now time.Duration, id uint64, outcome Outcome, took time.Duration, load []uint32) {
 	u := p.running[id]
@@ -248,6 +251,8 @@
 	}
 	delete(p.running, id)
 	delete(u.running, id)
+	p.mark(u.lane)
+	p.mark(p.open)
 	if len(load) > 3 {
 		u.slowness = load[3]
 		u.slownessAt = now
@@ -255,7 +260,6 @@
 	switch outcome {
 	case Answered:
 		u.measure(took)
-		p.median = 0
 		u.fail(false)
 		u.answered(now, p)
 	case Erred:
@@ -288,11 +292,10 @@
 
 // Waiting returns the number of queued tickets.
 func (p *Pool) Waiting() int {
-	return len(p.queue)
+	return len(p.tickets)
 }
 
-func (p *Pool) refuse(now time.Duration, t *Ticket, reason Reason) {
-	wait, work := p.expectedWait(now, t)
+func (p *Pool) refuse(t *Ticket, reason Reason, wait, work time.Duration) {
 	p.refusals = append(p.refusals, Decision{
 		Ticket:     t,
 		Reason:     reason,
@@ -303,15 +306,15 @@
 // minRetryAfter is the shortest time after which asking again makes sense: a few round trips.
 const minRetryAfter = 30 * time.Millisecond
 
-// Capacity returns the requests a second that an upstream answers by what was measured, 0 for one that is unknown.
-func (p *Pool) Capacity(id string) float64 {
+// Capacity returns the requests a second that an upstream answers by what was measured until now, 0 for one that is unknown.
+func (p *Pool) Capacity(now time.Duration, id string) float64 {
 	u := p.upstreams[id]
 	if u == nil {
 		return 0
 	}
 	latency := u.typical()
 	if u.latency == 0 {
-		latency = p.usual()
+		latency = p.usual(now)
 	}
 	return float64(u.state.Slots) / latency.Seconds()
 }
@@ -337,10 +340,14 @@
 	return u != nil && u.alive != 0 && now-u.alive < livelyFor
 }
 
-// usual returns the median of the measured times to an answer. It is worked out anew only after an answer.
-func (p *Pool) usual() time.Duration {
-	if p.median == 0 {
+// medianStep is the shortest time between looks at all upstreams for the median: times to an answer change over many answers.
+const medianStep = 50 * time.Millisecond
+
+// usual returns the median of the measured times to an answer, as of at most medianStep ago.
+func (p *Pool) usual(now time.Duration) time.Duration {
+	if p.median == 0 || now-p.medianAt >= medianStep {
 		p.median = p.medianLatency()
+		p.medianAt = now
 	}
 	return p.median
 }
--- a/core/dispatch/ticket.go
+++ b/core/dispatch/ticket.go
@@ -25,6 +25,8 @@
 	Avoid   string
 	arrived time.Duration
 	rank    time.Duration
+	// lane is where it waits, nil while it does not.
+	lane *lane
 }
 
 // Reason tells why a request was turned away. It has not been sent by this ticket.
--- a/core/dispatch/upstream.go
+++ b/core/dispatch/upstream.go
@@ -17,6 +17,8 @@
 // upstream is what a pool measured of one upstream.
 type upstream struct {
 	state UpstreamState
+	// lane holds the tickets that wait for this upstream alone.
+	lane *lane
 	// running holds when each ticket was sent, and last is when the last one was.
 	running map[uint64]time.Duration
 	last    time.Duration
--- a/internal/gateway/keys.go
+++ b/internal/gateway/keys.go
@@ -96,7 +96,7 @@
 		if u.Service != d.name {
 			continue
 		}
-		capacity := d.pool.Capacity(u.ID)
+		capacity := d.pool.Capacity(now, u.ID)
 		if d.pool.Cold(now, u.ID) && cold > 0 {
 			capacity = min(capacity, cold)
 		}
