Send ahead where slots stand idle between messages, and free a slot when its answer begins

Cause: on links of 10 Mbit/s a ticket's grant takes 10 to 16 ms in the mean and its end 17 to 50 ms (p90 60 to 70 ms), because they wait behind large answers; a large answer itself takes longer than the work. All that time the slot counted as taken. Upstreams reported 1.3 to 1.65 of their 2 slots in use while all were given out. Ruled out: processor time (the same with none charged), the coordinator's queue of events (empty), socket buffers (8 KB on both sides change nothing). Change: an instance tells the coordinator when an answer begins, which frees the slot; while requests wait, an upstream gets more than its slots, by a share that follows its own reports and bounded by its slots again, and none while more than one waits there. A new log line a second tells how each queue stands.

--- a/core/dispatch/decide.go
+++ b/core/dispatch/decide.go
@@ -49,6 +49,13 @@
 			decisions = p.turnAway(now, l, decisions)
 		}
 	}
+	for _, d := range decisions {
+		if d.Upstream == "" {
+			p.refused++
+		} else {
+			p.sent++
+		}
+	}
 	return decisions
 }
 
--- a/core/dispatch/pool.go
+++ b/core/dispatch/pool.go
@@ -42,6 +42,10 @@
 	budget   *budget
 	started  bool
 	refusals []Decision
+	// lead is how many more requests than its slots an upstream gets, as a share of the slots.
+	lead float64
+	// sent and refused count decisions.
+	sent, refused uint64
 	// median is the cached answer of usual, 0 for none, and medianAt is when it was worked out.
 	median, medianAt time.Duration
 }
@@ -206,10 +210,9 @@
 		if ahead == 0 && owner.free(now, p) > 0 {
 			return 0, owner.typical()
 		}
-		return owner.typical() * time.Duration(ahead+1) / time.Duration(owner.state.Slots), owner.typical()
+		return time.Duration(float64(owner.typical()) * float64(ahead+1) / owner.width(p)), owner.typical()
 	}
-	slots := 0
-	rate := 0.0
+	slots, rate := 0.0, 0.0
 	for _, u := range p.order {
 		if !u.state.Usable {
 			continue
@@ -217,13 +220,13 @@
 		if len(l.tickets) == 0 && u.free(now, p) > 0 {
 			return 0, u.typical()
 		}
-		slots += u.state.Slots
-		rate += float64(u.state.Slots) / u.typical().Seconds()
+		slots += u.width(p)
+		rate += u.width(p) / u.typical().Seconds()
 	}
 	if slots == 0 {
 		return 0, firstLatency
 	}
-	return time.Duration(float64(ahead+1) / rate * float64(time.Second)), time.Duration(float64(slots) / rate * float64(time.Second))
+	return time.Duration(float64(ahead+1) / rate * float64(time.Second)), time.Duration(slots / rate * float64(time.Second))
 }
 
 // Cancel takes a ticket back, whether it waits or runs.
@@ -243,23 +246,40 @@
 	delete(p.tickets, t.ID)
 }
 
-// End gives the slot of a ticket back. load is the upstream's own report, nil without one.
-func (p *Pool) End(now time.Duration, id uint64, outcome Outcome, took time.Duration, load []uint32) {
+// Head gives the slot of a ticket back whose answer has begun: the upstream's work is done. End is still to come.
+func (p *Pool) Head(now time.Duration, id uint64, took time.Duration, load []uint32) {
 	u := p.running[id]
-	if u == nil {
+	if u == nil || !p.vacate(now, u, id, load) {
 		return
 	}
-	delete(p.running, id)
+	u.measure(took)
+}
+
+// vacate frees the slot of a ticket, and reports false where that was done before.
+func (p *Pool) vacate(now time.Duration, u *upstream, id uint64, load []uint32) bool {
+	if _, held := u.running[id]; !held {
+		return false
+	}
+	p.report(now, u, load)
 	delete(u.running, id)
 	p.mark(u.lane)
 	p.mark(p.open)
-	if len(load) > 3 {
-		u.slowness = load[3]
-		u.slownessAt = now
+	return true
+}
+
+// End tells how a ticket ended, and gives its slot back where Head has not. load is the upstream's own report, nil without one.
+func (p *Pool) End(now time.Duration, id uint64, outcome Outcome, took time.Duration, load []uint32) {
+	u := p.running[id]
+	if u == nil {
+		return
 	}
+	held := p.vacate(now, u, id, load)
+	delete(p.running, id)
 	switch outcome {
 	case Answered:
-		u.measure(took)
+		if held {
+			u.measure(took)
+		}
 		u.fail(false)
 		u.answered(now, p)
 	case Erred:
@@ -303,6 +323,46 @@
 	})
 }
 
+// Figures tell how a pool stands.
+type Figures struct {
+	// Waiting and Running are numbers of requests, Usable, Cold, Blocked and Full of upstreams; a full one has all its slots in use.
+	Waiting, Running, Usable, Cold, Blocked, Full int
+	// Usual is the median time to an answer.
+	Usual time.Duration
+	// Lead is how many more requests than its slots an upstream gets, as a share of the slots.
+	Lead float64
+	// Sent and Refused count decisions since the pool was made.
+	Sent, Refused uint64
+}
+
+// Figures returns how the pool stands at now.
+func (p *Pool) Figures(now time.Duration) Figures {
+	f := Figures{
+		Waiting: len(p.tickets),
+		Running: len(p.running),
+		Usual:   p.usual(now),
+		Lead:    p.lead,
+		Sent:    p.sent,
+		Refused: p.refused,
+	}
+	for _, u := range p.order {
+		if !u.state.Usable {
+			continue
+		}
+		f.Usable++
+		if u.cold(now) {
+			f.Cold++
+		}
+		if now < u.blockedUntil {
+			f.Blocked++
+		}
+		if len(u.running) >= u.state.Slots {
+			f.Full++
+		}
+	}
+	return f
+}
+
 // minRetryAfter is the shortest time after which asking again makes sense: a few round trips.
 const minRetryAfter = 30 * time.Millisecond
 
@@ -316,7 +376,7 @@
 	if u.latency == 0 {
 		latency = p.usual(now)
 	}
-	return float64(u.state.Slots) / latency.Seconds()
+	return u.width(p) / latency.Seconds()
 }
 
 // Cold reports whether an upstream bears only its cold rate.
--- a/core/dispatch/upstream.go
+++ b/core/dispatch/upstream.go
@@ -39,6 +39,9 @@
 	// slowness is its own last report, in percent of usual, and slownessAt when that came.
 	slowness   uint32
 	slownessAt time.Duration
+	// queued is how many requests waited there by its own last report, and reportedAt when that came, 0 for none.
+	queued     uint32
+	reportedAt time.Duration
 }
 
 const (
@@ -105,10 +108,65 @@
 	if u.suspect {
 		slots = 1
 	}
-	if u.cold(now) && !u.coldRoom(now, p) {
+	if u.cold(now) {
+		if !u.coldRoom(now, p) {
+			return 0
+		}
+		return slots - len(u.running)
+	}
+	return slots + u.ahead(now, p) - len(u.running)
+}
+
+const (
+	// fullBusy is the share of its slots that an upstream is to work in while all of them are given out: the rest is what the lengths of
+	// requests vary by.
+	fullBusy = 0.94
+	// leadGain is what one report of each upstream changes the lead by, for a share of 1 that is missing or too much: a second of answers
+	// about doubles or halves what is sent ahead.
+	leadGain = 1.0
+	// leadMost bounds the lead, as a multiple of the slots: upstreams queue a few more than they work on.
+	leadMost = 1.0
+	// queueLasts is how long a report of a short queue is believed, and shortQueue how many may wait by it: the slot of the request that was
+	// answered takes one of them.
+	queueLasts = 500 * time.Millisecond
+	shortQueue = 1
+)
+
+// ahead returns how many requests more than its slots an upstream gets. Where messages take long beside the work, a slot that was given out
+// stands idle at the upstream until the next request arrives: one sent ahead waits there instead, unless others already do.
+func (u *upstream) ahead(now time.Duration, p *Pool) int {
+	if p.config.Share < 1 || u.suspect || u.queued > shortQueue || u.reportedAt == 0 || now-u.reportedAt > queueLasts {
 		return 0
 	}
-	return slots - len(u.running)
+	return int(p.lead * float64(u.state.Slots))
+}
+
+// width returns how many requests an upstream is usually given at once.
+func (u *upstream) width(p *Pool) float64 {
+	return float64(u.state.Slots) * (1 + p.lead)
+}
+
+// report notes an upstream's own report: running, waiting, slots, slowness in percent.
+func (p *Pool) report(now time.Duration, u *upstream, load []uint32) {
+	if len(load) < 3 {
+		return
+	}
+	u.queued = load[1]
+	u.reportedAt = now
+	if len(load) > 3 {
+		u.slowness = load[3]
+		u.slownessAt = now
+	}
+	slots := u.state.Slots
+	if slots == 0 || len(u.running) < slots {
+		return
+	}
+	// Where nobody waits, a slot may stand idle for want of requests.
+	missing := fullBusy - 1
+	if len(u.lane.tickets) > 0 || len(p.open.tickets) > 0 {
+		missing = fullBusy - min(1, float64(load[0])/float64(slots))
+	}
+	p.lead = min(max(p.lead+leadGain*missing/float64(len(p.order)), 0), leadMost)
 }
 
 // coldRoom reports whether one more request keeps to the cold rate.
@@ -158,6 +216,9 @@
 		estimate = max(estimate, float64(now-since))
 	}
 	estimate *= 1 + runningCost*float64(len(u.running))
+	if more := len(u.running) - u.state.Slots + 1; more > 0 {
+		estimate += float64(u.typical()) * float64(more) / float64(u.state.Slots)
+	}
 	return time.Duration(estimate * (1 + failureCost*u.errors))
 }
 
--- a/internal/gateway/coordinator.go
+++ b/internal/gateway/coordinator.go
@@ -49,6 +49,8 @@
 	stop   context.CancelFunc
 	ctx    context.Context
 	probed time.Duration
+	// figured is when the queues' figures were logged last.
+	figured time.Duration
 }
 
 // serviceDuty is what the coordinator keeps of one service.
@@ -85,6 +87,8 @@
 	assignmentWrite = 1500 * time.Millisecond
 	// ownersStep is the shortest time between words about owners to all instances.
 	ownersStep = 200 * time.Millisecond
+	// figuresStep is the time between log lines on how the queues stand.
+	figuresStep = time.Second
 	// probeStep is the time between probes of upstreams that could not be reached.
 	probeStep = time.Second
 )
@@ -212,6 +216,32 @@
 		c.reclaim(now, d)
 	}
 	c.probe(now, v)
+	c.logFigures(now)
+}
+
+// logFigures tells once a second how each service's queue stands.
+func (c *coordinator) logFigures(now time.Duration) {
+	if now-c.figured < figuresStep {
+		return
+	}
+	c.figured = now
+	for _, d := range c.services {
+		f := d.pool.Figures(now)
+		c.log.WithFields(logrus.Fields{
+			"service": d.name,
+			"waiting": f.Waiting,
+			"running": f.Running,
+			"usable":  f.Usable,
+			"full":    f.Full,
+			"cold":    f.Cold,
+			"blocked": f.Blocked,
+			"usual":   f.Usual,
+			"lead":    f.Lead,
+			"sent":    f.Sent,
+			"refused": f.Refused,
+			"events":  len(c.events),
+		}).Info("queue stands")
+	}
 }
 
 func (c *coordinator) duty(name string, keyed bool) *serviceDuty {
--- a/internal/gateway/entry.go
+++ b/internal/gateway/entry.go
@@ -244,6 +244,9 @@
 
 // takeAnswer passes an answer on, or leaves it for another attempt.
 func (e *entry) takeAnswer(ctx context.Context, w http.ResponseWriter, c *call, p place, response *upstream.Response, sent time.Time, load []uint32, attempt int) bool {
+	if !response.Arrived {
+		e.office.head(p, c.service, time.Since(sent), load)
+	}
 	first, whole, err := readHeld(response)
 	took := time.Since(sent)
 	signed := response.Header.Get(e.config.Headers.Signature) != ""
--- a/internal/gateway/queue.go
+++ b/internal/gateway/queue.go
@@ -53,6 +53,8 @@
 		c.lead.Acknowledged(l.name, time.Duration(body.BeatReply.GetSequence()), body.BeatReply.GetStoreReached())
 	case *schema.Frame_Request:
 		c.takeRequest(now, l, body.Request)
+	case *schema.Frame_Head:
+		c.takeHead(now, l, body.Head)
 	case *schema.Frame_End:
 		c.takeEnd(now, l, body.End)
 	case *schema.Frame_Cancel:
@@ -90,6 +92,15 @@
 	c.decide(now, d)
 }
 
+func (c *coordinator) takeHead(now time.Duration, l *link, head *schema.TicketHead) {
+	d := l.services[head.GetId()]
+	if d == nil {
+		return
+	}
+	d.pool.Head(now, l.global(head.GetId()), time.Duration(head.GetTookUs())*time.Microsecond, head.GetLoad())
+	c.decide(now, d)
+}
+
 func (c *coordinator) takeEnd(now time.Duration, l *link, end *schema.TicketEnd) {
 	d := l.services[end.GetId()]
 	if d == nil {
--- a/internal/gateway/tickets.go
+++ b/internal/gateway/tickets.go
@@ -253,7 +253,33 @@
 	return waiting
 }
 
-// end gives a ticket back.
+// head gives the slot of a ticket back whose answer has begun.
+func (o *office) head(p place, service string, took time.Duration, load []uint32) {
+	o.mutex.Lock()
+	defer o.mutex.Unlock()
+	if p.local {
+		if pool := o.reserve[service]; pool != nil {
+			now := o.clock.Now()
+			pool.Head(now, p.id, took, load)
+			o.decide(now, service, pool)
+		}
+		return
+	}
+	if o.carrier == nil {
+		return
+	}
+	o.carrier.Send(&schema.Frame{
+		Body: &schema.Frame_Head{
+			Head: &schema.TicketHead{
+				Id:     p.id,
+				TookUs: uint64(took.Microseconds()),
+				Load:   load,
+			},
+		},
+	})
+}
+
+// end tells how a ticket ended.
 func (o *office) end(p place, service string, outcome schema.TicketOutcome, took time.Duration, load []uint32) {
 	o.mutex.Lock()
 	defer o.mutex.Unlock()
--- a/io/upstream/exchange.go
+++ b/io/upstream/exchange.go
@@ -57,6 +57,8 @@
 	Header http.Header
 	// Length is that of the body, -1 where it is not known.
 	Length int64
+	// Arrived is true where the whole body came with the head.
+	Arrived bool
 	// NotRun is true where the upstream says that it did not run the request.
 	NotRun bool
 	Body   io.ReadCloser
@@ -223,11 +225,12 @@
 	header := response.Header
 	RemoveHopHeaders(header)
 	return &Response{
-		Status: response.StatusCode,
-		Header: header,
-		Length: response.ContentLength,
-		NotRun: e.notRun(response),
-		Body:   body,
+		Status:  response.StatusCode,
+		Header:  header,
+		Length:  response.ContentLength,
+		Arrived: response.ContentLength >= 0 && int64(c.reader.Buffered()) >= response.ContentLength,
+		NotRun:  e.notRun(response),
+		Body:    body,
 	}
 }
 
