Record assignments compactly and in several rows, and join ranges that few ask for

The word about owners, 100 KB to each of 59 instances five times a second, was more than the coordinator's link; applying a plan copied all ranges for each move. Change: the record names each holder once and takes about eight bytes a range, in as many rows as it needs, the first of which is guarded; a damaged record is told with its remedy. Owners are told in the same form, once a second. Ranges with few requests go to the holder beside them and are joined, before evening out; no more than six ranges for each holder are cut; ranges of leaving holders are divided only while there are few. Finding the ranges of a call is a search. Test that failed first: TestRangesStayFewWhileHeatMoves (951 ranges for 60 holders, 953 after a calm time).

--- a/core/keyspace/balance.go
+++ b/core/keyspace/balance.go
@@ -40,7 +40,7 @@
 // spread deals the hottest neighbouring keys of overloaded holders to all that have room, themselves included.
 func (k *Keeper) spread(m memory, limit float64) []move {
 	seats := k.seats(m)
-	if len(seats) < 2 {
+	if len(seats) < 2 || len(k.spans) > spansPerHolder*len(seats) {
 		return nil
 	}
 	limit = max(limit, unevenUse*meanUse(seats))
@@ -82,7 +82,7 @@
 	part := *hot
 	part.from, part.to = from, to
 	var moves []move
-	for _, piece := range k.dealBy(&part, seats, m) {
+	for _, piece := range k.dealBy(&part, seats, m, dealPieces) {
 		if piece.upstream != donor.upstream.ID {
 			moves = append(moves, piece)
 		}
@@ -331,6 +331,49 @@
 	return moves
 }
 
+// tidyShare is the part of its taker's capacity up to which a range is moved only to be joined with the one beside it.
+const tidyShare = 0.05
+
+// tidyPart is the part of the holders, as a divisor, that bounds the moves of one plan that joins ranges: they concern few requests.
+const tidyPart = 2
+
+// tidy gives calm ranges with hardly any requests to the holder of the range before them, so that both become one.
+func (k *Keeper) tidy(now time.Duration) []move {
+	seats := k.seats(long)
+	if len(k.spans) <= finePerHolder*len(seats) || now-k.tidied < mergeStep {
+		return nil
+	}
+	k.tidied = now
+	byID := map[string]*seat{}
+	for _, s := range seats {
+		byID[s.upstream.ID] = s
+	}
+	var moves []move
+	// before is the holder of the range before, after the moves so far.
+	before := k.spans[0].holder.id
+	for i := 1; i < len(k.spans) && len(moves) < len(seats)/tidyPart; i++ {
+		a, b := k.spans[i-1], k.spans[i]
+		taker := byID[before]
+		before = b.holder.id
+		if taker == nil || taker.upstream.ID == b.holder.id || !k.calm(now, a) || !k.calm(now, b) {
+			continue
+		}
+		rate := k.heat.rate(b.from, b.to, long)
+		if capacity := taker.upstream.Capacity; rate > tidyShare*capacity || taker.rate+rate > neighbourUse*capacity {
+			continue
+		}
+		taker.rate += rate
+		before = taker.upstream.ID
+		moves = append(moves, move{
+			from:     b.from,
+			to:       b.to,
+			upstream: taker.upstream.ID,
+			born:     taker.upstream.Born,
+		})
+	}
+	return moves
+}
+
 // calm reports whether a range has not moved of late and nothing is on its way.
 func (k *Keeper) calm(now time.Duration, s *span) bool {
 	return len(s.priors) == 0 && !s.calling && now-s.moved > mergeStep && now < s.sure
--- a/core/keyspace/balance_test.go
+++ b/core/keyspace/balance_test.go
@@ -202,11 +202,35 @@
 	b.run(3*time.Second, nil)
 	widest := 0
 	keys := map[string]int{}
-	for _, r := range b.keeper.Ranges() {
-		keys[r.GetHolder().GetUpstream()] += int(r.GetTo()-r.GetFrom()) + 1
-		widest = max(widest, keys[r.GetHolder().GetUpstream()])
+	m := b.keeper.Map()
+	for i, width := range m.GetWidths() {
+		id := m.GetHolders()[m.GetOwners()[i]].GetUpstream()
+		keys[id] += int(width)
+		widest = max(widest, keys[id])
 	}
 	c.Check(keys, qt.HasLen, 90)
 	// Halves of 1/30 each are left, where the widest are halved first.
 	c.Check(widest <= 1<<16/60+1, qt.IsTrue, qt.Commentf("%d keys are with one upstream", widest))
 }
+
+// TestRangesStayFewWhileHeatMoves lets the hot keys wander for a while: each time ranges were divided anew, until there were so many that the
+// store refused the assignment as too long, and no key moved any more.
+func TestRangesStayFewWhileHeatMoves(t *testing.T) {
+	c := qt.New(t)
+	capacities := manyUpstreams(60)
+	b := newBalanced(c, capacities...)
+	for round := range uint32(12) {
+		rates := slopedLoad(500)
+		for key := range uint32(120) {
+			rates[round*5000+key] += 3
+		}
+		b.run(2500*time.Millisecond, rates)
+	}
+	ranges := len(b.keeper.Map().GetWidths())
+	// Six for each holder, and what one plan adds to that.
+	c.Check(ranges <= 7*len(capacities), qt.IsTrue, qt.Commentf("%d ranges", ranges))
+	// Once the heat stands still, ranges are joined again.
+	b.run(30*time.Second, slopedLoad(300))
+	ranges = len(b.keeper.Map().GetWidths())
+	c.Check(ranges <= 3*len(capacities), qt.IsTrue, qt.Commentf("%d ranges after a calm time", ranges))
+}
--- a/core/keyspace/calls.go
+++ b/core/keyspace/calls.go
@@ -1,6 +1,7 @@
 package keyspace
 
 import (
+	"sort"
 	"time"
 
 	"cuminlift"
@@ -113,13 +114,14 @@
 	})
 }
 
-func (k *Keeper) byID(id uint64) *span {
-	for _, s := range k.spans {
-		if s.id == id {
-			return s
-		}
+// within returns the spans that share keys with a range.
+func (k *Keeper) within(from, to uint32) []*span {
+	first := sort.Search(len(k.spans), func(i int) bool { return k.spans[i].to >= from })
+	last := first
+	for last < len(k.spans) && k.spans[last].from <= to {
+		last++
 	}
-	return nil
+	return k.spans[first:last]
 }
 
 // GrantResult is how a grant ended.
@@ -146,10 +148,7 @@
 // Granted reports the result of call, sent at sent, at now. A call for a span that was split meanwhile counts for all
 // its parts.
 func (k *Keeper) Granted(now, sent time.Duration, call GrantCall, result GrantResult) {
-	for _, s := range k.spans {
-		if s.to < call.Grant.From || s.from > call.Grant.To {
-			continue
-		}
+	for _, s := range k.within(call.Grant.From, call.Grant.To) {
 		if s.holder.id == call.Upstream && s.holder.fence == call.Grant.Fence {
 			k.granted(now, sent, s, result)
 			continue
@@ -206,10 +205,7 @@
 
 // Released reports the end of a release at now; answered is false where it is unknown whether it was carried out.
 func (k *Keeper) Released(now time.Duration, call ReleaseCall, handover string, answered bool) {
-	for _, s := range k.spans {
-		if s.to < call.Grant.From || s.from > call.Grant.To {
-			continue
-		}
+	for _, s := range k.within(call.Grant.From, call.Grant.To) {
 		for _, p := range s.priors {
 			if p.holder.id != call.Upstream || p.holder.fence != call.Grant.Fence {
 				continue
--- a/core/keyspace/keyspace.go
+++ b/core/keyspace/keyspace.go
@@ -62,8 +62,8 @@
 	proposal *proposal
 	// planned is when a plan was last made.
 	planned time.Duration
-	// merged is when ranges were last joined.
-	merged time.Duration
+	// merged is when ranges were last joined, and tidied when some were last moved to be joined.
+	merged, tidied time.Duration
 	// raise holds spans whose fence an upstream refused.
 	raise map[uint64]bool
 	// first is when upstreams were first seen without an assignment, gathered their number since joined.
@@ -71,8 +71,8 @@
 	gathered      int
 }
 
-// NewKeeper returns a Keeper for the term of a coordinator, at now. recorded is the assignment in the store, nil for none;
-// whoever stands in it may hold its keys from a grant that the former coordinator sent last.
+// NewKeeper returns a Keeper for the term of a coordinator, at now. recorded is the assignment in the store, which passed Check, nil for
+// none; whoever stands in it may hold its keys from a grant that the former coordinator sent last.
 func NewKeeper(config Config, now time.Duration, term uint64, recorded *schema.Assignment) *Keeper {
 	k := &Keeper{
 		config:    config,
@@ -83,33 +83,14 @@
 		heat:      newHeat(config.Keys),
 		raise:     map[uint64]bool{},
 	}
-	may := now + config.CallLimit + k.longest()
-	for _, r := range recorded.GetRanges() {
-		s := k.newSpan(r.GetFrom(), r.GetTo(), k.claimOf(r.GetHolder(), may))
-		for _, p := range r.GetPriors() {
-			s.priors = append(s.priors, &prior{
-				claim: k.claimOf(p, may),
-			})
-		}
-		k.spans = append(k.spans, s)
+	k.restore(recorded, now+config.CallLimit+k.longest())
+	for _, s := range k.spans {
 		// Its holder may have started anew since the last grant: it is granted again only with a higher fence.
 		k.raise[s.id] = true
 	}
 	return k
 }
 
-func (k *Keeper) claimOf(h *schema.KeyHolder, may time.Duration) claim {
-	return claim{
-		holder: holder{
-			id:    h.GetUpstream(),
-			born:  h.GetBorn(),
-			fence: h.GetFence(),
-		},
-		held:       may,
-		unanswered: may,
-	}
-}
-
 func (k *Keeper) newSpan(from, to uint32, c claim) *span {
 	k.nextSpan++
 	return &span{
@@ -204,8 +185,3 @@
 	}
 	return s.holder.id, true
 }
-
-// Ranges returns the assignment as messages, for others to know who holds what.
-func (k *Keeper) Ranges() []*schema.KeyRange {
-	return ranges(k.spans)
-}
--- a/core/keyspace/plan.go
+++ b/core/keyspace/plan.go
@@ -25,8 +25,12 @@
 	// of a second, and the next plan sees what it did.
 	leastMoves = 6
 	movesShare = 0.2
-	// spansPerHolder bounds how finely keys are divided: each range costs a renewal.
-	spansPerHolder = 10
+	// spansPerHolder bounds how finely keys are divided to even out load: each range costs a renewal. finePerHolder is where ranges of holders
+	// that leave are divided no further, and go to a neighbour's holder where that has room.
+	spansPerHolder = 6
+	finePerHolder  = 3
+	// neighbourUse is the use up to which a holder takes a range beside its own.
+	neighbourUse = 0.6
 	// joinShare is the part of its capacity that an upstream without keys is given at first.
 	joinShare = 0.5
 )
@@ -60,21 +64,19 @@
 	if len(seats) == 0 {
 		return nil
 	}
-	var moves []move
-	moves = append(moves, k.leave(now, seats)...)
-	if len(moves) == 0 {
-		moves = append(moves, k.join(seats)...)
-	}
-	if len(moves) == 0 {
-		moves = append(moves, k.even(now)...)
-	}
-	if len(moves) == 0 {
-		moves = append(moves, k.merge(now)...)
-	}
-	if len(moves) == 0 {
-		return nil
+	// Joining ranges comes before evening out, which may find something to move each time: what is joined had no move of late.
+	for _, step := range []func() []move{
+		func() []move { return k.leave(now, seats) },
+		func() []move { return k.join(seats) },
+		func() []move { return k.merge(now) },
+		func() []move { return k.tidy(now) },
+		func() []move { return k.even(now) },
+	} {
+		if moves := step(); len(moves) > 0 {
+			return k.propose(now, moves)
+		}
 	}
-	return k.propose(now, moves)
+	return nil
 }
 
 func (k *Keeper) planFirst(now time.Duration) *proposal {
@@ -145,7 +147,12 @@
 // leave moves all keys of holders that are gone, leave, or can't be reached.
 func (k *Keeper) leave(now time.Duration, seats []*seat) []move {
 	var moves []move
-	for _, s := range k.spans {
+	fine := len(k.spans) > finePerHolder*len(seats)
+	byID := map[string]*seat{}
+	for _, seat := range seats {
+		byID[seat.upstream.ID] = seat
+	}
+	for i, s := range k.spans {
 		u, known := k.upstreams[s.holder.id]
 		lost := s.gone || (s.failures > 1 && now-s.failingSince > lostAfter && !u.Lively)
 		sound := known && u.Usable && u.Born == s.holder.born && !lost && !k.raise[s.id]
@@ -165,12 +172,45 @@
 		if lost && k.onlyChoice(seats, s.holder.id) {
 			continue
 		}
-		moves = append(moves, k.deal(s, without(seats, s.holder.id))...)
+		others := without(seats, s.holder.id)
+		if !fine {
+			moves = append(moves, k.deal(s, others, dealPieces)...)
+			continue
+		}
+		if m, ok := k.joinNeighbour(i, byID); ok {
+			moves = append(moves, m)
+			continue
+		}
+		moves = append(moves, k.deal(s, others, 1)...)
 	}
 	sortMoves(moves)
 	return moves
 }
 
+// joinNeighbour gives the range at a place to the holder of the one beside it, where that has room.
+func (k *Keeper) joinNeighbour(place int, seats map[string]*seat) (move, bool) {
+	s := k.spans[place]
+	rate := k.heat.rate(s.from, s.to, short)
+	for _, beside := range []int{place - 1, place + 1} {
+		if beside < 0 || beside >= len(k.spans) {
+			continue
+		}
+		id := k.spans[beside].holder.id
+		seat := seats[id]
+		if seat == nil || id == s.holder.id || seat.rate+rate > neighbourUse*seat.upstream.Capacity {
+			continue
+		}
+		seat.rate += rate
+		return move{
+			from:     s.from,
+			to:       s.to,
+			upstream: id,
+			born:     seat.upstream.Born,
+		}, true
+	}
+	return move{}, false
+}
+
 func (k *Keeper) onlyChoice(seats []*seat, id string) bool {
 	return len(without(seats, id)) == 0
 }
@@ -191,12 +231,12 @@
 	calmShare  = 0.35
 )
 
-// deal divides a span among the seats with most room, each by its room, by heat where there is any and by width otherwise.
-func (k *Keeper) deal(s *span, seats []*seat) []move {
-	return k.dealBy(s, seats, short)
+// deal divides a span into at most so many pieces among the seats with most room, each by its room, by heat where there is any and by width otherwise.
+func (k *Keeper) deal(s *span, seats []*seat, most int) []move {
+	return k.dealBy(s, seats, short, most)
 }
 
-func (k *Keeper) dealBy(s *span, seats []*seat, m memory) []move {
+func (k *Keeper) dealBy(s *span, seats []*seat, m memory, most int) []move {
 	if len(seats) == 0 {
 		return nil
 	}
@@ -205,7 +245,7 @@
 	width := float64(s.to-s.from) + 1
 	pieces := 1
 	usual := float64(k.config.Keys) / float64(len(seats)+1)
-	for pieces < min(dealPieces, len(seats), int(width)) && (width/float64(pieces) > usual/2 || rate/float64(pieces) > seats[0].upstream.Capacity*calmShare) {
+	for pieces < min(most, len(seats), int(width)) && (width/float64(pieces) > usual/2 || rate/float64(pieces) > seats[0].upstream.Capacity*calmShare) {
 		pieces++
 	}
 	total := 0.0
--- a/core/keyspace/proposal.go
+++ b/core/keyspace/proposal.go
@@ -1,12 +1,9 @@
 package keyspace
 
 import (
+	"slices"
 	"sort"
 	"time"
-
-	"google.golang.org/protobuf/proto"
-
-	"cuminlift/schema"
 )
 
 // move gives a range to an upstream, which may be its present holder with a higher fence.
@@ -33,19 +30,18 @@
 	return p
 }
 
-// apply returns the spans after moves. The present ones stay unchanged.
+// apply returns the spans after moves. The present ones stay unchanged: those that no move touches are shared.
 func (k *Keeper) apply(now time.Duration, moves []move) ([]*span, uint64) {
 	fence := k.nextFence
-	spans := make([]*span, 0, len(k.spans)+2*len(moves))
-	for _, s := range k.spans {
-		spans = append(spans, k.copySpan(s, s.from, s.to, s.id))
-	}
+	spans := slices.Clone(k.spans)
 	for _, m := range moves {
-		var next []*span
-		for _, s := range spans {
-			next = append(next, k.moveWithin(now, s, m, fence)...)
+		first := sort.Search(len(spans), func(i int) bool { return spans[i].to >= m.from })
+		last := first
+		var parts []*span
+		for ; last < len(spans) && spans[last].from <= m.to; last++ {
+			parts = append(parts, k.moveWithin(now, spans[last], m, fence)...)
 		}
-		spans = next
+		spans = slices.Replace(spans, first, last, parts...)
 		fence++
 	}
 	return k.mergeNew(spans), fence
@@ -64,11 +60,8 @@
 	return &c
 }
 
-// moveWithin returns the parts of s after m.
+// moveWithin returns the parts of s after m, which overlaps it.
 func (k *Keeper) moveWithin(now time.Duration, s *span, m move, fence uint64) []*span {
-	if m.to < s.from || m.from > s.to {
-		return []*span{s}
-	}
 	var parts []*span
 	from, to := max(m.from, s.from), min(m.to, s.to)
 	if s.from < from {
@@ -147,54 +140,25 @@
 
 // mergeNew joins neighbours that were given to one holder under one fence.
 func (k *Keeper) mergeNew(spans []*span) []*span {
-	var merged []*span
+	merged := make([]*span, 0, len(spans))
 	for _, s := range spans {
-		if len(merged) > 0 {
+		if len(merged) > 0 && mayJoin(merged[len(merged)-1], s) {
 			last := merged[len(merged)-1]
-			same := last.holder == s.holder && len(last.priors) == 0 && len(s.priors) == 0 && last.handover == s.handover
-			if same && last.calling == s.calling && last.sent == s.sent {
-				last.to = s.to
-				last.sure = min(last.sure, s.sure)
-				last.held = max(last.held, s.held)
-				last.unanswered = max(last.unanswered, s.unanswered)
-				continue
-			}
+			joined := k.copySpan(last, last.from, s.to, last.id)
+			joined.sure = min(last.sure, s.sure)
+			joined.held = max(last.held, s.held)
+			joined.unanswered = max(last.unanswered, s.unanswered)
+			merged[len(merged)-1] = joined
+			continue
 		}
 		merged = append(merged, s)
 	}
 	return merged
 }
 
-func (k *Keeper) document(p *proposal) *schema.Assignment {
-	return &schema.Assignment{
-		Term:      k.term,
-		NextFence: p.nextFence,
-		Ranges:    ranges(p.spans),
-	}
-}
-
-func ranges(spans []*span) []*schema.KeyRange {
-	list := make([]*schema.KeyRange, 0, len(spans))
-	for _, s := range spans {
-		r := &schema.KeyRange{
-			From:   s.from,
-			To:     s.to,
-			Holder: s.holder.message(),
-		}
-		for _, p := range s.priors {
-			r.Priors = append(r.Priors, p.holder.message())
-		}
-		list = append(list, r)
-	}
-	return list
-}
-
-func (h holder) message() *schema.KeyHolder {
-	return &schema.KeyHolder{
-		Upstream: h.id,
-		Born:     h.born,
-		Fence:    h.fence,
-	}
+func mayJoin(a, b *span) bool {
+	same := a.holder == b.holder && len(a.priors) == 0 && len(b.priors) == 0 && a.handover == b.handover
+	return same && a.calling == b.calling && a.sent == b.sent
 }
 
 // Recorded reports that the assignment of the last Record stands in the store. The moves are applied to what is known now, which may
@@ -212,11 +176,13 @@
 	}
 	k.spans, k.nextFence = k.apply(now, p.moves)
 	// Ranges that were moved have other numbers now.
-	for id := range k.raise {
-		if k.byID(id) == nil {
-			delete(k.raise, id)
+	kept := map[uint64]bool{}
+	for _, s := range k.spans {
+		if k.raise[s.id] {
+			kept[s.id] = true
 		}
 	}
+	k.raise = kept
 }
 
 // NotRecorded reports that the assignment of the last Record is surely not in the store, and never will be.
@@ -224,9 +190,9 @@
 	k.proposal = nil
 }
 
-// Proposed reports whether recorded is the assignment of the last Record.
-func (k *Keeper) Proposed(recorded *schema.Assignment) bool {
-	return k.proposal != nil && proto.Equal(k.document(k.proposal), recorded)
+// Proposed reports whether the assignment of a term with a next fence is that of the last Record.
+func (k *Keeper) Proposed(term, nextFence uint64) bool {
+	return k.proposal != nil && term == k.term && nextFence == k.proposal.nextFence
 }
 
 // sortMoves orders moves by their first key, so that equal states give equal plans.
--- a/internal/gateway/coordinator.go
+++ b/internal/gateway/coordinator.go
@@ -58,10 +58,12 @@
 	name   string
 	pool   *dispatch.Pool
 	keeper *keyspace.Keeper
-	// loading is true while the assignment is read, and version is that of its row.
-	loading    bool
-	keyed      bool
-	version    uint64
+	// loading is true while the assignment is read, and version is that of its first row.
+	loading bool
+	keyed   bool
+	version uint64
+	// rows is the number of rows of the assignment in the store.
+	rows       int
 	ownersSent time.Duration
 	ownersTold []byte
 	tickets    map[uint64]ticketPlace
@@ -85,8 +87,9 @@
 	// leaseWrite and assignmentWrite bound the writes to the store: under the lasting of the authority.
 	leaseWrite      = 700 * time.Millisecond
 	assignmentWrite = 1500 * time.Millisecond
-	// ownersStep is the shortest time between words about owners to all instances.
-	ownersStep = 200 * time.Millisecond
+	// ownersStep is the shortest time between words about owners to all instances, which are of use only when the coordinator is lost: what is
+	// older by then is refused by the upstream. A word is some kilobytes, and the slowest links carry a megabyte a second.
+	ownersStep = time.Second
 	// figuresStep is the time between log lines on how the queues stand.
 	figuresStep = time.Second
 	// probeStep is the time between probes of upstreams that could not be reached.
--- a/internal/gateway/follow.go
+++ b/internal/gateway/follow.go
@@ -177,7 +177,9 @@
 		o.owners[owners.GetService()] = list
 		delete(o.reserve, owners.GetService())
 	}
-	list.ranges = owners.GetRanges()
+	if !list.set(owners.GetMap()) {
+		o.log.WithField("service", owners.GetService()).Error("owners of keys make no sense: check that all instances run the same version")
+	}
 }
 
 func (o *office) takeRows(c carrier, rows *schema.TableRows) {
--- a/internal/gateway/keys.go
+++ b/internal/gateway/keys.go
@@ -17,51 +17,6 @@
 	"cuminlift/schema"
 )
 
-// load reads a service's assignment and makes its keeper.
-func (c *coordinator) load(d *serviceDuty) {
-	if d.loading || d.keeper != nil {
-		return
-	}
-	d.loading = true
-	go func() {
-		ctx, cancel := context.WithTimeout(c.ctx, storeRead)
-		defer cancel()
-		page, err := c.config.Store.Rows(ctx, assignmentTable, d.name)
-		c.post(func(now time.Duration) { c.takeAssignment(now, d, page, err) })
-	}()
-}
-
-func (c *coordinator) takeAssignment(now time.Duration, d *serviceDuty, page cuminlift.RowPage, err error) {
-	d.loading = false
-	if err != nil {
-		c.log.WithField("service", d.name).WithError(err).Warn("assignment can't be read")
-		return
-	}
-	var recorded *schema.Assignment
-	for _, row := range page.Rows {
-		if row.Key != leaseKey {
-			continue
-		}
-		recorded = &schema.Assignment{}
-		if err := proto.Unmarshal(row.Value, recorded); err != nil {
-			c.log.WithField("service", d.name).WithError(err).Error("assignment is unreadable: remove the row to start the service's keys anew")
-			return
-		}
-		d.version = row.Version
-	}
-	d.keeper = keyspace.NewKeeper(keyspace.Config{
-		Keys:      c.config.KeySpace,
-		Hold:      min(keyspace.DefaultHold, c.config.Settings.HoldLimit),
-		Renew:     keyspace.DefaultRenew,
-		CallLimit: keyspace.DefaultCallLimit,
-	}, now, c.term, recorded)
-	c.log.WithFields(logrus.Fields{
-		"service":     d.name,
-		"row-version": d.version,
-		"ranges":      len(recorded.GetRanges()),
-	}).Info("assignment is read")
-}
-
 // stepKeys lets the keeper of a service act.
 func (c *coordinator) stepKeys(now time.Duration, d *serviceDuty, v *view) {
 	if !d.keyed {
@@ -113,82 +68,6 @@
 	return holders
 }
 
-// record writes an assignment over the one that this coordinator knows. Whichever of two coordinators writes second finds another
-// version, and resigns.
-func (c *coordinator) record(d *serviceDuty, assignment *schema.Assignment) {
-	value, err := proto.Marshal(assignment)
-	if err != nil {
-		c.log.WithError(err).Error("assignment can't be written")
-		d.keeper.NotRecorded()
-		return
-	}
-	version := d.version
-	c.log.WithFields(logrus.Fields{
-		"service":     d.name,
-		"row-version": version,
-		"ranges":      len(assignment.GetRanges()),
-		"next-fence":  assignment.GetNextFence(),
-	}).Info("assignment changes")
-	go func() {
-		ctx, cancel := context.WithTimeout(c.ctx, assignmentWrite)
-		defer cancel()
-		written, err := c.config.Store.Commit(ctx, cuminlift.RowTransaction{
-			Require: []cuminlift.Row{{
-				Table:   assignmentTable,
-				Part:    d.name,
-				Key:     leaseKey,
-				Version: version,
-			}},
-			Put: []cuminlift.Row{{
-				Table: assignmentTable,
-				Part:  d.name,
-				Key:   leaseKey,
-				Value: value,
-			}},
-		})
-		c.post(func(now time.Duration) { c.takeRecord(now, d, assignment, written, err) })
-	}()
-}
-
-// takeRecord goes on from what the store answered. Without an answer the row is read until it tells: the write may be done late, but
-// then only while the row still has the version that it required.
-func (c *coordinator) takeRecord(now time.Duration, d *serviceDuty, assignment *schema.Assignment, version uint64, err error) {
-	var refused *cuminlift.StoreRefusedError
-	rows, conflict := conflictRows(err)
-	switch {
-	case err == nil:
-		d.version = version
-		d.keeper.Recorded(now)
-	case errors.As(err, &refused):
-		d.keeper.NotRecorded()
-	case conflict:
-		c.resolve(now, d, rows)
-	default:
-		c.log.WithField("service", d.name).WithError(err).Warn("it is not known whether the assignment was written")
-		time.AfterFunc(storePause, func() {
-			// Writing the same again under the same condition settles it either way.
-			c.post(func(time.Duration) { c.record(d, assignment) })
-		})
-	}
-}
-
-// resolve learns from the assignment as it stands: the own write whose answer was lost, or a later coordinator's.
-func (c *coordinator) resolve(now time.Duration, d *serviceDuty, rows []cuminlift.Row) {
-	for _, row := range rows {
-		recorded := &schema.Assignment{}
-		if row.Key != leaseKey || proto.Unmarshal(row.Value, recorded) != nil {
-			continue
-		}
-		if recorded.GetTerm() == c.term && d.keeper.Proposed(recorded) {
-			d.version = row.Version
-			d.keeper.Recorded(now)
-			return
-		}
-	}
-	c.log.WithField("service", d.name).Warn("another coordinator wrote the assignment")
-	c.lead.Resign()
-}
-
 // grant sends one grant.
 func (c *coordinator) grant(d *serviceDuty, call keyspace.GrantCall) {
 	go func() {
@@ -279,7 +158,7 @@
 		Body: &schema.Frame_Owners{
 			Owners: &schema.Owners{
 				Service: d.name,
-				Ranges:  d.keeper.Ranges(),
+				Map:     d.keeper.Map(),
 			},
 		},
 	}
--- a/internal/gateway/tickets.go
+++ b/internal/gateway/tickets.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sort"
 	"sync"
 	"time"
 
@@ -330,22 +331,35 @@
 
 // ownerList implements dispatch.Owners with the coordinator's last word.
 type ownerList struct {
-	ranges []*schema.KeyRange
+	holders []*schema.KeyHolder
+	owners  []uint32
+	// ends are the last keys of the ranges.
+	ends []uint32
 }
 
-// Owner implements dispatch.Owners. The word may be old: an upstream refuses what it does not hold.
-func (l *ownerList) Owner(_ time.Duration, key uint32) (string, bool) {
-	low, high := 0, len(l.ranges)
-	for low < high {
-		middle := (low + high) / 2
-		if l.ranges[middle].GetTo() < key {
-			low = middle + 1
-		} else {
-			high = middle
+// set takes the coordinator's word in. One that makes no sense is left out: the last one stays.
+func (l *ownerList) set(m *schema.KeyMap) bool {
+	if len(m.GetWidths()) != len(m.GetOwners()) {
+		return false
+	}
+	ends := make([]uint32, 0, len(m.GetWidths()))
+	next := uint32(0)
+	for i, width := range m.GetWidths() {
+		if int(m.GetOwners()[i]) >= len(m.GetHolders()) {
+			return false
 		}
+		next += width
+		ends = append(ends, next-1)
 	}
-	if low >= len(l.ranges) || l.ranges[low].GetFrom() > key {
+	l.holders, l.owners, l.ends = m.GetHolders(), m.GetOwners(), ends
+	return true
+}
+
+// Owner implements dispatch.Owners. The word may be old: an upstream refuses what it does not hold.
+func (l *ownerList) Owner(_ time.Duration, key uint32) (string, bool) {
+	at := sort.Search(len(l.ends), func(i int) bool { return l.ends[i] >= key })
+	if at == len(l.ends) {
 		return "", false
 	}
-	return l.ranges[low].GetHolder().GetUpstream(), true
+	return l.holders[l.owners[at]].GetUpstream(), true
 }
