Let large instances take the lease before small ones

Ruled out: the large ones were reachable and had not been asked to stop; their reads came in the same steps, which a read's time is longer than. Change: instances register their share of a core, the coordinator tells the largest, and those with less than half of it wait 24 steps of 50 ms: longer than a failed write and a second try. The order is decided in core/authority.

--- a/internal/gateway/coordinator.go
+++ b/internal/gateway/coordinator.go
@@ -196,11 +196,24 @@
 				Instances:    uint32(len(c.links)),
 				StoreFails:   c.lead.Failing(),
 				LeaseVersion: c.leaseVersion,
+
+				LargestCpuPermille: c.largest(),
 			},
 		},
 	}
 }
 
+// largest returns the largest share of a core among the connected instances, in thousandths.
+func (c *coordinator) largest() uint32 {
+	most := uint32(0)
+	for _, l := range c.links {
+		if l.out != nil {
+			most = max(most, l.cpuPermille)
+		}
+	}
+	return most
+}
+
 // step does what depends on time.
 func (c *coordinator) step(now time.Duration) {
 	c.renew(now)
--- a/internal/gateway/election.go
+++ b/internal/gateway/election.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"hash/fnv"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -24,8 +23,6 @@
 	// tables are passed on by the coordinator.
 	tables      []*tableDuty
 	incarnation string
-	// rank spreads the instances over a fraction of a second.
-	rank int
 	// read is when the lease was last read.
 	read time.Duration
 }
@@ -33,27 +30,8 @@
 // electionStep is the time between looks at the coordinator's silence.
 const electionStep = 50 * time.Millisecond
 
-// ranks is the number of steps over which instances are spread.
-const ranks = 8
-
-// Instances with less than smallShare of a core come a full round after the others, and those with less than largeShare a step: the
-// coordinator's work grows with all requests, so that a large instance is to take the lease where there is one.
-const (
-	smallShare = 0.25
-	largeShare = 0.5
-)
-
-func rankOf(settings Settings) int {
-	h := fnv.New32a()
-	_, _ = h.Write([]byte(settings.Name)) // A hash takes everything.
-	rank := int(h.Sum32() % ranks)
-	switch {
-	case settings.CPUShare == 0 || settings.CPUShare >= largeShare:
-		return rank
-	case settings.CPUShare >= smallShare:
-		return rank + 1
-	}
-	return rank + ranks
+func permille(share float64) uint32 {
+	return uint32(share * 1000)
 }
 
 // run watches and takes over until ctx ends.
@@ -74,6 +52,8 @@
 		Name:    e.config.Settings.Name,
 		Address: e.config.Settings.PeerAddress,
 		Zone:    e.config.Settings.Zone,
+
+		CpuPermille: permille(e.config.Settings.CPUShare),
 	}
 	value, err := proto.Marshal(row)
 	if err != nil {
@@ -116,8 +96,9 @@
 	o := e.office
 	now := e.clock.Now()
 	o.mutex.Lock()
-	suspects := o.watch.Suspects(now, e.rank)
-	due := now >= o.watch.NextRead(e.rank) && now-e.read > storePause
+	rank := authority.Rank(e.config.Settings.Name, permille(e.config.Settings.CPUShare), o.largest)
+	suspects := o.watch.Suspects(now, rank)
+	due := now >= o.watch.NextRead(rank) && now-e.read > storePause
 	o.mutex.Unlock()
 	if !suspects || !due {
 		return 0, 0, false
@@ -143,7 +124,7 @@
 	o.mutex.Lock()
 	defer o.mutex.Unlock()
 	o.watch.Read(now, version, lease.GetTerm())
-	version, take = o.watch.MayTake(e.clock.Now(), e.rank)
+	version, take = o.watch.MayTake(e.clock.Now(), rank)
 	o.taking = take
 	return version, lease.GetTerm(), take
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -82,7 +82,6 @@
 		view:        g.follower.view,
 		tables:      g.office.tables,
 		incarnation: hex.EncodeToString(incarnation),
-		rank:        rankOf(config.Settings),
 	}
 	return g, nil
 }
--- a/internal/gateway/links.go
+++ b/internal/gateway/links.go
@@ -16,6 +16,7 @@
 // link is the coordinator's connection with one instance, which it makes again when it is lost.
 type link struct {
 	name, zone, address string
+	cpuPermille         uint32
 	number              uint64
 	coordinator         *coordinator
 	// out is nil while there is no connection. It is touched by the coordinator's goroutine only.
@@ -113,6 +114,7 @@
 		name:        instance.GetName(),
 		zone:        instance.GetZone(),
 		address:     instance.GetAddress(),
+		cpuPermille: instance.GetCpuPermille(),
 		number:      c.nextLink,
 		coordinator: c,
 		services:    map[uint64]*serviceDuty{},
--- a/internal/gateway/tickets.go
+++ b/internal/gateway/tickets.go
@@ -57,7 +57,9 @@
 	reserve   map[string]*dispatch.Pool
 	owners    map[string]*ownerList
 	instances int
-	wake      chan struct{}
+	// largest is the largest share of a core among the instances by the coordinator's last word, in thousandths, 0 for none.
+	largest uint32
+	wake    chan struct{}
 }
 
 type waiter struct {
