Divide slots and cold rates among the instances that have no coordinator

Change: the coordinator tells each instance its place among all. Without one, an upstream is used by four instances for its two slots, by place; keyed ones by all, as a key has one owner; a cold one by as many as its rate has requests a second, each one a second. Tests that failed first: TestSharesOfAllInstancesTogetherKeepToTheColdRate with 62 and 4,000 instances, TestPartsOfAllInstancesTogetherKeepToTheSlots.

--- a/core/dispatch/budget.go
+++ b/core/dispatch/budget.go
@@ -25,12 +25,17 @@
 func newBudget(config Config) *budget {
 	return &budget{
 		share:  config.RetryShare * budgetPart * 2,
-		slack:  config.RetrySlack * budgetPart * config.Share,
+		slack:  budgetSlack(config),
 		window: config.RetryWindow,
 		slots:  make([]budgetSlot, budgetSlots+1),
 	}
 }
 
+// budgetSlack is the pool's part of the further attempts that are allowed whatever the number of requests.
+func budgetSlack(config Config) float64 {
+	return config.RetrySlack * budgetPart / float64(max(1, config.Part.Of))
+}
+
 func (b *budget) slot(now time.Duration) *budgetSlot {
 	index := int64(now / (b.window / budgetSlots))
 	s := &b.slots[index%int64(len(b.slots))]
--- a/core/dispatch/dispatch_test.go
+++ b/core/dispatch/dispatch_test.go
@@ -12,9 +12,9 @@
 	"cuminlift/core/route"
 )
 
-func newPool(share float64) *dispatch.Pool {
+func newPool(part dispatch.Part) *dispatch.Pool {
 	p := dispatch.NewPool(dispatch.Config{
-		Share:       share,
+		Part:        part,
 		RetryShare:  0.2,
 		RetrySlack:  58,
 		RetryWindow: 10 * time.Second,
@@ -55,7 +55,7 @@
 func TestSlotsAreNeverExceededUnderOverload(t *testing.T) {
 	c := qt.New(t)
 	random := rand.New(rand.NewPCG(1, 2))
-	p := newPool(1)
+	p := newPool(dispatch.Part{})
 	p.SetUpstreams(0, states(5))
 	running := map[string]int{}
 	type end struct {
@@ -103,7 +103,7 @@
 
 func TestRefusalComesAtOnceWhereAnAnswerCanNotComeInTime(t *testing.T) {
 	c := qt.New(t)
-	p := newPool(1)
+	p := newPool(dispatch.Part{})
 	p.SetUpstreams(0, states(1))
 	granted, refused := 0, 0
 	for id := uint64(1); id <= 40; id++ {
@@ -125,7 +125,7 @@
 
 func TestColdUpstreamGetsNoMoreThanItsRate(t *testing.T) {
 	c := qt.New(t)
-	p := newPool(1)
+	p := newPool(dispatch.Part{})
 	p.SetUpstreams(0, states(1))
 	p.SetUpstreams(time.Second, nil)
 	p.SetUpstreams(2*time.Second, states(1)) // It comes back during traffic.
@@ -155,10 +155,19 @@
 }
 
 func TestSharesOfAllInstancesTogetherKeepToTheColdRate(t *testing.T) {
-	c := qt.New(t)
+	for _, instances := range []int{2, 9, 62, 4000} {
+		checkColdRate(qt.New(t), instances)
+	}
+}
+
+// checkColdRate lets many instances without a coordinator send to an upstream that joined.
+func checkColdRate(c *qt.C, instances int) {
 	total := 0
-	for instance := range 9 {
-		p := newPool(1.0 / 9)
+	for instance := range instances {
+		p := newPool(dispatch.Part{
+			Place: instance,
+			Of:    instances,
+		})
 		p.SetUpstreams(0, nil)
 		p.SetUpstreams(0, states(1))
 		for now := time.Duration(0); now < time.Second; now += 10 * time.Millisecond {
@@ -172,13 +181,39 @@
 			}
 		}
 	}
-	c.Check(total <= 14, qt.IsTrue, qt.Commentf("%d", total))
+	// The cold rate is 6.3 a second; 1.5 times that and 5 more would be allowed.
+	c.Check(total <= 14, qt.IsTrue, qt.Commentf("%d from %d instances", total, instances))
 	c.Check(total >= 1, qt.IsTrue)
 }
 
+// TestPartsOfAllInstancesTogetherKeepToTheSlots covers the time without a coordinator: each instance used a slot of each upstream.
+func TestPartsOfAllInstancesTogetherKeepToTheSlots(t *testing.T) {
+	c := qt.New(t)
+	const instances, upstreams = 62, 20
+	running := map[string]int{}
+	for instance := range instances {
+		p := newPool(dispatch.Part{
+			Place: instance,
+			Of:    instances,
+		})
+		p.SetUpstreams(0, states(upstreams))
+		for id := range uint64(5) {
+			p.Submit(0, ticket(id, 0))
+		}
+		for _, d := range p.Decide(0) {
+			running[d.Upstream]++
+		}
+	}
+	for id, n := range running {
+		// Two slots, and as many that wait.
+		c.Check(n <= 4, qt.IsTrue, qt.Commentf("%d at %s", n, id))
+	}
+	c.Check(len(running), qt.Equals, upstreams)
+}
+
 func TestRepeatsKeepToTheBudget(t *testing.T) {
 	c := qt.New(t)
-	p := newPool(1)
+	p := newPool(dispatch.Part{})
 	p.SetUpstreams(0, states(10))
 	id := uint64(0)
 	granted := 0
@@ -205,7 +240,7 @@
 
 func TestUrgentRequestsGoFirstAndBulkOnesLast(t *testing.T) {
 	c := qt.New(t)
-	p := newPool(1)
+	p := newPool(dispatch.Part{})
 	one := states(1)
 	one[0].Slots = 1
 	p.SetUpstreams(0, one)
@@ -242,7 +277,6 @@
 	c := qt.New(t)
 	owners := &keys{}
 	p := dispatch.NewPool(dispatch.Config{
-		Share:       1,
 		RetryShare:  0.2,
 		RetrySlack:  58,
 		RetryWindow: 10 * time.Second,
@@ -270,7 +304,7 @@
 
 func TestLeavingUpstreamGetsNothingNew(t *testing.T) {
 	c := qt.New(t)
-	p := newPool(1)
+	p := newPool(dispatch.Part{})
 	list := states(2)
 	p.SetUpstreams(0, list)
 	list[0].Usable = false
@@ -294,7 +328,7 @@
 // unknown time was put above what the others were known to take.
 func TestJoinedUpstreamIsUsedSoon(t *testing.T) {
 	c := qt.New(t)
-	p := newPool(1)
+	p := newPool(dispatch.Part{})
 	p.SetUpstreams(0, states(3))
 	id := uint64(0)
 	serve := func(from, to time.Duration) map[string]int {
@@ -319,7 +353,7 @@
 func TestUnderOverloadThoseServedAreInTime(t *testing.T) {
 	c := qt.New(t)
 	random := rand.New(rand.NewPCG(5, 6))
-	p := newPool(1)
+	p := newPool(dispatch.Part{})
 	p.SetUpstreams(0, states(5))
 	type end struct {
 		at, took time.Duration
@@ -363,7 +397,7 @@
 // The load: downloads come to one zone, whose upstream is busy for a moment while another zone's is idle.
 func TestBulkRequestWaitsAMomentForItsOwnZone(t *testing.T) {
 	c := qt.New(t)
-	p := newPool(1)
+	p := newPool(dispatch.Part{})
 	list := states(2) // One in zone-0, one in zone-1.
 	list[0].Slots = 1
 	p.SetUpstreams(0, list)
--- a/core/dispatch/pool.go
+++ b/core/dispatch/pool.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"hash/fnv"
 	"sort"
 	"time"
 
@@ -15,9 +16,8 @@
 
 // Config constructs a Pool.
 type Config struct {
-	// Share is the part of the service's bounds that this pool may use: 1 for the coordinator, 1 divided by the number
-	// of instances while there is none.
-	Share float64
+	// Part is the part of the service's bounds that this pool may use.
+	Part Part
 	// RetryShare, RetrySlack and RetryWindow bound further attempts: in any window at most share times the requests, and slack.
 	RetryShare, RetrySlack float64
 	RetryWindow            time.Duration
@@ -25,6 +25,23 @@
 	Owners Owners
 }
 
+// Part is one instance's part of what all may use together.
+type Part struct {
+	// Place counts the instances from 0, and Of is their number: 1 for the coordinator, which uses all.
+	Place, Of int
+}
+
+func (p Part) whole() bool {
+	return p.Of <= 1
+}
+
+// among reports whether this part is one of so many that may use an upstream. Upstreams begin at different places.
+func (p Part) among(upstream string, most int) bool {
+	h := fnv.New32a()
+	_, _ = h.Write([]byte(upstream)) // A hash takes everything.
+	return (int(h.Sum32()%uint32(p.Of))+p.Place)%p.Of < most
+}
+
 // Pool is the queue of one service with its upstreams. It is not safe for concurrent use.
 type Pool struct {
 	config    Config
@@ -71,13 +88,13 @@
 	p.service = service
 }
 
-// SetShare changes the pool's share of the bounds.
-func (p *Pool) SetShare(share float64) {
-	if share == p.config.Share {
+// SetPart changes the pool's part of the bounds.
+func (p *Pool) SetPart(part Part) {
+	if part == p.config.Part {
 		return
 	}
-	p.config.Share = share
-	p.budget.slack = p.config.RetrySlack * budgetPart * share
+	p.config.Part = part
+	p.budget.slack = budgetSlack(p.config)
 }
 
 // SetUpstreams tells of all upstreams of the service. One that joins after the first call, starts anew, or whose zone comes back, is
--- a/core/dispatch/scale_test.go
+++ b/core/dispatch/scale_test.go
@@ -30,7 +30,6 @@
 		upstreams: n,
 	}
 	p := dispatch.NewPool(dispatch.Config{
-		Share:       1,
 		RetryWindow: 10 * time.Second,
 		Owners:      owners,
 	})
--- a/core/dispatch/upstream.go
+++ b/core/dispatch/upstream.go
@@ -102,7 +102,11 @@
 		return 0
 	}
 	slots := u.state.Slots
-	if p.config.Share < 1 {
+	if part := p.config.Part; !part.whole() {
+		// A key has one owner, which all that are asked for the key need; of other upstreams each instance uses a few.
+		if p.config.Owners == nil && !part.among(u.state.ID, partsPerSlot*slots) {
+			return 0
+		}
 		slots = 1
 	}
 	if u.suspect {
@@ -117,6 +121,10 @@
 	return slots + u.ahead(now, p) - len(u.running)
 }
 
+// partsPerSlot is the number of instances that may use a slot while there is no coordinator: requests come to them unevenly, and upstreams
+// queue a few.
+const partsPerSlot = 2
+
 const (
 	// fullBusy is the share of its slots that an upstream is to work in while all of them are given out: the rest is what the lengths of
 	// requests vary by.
@@ -135,7 +143,7 @@
 // ahead returns how many requests more than its slots an upstream gets. Where messages take long beside the work, a slot that was given out
 // stands idle at the upstream until the next request arrives: one sent ahead waits there instead, unless others already do.
 func (u *upstream) ahead(now time.Duration, p *Pool) int {
-	if p.config.Share < 1 || u.suspect || u.queued > shortQueue || u.reportedAt == 0 || now-u.reportedAt > queueLasts {
+	if !p.config.Part.whole() || u.suspect || u.queued > shortQueue || u.reportedAt == 0 || now-u.reportedAt > queueLasts {
 		return 0
 	}
 	return int(p.lead * float64(u.state.Slots))
@@ -181,11 +189,11 @@
 	if rate <= 0 {
 		return true
 	}
-	if p.config.Share >= 1 {
+	if p.config.Part.whole() {
 		return float64(recent+1) <= rate+1
 	}
-	last := len(u.sends) - 1
-	return last < 0 || float64(now-u.sends[last]) >= float64(time.Second)/(rate*p.config.Share)
+	// As many instances as the rate has requests a second send one each.
+	return recent == 0 && p.config.Part.among(u.state.ID, max(1, int(rate)))
 }
 
 func (u *upstream) sent(now time.Duration, id uint64) {
--- a/internal/gateway/coordinator.go
+++ b/internal/gateway/coordinator.go
@@ -174,7 +174,7 @@
 		d.listen(nil)
 	}
 	for _, l := range c.links {
-		l.tell(c.beatFrame(true))
+		l.tell(c.beatFrame(l, true))
 	}
 	c.log.Info("coordinator ended")
 	time.AfterFunc(coordinatorStep, func() {
@@ -184,7 +184,7 @@
 	})
 }
 
-func (c *coordinator) beatFrame(resigned bool) *schema.Frame {
+func (c *coordinator) beatFrame(to *link, resigned bool) *schema.Frame {
 	return &schema.Frame{
 		Body: &schema.Frame_Beat{
 			Beat: &schema.Beat{
@@ -198,6 +198,7 @@
 				LeaseVersion: c.leaseVersion,
 
 				LargestCpuPermille: c.largest(),
+				Place:              to.place,
 			},
 		},
 	}
@@ -268,7 +269,7 @@
 			keyed:   keyed,
 			tickets: map[uint64]ticketPlace{},
 		}
-		config := poolConfig(c.config.Settings, 1)
+		config := poolConfig(c.config.Settings, dispatch.Part{})
 		if keyed {
 			config.Owners = d
 			c.load(d)
--- a/internal/gateway/follow.go
+++ b/internal/gateway/follow.go
@@ -98,6 +98,7 @@
 	}
 	o.watch.Heard(now, beat.GetLeaseVersion(), beat.GetTerm())
 	o.instances = int(beat.GetInstances())
+	o.place = int(beat.GetPlace())
 	o.largest = beat.GetLargestCpuPermille()
 	if beat.GetStoreFails() {
 		o.tryStore()
--- a/internal/gateway/links.go
+++ b/internal/gateway/links.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"time"
 
 	"google.golang.org/protobuf/proto"
@@ -17,8 +19,10 @@
 type link struct {
 	name, zone, address string
 	cpuPermille         uint32
-	number              uint64
-	coordinator         *coordinator
+	// place is the instance's among all, in the order of their names.
+	place       uint32
+	number      uint64
+	coordinator *coordinator
 	// out is nil while there is no connection. It is touched by the coordinator's goroutine only.
 	out carrier
 	// services holds the duties of open tickets by the instance's number of the ticket.
@@ -104,6 +108,9 @@
 		}
 	}
 	c.lead.SetMembers(others)
+	for place, name := range slices.Sorted(maps.Keys(c.links)) {
+		c.links[name].place = uint32(place)
+	}
 }
 
 // connect starts a link.
@@ -142,7 +149,7 @@
 		stop := context.AfterFunc(ctx, func() { time.AfterFunc(coordinatorStep, f.Close) })
 		l.coordinator.post(func(time.Duration) {
 			l.out = f
-			l.tell(l.coordinator.beatFrame(false))
+			l.tell(l.coordinator.beatFrame(l, false))
 			l.coordinator.tellOwners(l)
 			l.coordinator.tellTables(l)
 		})
@@ -182,7 +189,7 @@
 			// The duty's own goroutine sends it, so that none goes out once the right has ended.
 			l.coordinator.post(func(time.Duration) {
 				if l.out == f {
-					l.tell(l.coordinator.beatFrame(false))
+					l.tell(l.coordinator.beatFrame(l, false))
 				}
 			})
 		case <-done:
--- a/internal/gateway/tickets.go
+++ b/internal/gateway/tickets.go
@@ -54,9 +54,9 @@
 	nextID  uint64
 	waiters map[uint64]*waiter
 	// reserve holds the own pools by service, and owners who held which keys by the coordinator's last word.
-	reserve   map[string]*dispatch.Pool
-	owners    map[string]*ownerList
-	instances int
+	reserve          map[string]*dispatch.Pool
+	owners           map[string]*ownerList
+	instances, place int
 	// largest is the largest share of a core among the instances by the coordinator's last word, in thousandths, 0 for none.
 	largest uint32
 	wake    chan struct{}
@@ -156,17 +156,21 @@
 
 // reservePool returns the own pool of a service, made up to date.
 func (o *office) reservePool(now time.Duration, service string) *dispatch.Pool {
-	share := 1 / float64(max(2, o.instances))
+	// Without a word of others there may be another one.
+	part := dispatch.Part{
+		Place: o.place,
+		Of:    max(2, o.instances),
+	}
 	pool := o.reserve[service]
 	if pool == nil {
-		config := poolConfig(o.config.Settings, share)
+		config := poolConfig(o.config.Settings, part)
 		if owners := o.owners[service]; owners != nil {
 			config.Owners = owners
 		}
 		pool = dispatch.NewPool(config)
 		o.reserve[service] = pool
 	}
-	pool.SetShare(share)
+	pool.SetPart(part)
 	v := o.view()
 	if v.table != nil {
 		pool.SetService(v.table.Services[service])
@@ -175,9 +179,9 @@
 	return pool
 }
 
-func poolConfig(settings Settings, share float64) dispatch.Config {
+func poolConfig(settings Settings, part dispatch.Part) dispatch.Config {
 	return dispatch.Config{
-		Share:       share,
+		Part:        part,
 		RetryShare:  settings.RetryShare,
 		RetrySlack:  settings.RetrySlack,
 		RetryWindow: settings.RetryWindow,
