Tell instances only the rows that they lack, and know the largest instance from the start

Cause: whoever became coordinator sent all rows of both tables to all instances, some 15 MB at 62 of them. It was a small one because it had started while the store was down and knew of no larger ones. Ruled out: the store's feed (the same rows reached the others within 0.2 s), processor time (0.02 of a core). Change: core/replica keeps a table with its removals; instances say up to which version they know each table, and are told what changed since. An instance learns of the largest share of a core when it registers. Also found: the gateway's tests stopped for good twice in some dozens of runs. Traced: an instance of the test did not start, as another process or an outgoing connection had its port between choice and use.

--- a/internal/gateway/coordinator.go
+++ b/internal/gateway/coordinator.go
@@ -339,6 +339,7 @@
 		if failed {
 			// The instances began to read the store themselves.
 			for _, l := range c.links {
+				l.told = false
 				c.tellTables(l)
 			}
 		}
--- a/internal/gateway/election.go
+++ b/internal/gateway/election.go
@@ -76,10 +76,9 @@
 	if err != nil {
 		return err
 	}
-	for _, row := range page.Rows {
-		if row.Key == e.config.Settings.Name && string(row.Value) == string(value) {
-			return nil
-		}
+	standing := e.seeInstances(page.Rows, value)
+	if standing {
+		return nil
 	}
 	_, err = e.config.Store.Commit(limited, cuminlift.RowTransaction{
 		Put: []cuminlift.Row{{
@@ -91,6 +90,23 @@
 	return err
 }
 
+// seeInstances learns of the largest instance, and reports whether the own row stands as it should.
+func (e *election) seeInstances(rows []cuminlift.Row, value []byte) bool {
+	standing := false
+	largest := uint32(0)
+	for _, row := range rows {
+		instance := &schema.InstanceRow{}
+		if proto.Unmarshal(row.Value, instance) == nil {
+			largest = max(largest, instance.GetCpuPermille())
+		}
+		standing = standing || (row.Key == e.config.Settings.Name && string(row.Value) == string(value))
+	}
+	e.office.mutex.Lock()
+	defer e.office.mutex.Unlock()
+	e.office.largest = max(e.office.largest, largest)
+	return standing
+}
+
 // look reads the lease where the coordinator is silent, and reports whether to take it.
 func (e *election) look(ctx context.Context) (version, term uint64, take bool) {
 	o := e.office
--- a/internal/gateway/follow.go
+++ b/internal/gateway/follow.go
@@ -108,12 +108,19 @@
 	if o.carrier != c {
 		o.join(c, beat)
 	}
+	reply := &schema.BeatReply{
+		Sequence:     beat.GetSequence(),
+		StoreReached: o.storeReached(),
+	}
+	for _, d := range o.tables {
+		reply.Tables = append(reply.Tables, &schema.TableVersion{
+			Table:   d.table,
+			Version: d.version(),
+		})
+	}
 	c.Send(&schema.Frame{
 		Body: &schema.Frame_BeatReply{
-			BeatReply: &schema.BeatReply{
-				Sequence:     beat.GetSequence(),
-				StoreReached: o.storeReached(),
-			},
+			BeatReply: reply,
 		},
 	})
 	return true
--- a/internal/gateway/links.go
+++ b/internal/gateway/links.go
@@ -25,6 +25,9 @@
 	coordinator *coordinator
 	// out is nil while there is no connection. It is touched by the coordinator's goroutine only.
 	out carrier
+	// versions are those up to which the instance knows the tables, and told is true once it was told what it lacks of them.
+	versions map[string]uint64
+	told     bool
 	// services holds the duties of open tickets by the instance's number of the ticket.
 	services map[uint64]*serviceDuty
 	cancel   context.CancelFunc
@@ -124,6 +127,7 @@
 		cpuPermille: instance.GetCpuPermille(),
 		number:      c.nextLink,
 		coordinator: c,
+		versions:    map[string]uint64{},
 		services:    map[uint64]*serviceDuty{},
 		cancel:      cancel,
 	}
@@ -151,7 +155,7 @@
 			l.out = f
 			l.tell(l.coordinator.beatFrame(l, false))
 			l.coordinator.tellOwners(l)
-			l.coordinator.tellTables(l)
+			l.told = false
 		})
 		l.serve(ctx, f)
 		stop()
@@ -238,11 +242,18 @@
 	}
 }
 
-// tellTables tells a newly connected instance all rows. While the store does not answer, they may be old, and it reads for itself.
+// tellTables tells an instance what it lacks of the tables, once its first answer has said what it knows. While the store does not answer,
+// the rows may be old, and it reads for itself.
 func (c *coordinator) tellTables(l *link) {
+	if l.told || c.lead.Failing() {
+		return
+	}
+	l.told = true
 	for _, d := range c.tables {
-		if page, ok := d.snapshot(); ok && !c.lead.Failing() {
-			l.tell(rowsFrame(d.table, page, true))
+		if frame, ok := d.since(l.versions[d.table]); ok {
+			l.tell(frame)
+		} else {
+			l.told = false
 		}
 	}
 }
--- a/internal/gateway/poll.go
+++ b/internal/gateway/poll.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"cuminlift"
+	"cuminlift/core/replica"
 	"cuminlift/schema"
 )
 
@@ -22,13 +23,8 @@
 
 	// mutex is held while rows are taken, so that those from the store and those passed on do not mix.
 	mutex sync.Mutex
-	// read is true once all rows were read, and after is the version up to which changes are known.
-	read  bool
-	after uint64
-	// changed is the version of the newest row that was taken. It is below after where other tables changed since.
-	changed uint64
-	// rows are all rows as last known, for those that they are passed on to.
-	rows map[string]cuminlift.Row
+	// known is what was taken until now.
+	known replica.Table
 	// source passes the rows on, nil where the store is read.
 	source carrier
 	// stopPoll ends the read that waits for changes.
@@ -83,11 +79,11 @@
 func (f *follower) readTable(ctx context.Context, d *tableDuty) (page cuminlift.RowPage, whole bool, err error) {
 	limit := longPoll + pollReserve
 	d.mutex.Lock()
-	whole = !d.read
+	whole = !d.known.Read()
 	if whole {
 		limit = storeRead
 	}
-	after := d.after
+	after := d.known.After()
 	limited, cancel := context.WithTimeout(ctx, limit)
 	d.stopPoll = cancel
 	d.mutex.Unlock()
@@ -108,21 +104,11 @@
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
 	if whole {
-		d.rows = map[string]cuminlift.Row{}
-		d.read = true
 		d.whole(page.Rows)
 	} else if len(page.Rows) > 0 {
 		d.change(page.Rows)
 	}
-	for _, row := range page.Rows {
-		d.changed = max(d.changed, row.Version)
-		if row.Removed {
-			delete(d.rows, row.Key)
-			continue
-		}
-		d.rows[row.Key] = row
-	}
-	d.after = max(d.after, page.Version)
+	d.known.Take(page, whole)
 	if d.listener != nil && (whole || len(page.Rows) > 0) {
 		d.listener(page, whole)
 	}
@@ -131,7 +117,7 @@
 func (d *tableDuty) forget() {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
-	d.read = false
+	d.known.Forget()
 }
 
 func (d *tableDuty) passedOn() bool {
@@ -140,21 +126,8 @@
 	return d.source != nil
 }
 
-// takePassedOn takes rows that the coordinator passed on. From the first whole table on, the store is not read.
+// takePassedOn takes rows that the coordinator passed on. From the first ones that join what is known on, the store is not read.
 func (d *tableDuty) takePassedOn(from carrier, rows *schema.TableRows) {
-	d.mutex.Lock()
-	known := d.source == from
-	if rows.GetWhole() && rows.GetVersion() >= d.changed {
-		d.source = from
-		known = true
-		if d.stopPoll != nil {
-			d.stopPoll()
-		}
-	}
-	d.mutex.Unlock()
-	if !known {
-		return
-	}
 	page := cuminlift.RowPage{
 		Version: rows.GetVersion(),
 	}
@@ -167,7 +140,19 @@
 			Removed: row.GetRemoved(),
 		})
 	}
-	d.take(page, rows.GetWhole())
+	d.mutex.Lock()
+	follows := d.source == from
+	if (rows.GetWhole() || rows.GetJoins()) && d.known.Joins(page, rows.GetWhole(), rows.GetSince()) {
+		d.source = from
+		follows = true
+		if d.stopPoll != nil {
+			d.stopPoll()
+		}
+	}
+	d.mutex.Unlock()
+	if follows {
+		d.take(page, rows.GetWhole())
+	}
 }
 
 // lose reads from the store again where from passed the rows on, or whoever did where from is nil.
@@ -186,15 +171,22 @@
 	d.listener = listener
 }
 
-// snapshot returns all rows as last known; ok is false before the first read.
-func (d *tableDuty) snapshot() (page cuminlift.RowPage, ok bool) {
+// version returns up to where the table is known.
+func (d *tableDuty) version() uint64 {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
-	page.Version = d.after
-	for _, row := range d.rows {
-		page.Rows = append(page.Rows, row)
-	}
-	return page, d.read
+	return d.known.After()
+}
+
+// since returns the message that lets another instance follow that knows the table up to a version; ok is false before the first read.
+func (d *tableDuty) since(version uint64) (frame *schema.Frame, ok bool) {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	page, whole, ok := d.known.Since(version)
+	frame = rowsFrame(d.table, page, whole)
+	frame.GetRows().Joins = true
+	frame.GetRows().Since = version
+	return frame, ok
 }
 
 // rowsFrame makes a message of a page.
--- a/internal/gateway/queue.go
+++ b/internal/gateway/queue.go
@@ -50,6 +50,10 @@
 func (c *coordinator) takeFrame(now time.Duration, l *link, frame *schema.Frame) {
 	switch body := frame.GetBody().(type) {
 	case *schema.Frame_BeatReply:
+		for _, t := range body.BeatReply.GetTables() {
+			l.versions[t.GetTable()] = t.GetVersion()
+		}
+		c.tellTables(l)
 		c.lead.Acknowledged(l.name, time.Duration(body.BeatReply.GetSequence()), body.BeatReply.GetStoreReached())
 	case *schema.Frame_Request:
 		c.takeRequest(now, l, body.Request)
--- a/internal/standin/keyholder/keyholder.go
+++ b/internal/standin/keyholder/keyholder.go
@@ -8,9 +8,11 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"os"
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -168,9 +170,16 @@
 	fmt.Fprintf(w, "%s for %s", u.config.ID, name)
 }
 
-// FreeAddress returns an address of the loopback that nobody listens on.
+// addresses counts the addresses that FreeAddress has given out.
+var addresses atomic.Uint32
+
+// FreeAddress returns an address of the loopback that nobody listens on, nor will: each has an IP of its own, by process and by call. On a
+// shared one the port can be taken before its user listens, by another process or by a connection that goes out.
 func FreeAddress() (string, error) {
-	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	const hosts = 250
+	process := os.Getpid()
+	host := fmt.Sprintf("127.%d.%d.%d", 64+process>>8&63, process&255, 1+addresses.Add(1)%hosts)
+	listener, err := net.Listen("tcp4", net.JoinHostPort(host, "0"))
 	if err != nil {
 		return "", err
 	}
