After an outage of the store let large instances take the lease first, and read it less often meanwhile

Meanwhile each instance read the lease four times a second. Change: steps count from the first read that succeeds again; the pause between failing reads doubles up to 0.5 s. Test that failed first: TestAfterAnOutageLargeInstancesAreStillFirst.

--- a/core/authority/authority.go
+++ b/core/authority/authority.go
@@ -135,6 +135,9 @@
 	version uint64
 	since   time.Duration
 	known   bool
+	// failing is true while the lease can't be read, and back when it could be again.
+	failing bool
+	back    time.Duration
 	// term is the lease's as last read, and resigned the newest term whose holder said that it stopped, 0 for none.
 	term, resigned uint64
 }
@@ -170,8 +173,17 @@
 	return now-w.heard > 2*Beat+time.Duration(rank)*Beat/4
 }
 
+// ReadFailed notes that the store did not tell the lease.
+func (w *Watch) ReadFailed() {
+	w.failing = true
+}
+
 // Read notes the lease's version and term, 0 for none, in an answer to a read that was sent at sent.
 func (w *Watch) Read(sent time.Duration, version, term uint64) {
+	if w.failing {
+		w.failing = false
+		w.back = sent
+	}
 	if w.known && version == w.version {
 		return
 	}
@@ -186,7 +198,15 @@
 	if !w.known {
 		return 0
 	}
-	return w.since + takeAfter(rank)
+	return max(w.since+takeAfter(rank), w.turn(rank))
+}
+
+// turn returns when the instance may take the lease after the store was away, when all have been waiting for long enough.
+func (w *Watch) turn(rank int) time.Duration {
+	if w.back == 0 {
+		return 0
+	}
+	return w.back + time.Duration(rank)*Beat/4
 }
 
 // takeAfter spreads the instances, so that the first one's write is seen by the others.
@@ -202,6 +222,9 @@
 	if w.version == 0 || (w.resigned != 0 && w.term == w.resigned) {
 		return w.version, true
 	}
+	if now < w.turn(rank) {
+		return 0, false
+	}
 	wait := takeAfter(rank)
 	return w.version, now-w.since >= wait && now-w.heard >= wait
 }
--- a/core/authority/rank_test.go
+++ b/core/authority/rank_test.go
@@ -26,3 +26,36 @@
 	// Where all are small, none waits for a larger one.
 	c.Check(authority.Rank("small-1", small, small) < 8, qt.IsTrue)
 }
+
+// TestAfterAnOutageLargeInstancesAreStillFirst covers the return of the store: all instances have waited for longer than any step, and whoever
+// asked first took the lease, small or not.
+func TestAfterAnOutageLargeInstancesAreStillFirst(t *testing.T) {
+	c := qt.New(t)
+	takes := func(rank int) time.Duration {
+		w := authority.NewWatch(0)
+		w.Heard(0, 7, 1)
+		for now := 3 * time.Second; now < 10*time.Second; now += time.Second {
+			w.ReadFailed()
+		}
+		const back = 10 * time.Second
+		w.Read(back, 7, 1)
+		for now := back; ; now += 10 * time.Millisecond {
+			if now < w.NextRead(rank) {
+				continue
+			}
+			if version, ok := w.MayTake(now, rank); ok {
+				c.Check(version, qt.Equals, uint64(7))
+				return now - back
+			}
+		}
+	}
+	large := authority.Rank("large", 800, 800)
+	small := authority.Rank("small", 160, 800)
+	c.Check(takes(small)-takes(large) > 700*time.Millisecond, qt.IsTrue, qt.Commentf("%v and %v", takes(large), takes(small)))
+	// A coordinator that has come back meanwhile is left alone.
+	w := authority.NewWatch(0)
+	w.ReadFailed()
+	w.Read(10*time.Second, 8, 2)
+	_, ok := w.MayTake(10*time.Second+time.Second, small)
+	c.Check(ok, qt.IsFalse)
+}
--- a/core/dispatch/upstream.go
+++ b/core/dispatch/upstream.go
@@ -121,9 +121,9 @@
 	return slots + u.ahead(now, p) - len(u.running)
 }
 
-// partsPerSlot is the number of instances that may use a slot while there is no coordinator: requests come to them unevenly, and upstreams
-// queue a few.
-const partsPerSlot = 2
+// partsPerSlot is the number of instances that may use a slot while there is no coordinator. Requests come to them unevenly, upstreams queue a
+// few, and where a zone is cut off an instance reaches only some of those that it may use: a dozen instances may use all.
+const partsPerSlot = 6
 
 const (
 	// fullBusy is the share of its slots that an upstream is to work in while all of them are given out: the rest is what the lengths of
--- a/internal/gateway/election.go
+++ b/internal/gateway/election.go
@@ -23,10 +23,14 @@
 	// tables are passed on by the coordinator.
 	tables      []*tableDuty
 	incarnation string
-	// read is when the lease was last read.
-	read time.Duration
+	// read is when the lease was last read, and pause the shortest time to the next read.
+	read, pause time.Duration
 }
 
+// leasePauseMost is the longest pause between reads of the lease while the store fails: all instances read it then, and a store that is back
+// is to have a coordinator within a second.
+const leasePauseMost = 500 * time.Millisecond
+
 // electionStep is the time between looks at the coordinator's silence.
 const electionStep = 50 * time.Millisecond
 
@@ -114,7 +118,7 @@
 	o.mutex.Lock()
 	rank := authority.Rank(e.config.Settings.Name, permille(e.config.Settings.CPUShare), o.largest)
 	suspects := o.watch.Suspects(now, rank)
-	due := now >= o.watch.NextRead(rank) && now-e.read > storePause
+	due := now >= o.watch.NextRead(rank) && now-e.read > e.pause
 	o.mutex.Unlock()
 	if !suspects || !due {
 		return 0, 0, false
@@ -124,8 +128,13 @@
 	defer cancel()
 	page, err := e.config.Store.Rows(limited, leaseTable, "")
 	if err != nil {
+		e.pause = min(2*e.pause, leasePauseMost)
+		o.mutex.Lock()
+		defer o.mutex.Unlock()
+		o.watch.ReadFailed()
 		return 0, 0, false // The followers of the tables log that the store is lost.
 	}
+	e.pause = storePause
 	lease := &schema.LeaseRow{}
 	for _, row := range page.Rows {
 		if row.Key != leaseKey {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -82,6 +82,7 @@
 		view:        g.follower.view,
 		tables:      g.office.tables,
 		incarnation: hex.EncodeToString(incarnation),
+		pause:       storePause,
 	}
 	return g, nil
 }
