--- a/core/dispatch/decide.go
+++ b/core/dispatch/decide.go
@@ -7,6 +7,9 @@
 	zoneCost = 0.1
 	// bulkZoneCost is the same for bulk answers, whose bytes between zones cost as much as being a good part late.
 	bulkZoneCost = 3
+	// avoidCost is the factor by which the upstream of the last attempt counts as slower: it is asked again only where all others are full or
+	// far worse.
+	avoidCost = 8
 	// nearWait is the part of the time to the objective for which a bulk request waits for its own zone: a large answer between zones costs
 	// about a quarter of what it is worth, and the wait leaves time for the work.
 	nearWait = 0.15
@@ -189,7 +192,7 @@
 			}
 		}
 		if u.state.ID == t.Avoid {
-			cost *= 8
+			cost *= avoidCost
 		}
 		if best == nil || cost < bestCost {
 			best = u
--- a/core/dispatch/pool.go
+++ b/core/dispatch/pool.go
@@ -1,7 +1,6 @@
 package dispatch
 
 import (
-	"hash/fnv"
 	"sort"
 	"time"
 
@@ -25,23 +24,6 @@
 	Owners Owners
 }
 
-// Part is one instance's part of what all may use together.
-type Part struct {
-	// Place counts the instances from 0, and Of is their number: 1 for the coordinator, which uses all.
-	Place, Of int
-}
-
-func (p Part) whole() bool {
-	return p.Of <= 1
-}
-
-// among reports whether this part is one of so many that may use an upstream. Upstreams begin at different places.
-func (p Part) among(upstream string, most int) bool {
-	h := fnv.New32a()
-	_, _ = h.Write([]byte(upstream)) // A hash takes everything.
-	return (int(h.Sum32()%uint32(p.Of))+p.Place)%p.Of < most
-}
-
 // Pool is the queue of one service with its upstreams. It is not safe for concurrent use.
 type Pool struct {
 	config    Config
@@ -340,109 +322,9 @@
 	})
 }
 
-// Figures tell how a pool stands.
-type Figures struct {
-	// Waiting and Running are numbers of requests, Usable, Cold, Blocked and Full of upstreams; a full one has all its slots in use.
-	Waiting, Running, Usable, Cold, Blocked, Full int
-	// Usual is the median time to an answer.
-	Usual time.Duration
-	// Lead is how many more requests than its slots an upstream gets, as a share of the slots.
-	Lead float64
-	// Sent and Refused count decisions since the pool was made.
-	Sent, Refused uint64
-}
-
-// Figures returns how the pool stands at now.
-func (p *Pool) Figures(now time.Duration) Figures {
-	f := Figures{
-		Waiting: len(p.tickets),
-		Running: len(p.running),
-		Usual:   p.usual(now),
-		Lead:    p.lead,
-		Sent:    p.sent,
-		Refused: p.refused,
-	}
-	for _, u := range p.order {
-		if !u.state.Usable {
-			continue
-		}
-		f.Usable++
-		if u.cold(now) {
-			f.Cold++
-		}
-		if now < u.blockedUntil {
-			f.Blocked++
-		}
-		if len(u.running) >= u.state.Slots {
-			f.Full++
-		}
-	}
-	return f
-}
-
 // minRetryAfter is the shortest time after which asking again makes sense: a few round trips.
 const minRetryAfter = 30 * time.Millisecond
 
-// Capacity returns the requests a second that an upstream answers by what was measured until now, 0 for one that is unknown.
-func (p *Pool) Capacity(now time.Duration, id string) float64 {
-	u := p.upstreams[id]
-	if u == nil {
-		return 0
-	}
-	latency := u.typical()
-	if u.latency == 0 {
-		latency = p.usual(now)
-	}
-	return u.width(p) / latency.Seconds()
-}
-
-// Cold reports whether an upstream bears only its cold rate.
-func (p *Pool) Cold(now time.Duration, id string) bool {
-	u := p.upstreams[id]
-	return u != nil && u.cold(now)
-}
-
-// Blocked reports whether an upstream could not be connected to of late.
-func (p *Pool) Blocked(id string) bool {
-	u := p.upstreams[id]
-	return u != nil && u.suspect
-}
-
-// livelyFor is how long an answer shows that an upstream lives.
-const livelyFor = 700 * time.Millisecond
-
-// Lively reports whether an upstream answered of late.
-func (p *Pool) Lively(now time.Duration, id string) bool {
-	u := p.upstreams[id]
-	return u != nil && u.alive != 0 && now-u.alive < livelyFor
-}
-
-// medianStep is the shortest time between looks at all upstreams for the median: times to an answer change over many answers.
-const medianStep = 50 * time.Millisecond
-
-// usual returns the median of the measured times to an answer, as of at most medianStep ago.
-func (p *Pool) usual(now time.Duration) time.Duration {
-	if p.median == 0 || now-p.medianAt >= medianStep {
-		p.median = p.medianLatency()
-		p.medianAt = now
-	}
-	return p.median
-}
-
-func (p *Pool) medianLatency() time.Duration {
-	var times []time.Duration
-	for _, u := range p.order {
-		if u.latency > 0 {
-			times = append(times, u.latency)
-		}
-	}
-	if len(times) == 0 {
-		return firstLatency
-	}
-	sort.Slice(times, func(i, j int) bool { return times[i] < times[j] })
-	return times[len(times)/2]
-}
-
 // Reached notes that an upstream that could not be connected to answers again.
 func (p *Pool) Reached(now time.Duration, id string) {
 	if u := p.upstreams[id]; u != nil {
--- a/core/keyspace/balance.go
+++ b/core/keyspace/balance.go
@@ -279,10 +279,17 @@
 	return best, true
 }
 
-// window returns the narrowest range within s that has from 0.6 to 1.3 times the wanted rate.
+// windowLeast and windowMost bound what a cut range may have of the wanted rate: neighbouring keys rarely sum up to just that, and what is
+// still too much or too little is evened out by the next plan.
+const (
+	windowLeast = 0.6
+	windowMost  = 1.3
+)
+
+// window returns the narrowest range within s that has about the wanted rate.
 func (k *Keeper) window(s *span, want float64, m memory) (move, float64, bool) {
 	counts, lasts := k.heat.counts[m], m.lasts().Seconds()
-	least, most := 0.6*want*lasts, 1.3*want*lasts
+	least, most := windowLeast*want*lasts, windowMost*want*lasts
 	var best move
 	var bestSum float64
 	found := false
--- a/core/keyspace/keyspace.go
+++ b/core/keyspace/keyspace.go
@@ -159,17 +159,8 @@
 
 // find returns the span with key, or nil.
 func (k *Keeper) find(key uint32) *span {
-	low, high := 0, len(k.spans)
-	for low < high {
-		middle := (low + high) / 2
-		if k.spans[middle].to < key {
-			low = middle + 1
-		} else {
-			high = middle
-		}
-	}
-	if low < len(k.spans) && k.spans[low].from <= key {
-		return k.spans[low]
+	if at := k.within(key, key); len(at) > 0 {
+		return at[0]
 	}
 	return nil
 }
