--- a/internal/gateway/assignment.go
+++ b/internal/gateway/assignment.go
@@ -14,9 +14,6 @@
 	"cuminlift/schema"
 )
 
-// rowData is the most of an assignment that one row holds: below the 64 KiB that the store takes, with room for the row's other fields.
-const rowData = 60 << 10
-
 // rowKey names the rows of an assignment in their order. The first one alone is guarded; all are written and read at one moment.
 func rowKey(number int) string {
 	return fmt.Sprintf("assignment-%03d", number)
@@ -24,27 +21,17 @@
 
 // assignmentRows divides an assignment into rows.
 func assignmentRows(service string, assignment *schema.Assignment) ([]cuminlift.Row, error) {
-	data, err := proto.Marshal(assignment)
+	parts, err := keyspace.Split(assignment)
 	if err != nil {
 		return nil, err
 	}
-	var rows []cuminlift.Row
-	for first := true; first || len(data) > 0; first = false {
-		part := data[:min(len(data), rowData)]
-		data = data[len(part):]
-		value, err := proto.Marshal(&schema.AssignmentRow{
-			Term:      assignment.GetTerm(),
-			NextFence: assignment.GetNextFence(),
-			Data:      part,
-		})
-		if err != nil {
-			return nil, err
-		}
+	rows := make([]cuminlift.Row, 0, len(parts))
+	for number, part := range parts {
 		rows = append(rows, cuminlift.Row{
 			Table: assignmentTable,
 			Part:  service,
-			Key:   rowKey(len(rows)),
-			Value: value,
+			Key:   rowKey(number),
+			Value: part,
 		})
 	}
 	return rows, nil
@@ -68,19 +55,12 @@
 	if len(rows) == 0 {
 		return nil, 0, nil
 	}
-	var data []byte
+	parts := make([][]byte, 0, len(rows))
 	for _, row := range rows {
-		part := &schema.AssignmentRow{}
-		if err := proto.Unmarshal(row.Value, part); err != nil {
-			return nil, 0, fmt.Errorf("row %s: %w", row.Key, err)
-		}
-		data = append(data, part.GetData()...)
-	}
-	assignment := &schema.Assignment{}
-	if err := proto.Unmarshal(data, assignment); err != nil {
-		return nil, 0, err
+		parts = append(parts, row.Value)
 	}
-	return assignment, rows[0].Version, keyspace.Check(assignment, keys)
+	assignment, err := keyspace.Join(parts, keys)
+	return assignment, rows[0].Version, err
 }
 
 // load reads a service's assignment and makes its keeper.
@@ -134,6 +114,7 @@
 	}
 	version := d.version
 	surplus := surplusRows(d.name, len(rows), d.rows)
+	d.writing = len(rows)
 	c.log.WithFields(logrus.Fields{
 		"service":     d.name,
 		"row-version": version,
@@ -164,7 +145,7 @@
 	rows, conflict := conflictRows(err)
 	switch {
 	case err == nil:
-		c.recorded(now, d, assignment, version)
+		c.recorded(now, d, version)
 	case errors.As(err, &refused):
 		d.keeper.NotRecorded()
 	case conflict:
@@ -186,7 +167,7 @@
 			continue
 		}
 		if d.keeper.Proposed(head.GetTerm(), head.GetNextFence()) {
-			c.recorded(now, d, assignment, row.Version)
+			c.recorded(now, d, row.Version)
 			return
 		}
 	}
@@ -195,8 +176,8 @@
 }
 
 // recorded goes on once an assignment is surely in the store.
-func (c *coordinator) recorded(now time.Duration, d *serviceDuty, assignment *schema.Assignment, version uint64) {
+func (c *coordinator) recorded(now time.Duration, d *serviceDuty, version uint64) {
 	d.version = version
-	d.rows = max(1, (proto.Size(assignment)+rowData-1)/rowData)
+	d.rows = d.writing
 	d.keeper.Recorded(now)
 }
--- a/internal/gateway/coordinator.go
+++ b/internal/gateway/coordinator.go
@@ -62,11 +62,11 @@
 	loading bool
 	keyed   bool
 	version uint64
-	// rows is the number of rows of the assignment in the store.
-	rows       int
-	ownersSent time.Duration
-	ownersTold []byte
-	tickets    map[uint64]ticketPlace
+	// rows is the number of rows of the assignment in the store, and writing that of the one that is being written.
+	rows, writing int
+	ownersSent    time.Duration
+	ownersTold    []byte
+	tickets       map[uint64]ticketPlace
 }
 
 // ticketPlace is where a ticket came from.
