--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -317,6 +317,36 @@
 	return ""
 }
 
+// TestLateWriteOfAFormerCoordinatorCostsNoMoreThanAnElection lets a write of the assignment be carried out after its sender was replaced: the
+// coordinator's next one finds another version than it knows, and must neither go on with its own view nor stay without one.
+func TestLateWriteOfAFormerCoordinatorCostsNoMoreThanAnElection(t *testing.T) {
+	c := qt.New(t)
+	k := newCluster(c, 2)
+	k.configure(1, "keyed")
+	k.upstream("k0", "keyed", "z1")
+	k.serves("n0")
+	page, err := k.store.Rows(context.Background(), "gateway-assignment", "keyed")
+	c.Assert(err, qt.IsNil)
+	c.Assert(page.Rows, qt.HasLen, 1)
+	_, err = k.store.Commit(context.Background(), cuminlift.RowTransaction{
+		Put: page.Rows,
+	})
+	c.Assert(err, qt.IsNil)
+	// Another upstream makes the coordinator write.
+	k.upstream("k1", "keyed", "z1")
+	eventually(func() bool {
+		for key := 0; key < platform.KeySpace; key += platform.KeySpace / 16 {
+			if _, text, _ := k.send("n1", http.MethodGet, "/read/x", key, ""); strings.HasPrefix(text, "k1") {
+				return true
+			}
+		}
+		return false
+	})
+	for name := range k.instances {
+		k.serves(name)
+	}
+}
+
 func TestStoreAwayKeepsKeysServed(t *testing.T) {
 	c := qt.New(t)
 	k := newCluster(c, 3)
