--- a/core/dispatch/upstream.go
+++ b/core/dispatch/upstream.go
@@ -132,9 +132,9 @@
 	// leadGain is what one report of each upstream changes the lead by, for a share of 1 that is missing or too much: a second of answers
 	// about doubles or halves what is sent ahead.
 	leadGain = 1.0
-	// leadMost bounds the lead, as a multiple of the slots: upstreams queue four times what they work on, half of which is left for what comes
-	// while no coordinator is known.
-	leadMost = 2.0
+	// leadMost bounds the lead, as a multiple of the slots: upstreams queue a few more than they work on, and what waits there can no longer go
+	// to another one, or after a request that is more urgent.
+	leadMost = 1.0
 	// queueLasts is how long a report of a short queue is believed, and shortQueue how many may wait by it: the slot of the request that was
 	// answered takes one of them.
 	queueLasts = 500 * time.Millisecond
