Say once what stood twice: lanes, tickets, seats, the time to come back

Cause, from reading the whole change again: the hottest key was looked for among all 65,536 keys for each holder that could give nothing, up to a fifth of the holders a plan; it is now looked for once a plan, and only where it is needed. A ticket changed lanes in two places, the time to come back was worked out in two, tickets were taken out of the books in two, the end and the head of an answer chose between own pool and coordinator each for itself, seats were indexed by id in three, a request was copied field by field. Each stands once now. Dead and taken out: Span and Born of the calls to upstreams, a parameter of resolve, a wrapper of deal. Left: pools are told of all upstreams with each step of the coordinator, though they rarely change (when a gone upstream is forgotten hangs on it); FNV of a name stands in two packages, three lines each; rows of a transaction are three types.

--- a/core/dispatch/decide.go
+++ b/core/dispatch/decide.go
@@ -72,10 +72,7 @@
 				i++
 				continue
 			}
-			if right := p.laneOf(now, t); right != l {
-				l.remove(t)
-				right.insert(t)
-				p.mark(right)
+			if p.moved(now, t) {
 				continue
 			}
 			u := l.owner
@@ -132,9 +129,8 @@
 			decision.Reason = NoOwner
 			decision.RetryAfter = ownerWait
 		case !l.ownerless && p.hopeless(now, t, l.owner):
-			wait, work := p.expectedWait(now, t, l)
 			decision.Reason = TooLate
-			decision.RetryAfter = max(wait, work/2, minRetryAfter)
+			decision.RetryAfter = comeBack(p.expectedWait(now, t, l))
 		default:
 			i++
 			continue
--- a/core/dispatch/lane.go
+++ b/core/dispatch/lane.go
@@ -69,17 +69,24 @@
 		return
 	}
 	for i := 0; i < len(l.tickets); {
-		t := l.tickets[i]
-		if right := p.laneOf(now, t); right != l {
-			l.remove(t)
-			right.insert(t)
-			p.mark(right)
-			continue
+		if !p.moved(now, l.tickets[i]) {
+			i++
 		}
-		i++
 	}
 }
 
+// moved puts a waiting ticket into the lane in which it belongs by now, and reports false where it is there already.
+func (p *Pool) moved(now time.Duration, t *Ticket) bool {
+	right := p.laneOf(now, t)
+	if right == t.lane {
+		return false
+	}
+	t.lane.remove(t)
+	right.insert(t)
+	p.mark(right)
+	return true
+}
+
 // lanes returns all lanes: those of owners by their upstreams' order, then the shared ones.
 func (p *Pool) lanes() []*lane {
 	all := make([]*lane, 0, len(p.order)+2)
--- a/core/dispatch/pool.go
+++ b/core/dispatch/pool.go
@@ -318,13 +318,18 @@
 	p.refusals = append(p.refusals, Decision{
 		Ticket:     t,
 		Reason:     reason,
-		RetryAfter: max(wait, work/2, minRetryAfter),
+		RetryAfter: comeBack(wait, work),
 	})
 }
 
 // minRetryAfter is the shortest time after which asking again makes sense: a few round trips.
 const minRetryAfter = 30 * time.Millisecond
 
+// comeBack returns when asking again may help, by the expected wait for a slot and the time of the work.
+func comeBack(wait, work time.Duration) time.Duration {
+	return max(wait, work/2, minRetryAfter)
+}
+
 // Reached notes that an upstream that could not be connected to answers again.
 func (p *Pool) Reached(now time.Duration, id string) {
 	if u := p.upstreams[id]; u != nil {
--- a/core/keyspace/balance.go
+++ b/core/keyspace/balance.go
@@ -2,6 +2,7 @@
 
 import (
 	"sort"
+	"sync"
 	"time"
 )
 
@@ -87,7 +88,7 @@
 	part := *hot
 	part.from, part.to = from, to
 	var moves []move
-	for _, piece := range k.dealBy(&part, seats, m, dealPieces) {
+	for _, piece := range k.deal(&part, seats, m, dealPieces) {
 		if piece.upstream != donor.upstream.ID {
 			moves = append(moves, piece)
 		}
@@ -155,13 +156,19 @@
 	limit = max(limit, unevenUse*mean)
 	var moves []move
 	stuck := map[*seat]bool{}
+	// Looked for once, and only where a donor has no range of the wanted rate: it takes a look at all keys.
+	hottest := sync.OnceValues(func() (uint32, float64) { return k.heat.hottest(m) })
 	for len(moves) < mostMoves(seats) {
 		donor := busiest(seats, stuck)
 		taker := idlest(seats)
 		if donor == nil || donor.use() < limit || taker == donor || taker.use() > donor.use()-0.2 {
 			break
 		}
-		part, ok := k.relieve(donor, taker, mean, m, moves)
+		want := wanted(donor, taker, mean)
+		part, ok := k.cut(donor, taker, want, m, moves)
+		if !ok && k.overHot(donor, hottest) {
+			part, ok = k.cutSome(donor, taker, want/2, m, moves)
+		}
 		if !ok {
 			// One that has a single hot key can give nothing; others can.
 			stuck[donor] = true
@@ -173,22 +180,17 @@
 	return moves
 }
 
-// relieve moves from the donor what brings it to the mean, or the taker a little above it.
-func (k *Keeper) relieve(donor, taker *seat, mean float64, m memory, moves []move) (move, bool) {
-	want := min((donor.use()-mean)*donor.upstream.Capacity, (max(mean, taker.use()+0.1)-taker.use())*taker.upstream.Capacity)
-	part, ok := k.cut(donor, taker, want, m, moves)
-	if !ok && k.overHot(donor, m) {
-		return k.cutSome(donor, taker, want/2, m, moves)
-	}
-	return part, ok
+// wanted returns the rate to move: what brings the donor to the mean, or the taker a little above it.
+func wanted(donor, taker *seat, mean float64) float64 {
+	return min((donor.use()-mean)*donor.upstream.Capacity, (max(mean, taker.use()+0.1)-taker.use())*taker.upstream.Capacity)
 }
 
 // leastCut is the rate, in requests a second, below which moving keys does not pay.
 const leastCut = 0.4
 
-// overHot reports whether a single key takes much of the seat.
-func (k *Keeper) overHot(s *seat, m memory) bool {
-	key, rate := k.heat.hottest(m)
+// overHot reports whether the hottest key takes much of the seat.
+func (k *Keeper) overHot(s *seat, hottest func() (key uint32, rate float64)) bool {
+	key, rate := hottest()
 	holding := k.find(key)
 	return holding != nil && holding.holder.id == s.upstream.ID && rate > hotUse*s.upstream.Capacity
 }
@@ -359,16 +361,13 @@
 		return nil
 	}
 	k.tidied = now
-	byID := map[string]*seat{}
-	for _, s := range seats {
-		byID[s.upstream.ID] = s
-	}
+	index := byID(seats)
 	var moves []move
 	// before is the holder of the range before, after the moves so far.
 	before := k.spans[0].holder.id
 	for i := 1; i < len(k.spans) && len(moves) < len(seats)/tidyPart; i++ {
 		a, b := k.spans[i-1], k.spans[i]
-		taker := byID[before]
+		taker := index[before]
 		before = b.holder.id
 		if taker == nil || taker.upstream.ID == b.holder.id || !k.calm(now, a) || !k.calm(now, b) {
 			continue
--- a/core/keyspace/calls.go
+++ b/core/keyspace/calls.go
@@ -10,7 +10,6 @@
 
 // GrantCall is a grant to be sent.
 type GrantCall struct {
-	Span     uint64
 	Upstream string
 	Address  string
 	Grant    cuminlift.KeyGrant
@@ -18,9 +17,7 @@
 
 // ReleaseCall is a release to be sent.
 type ReleaseCall struct {
-	Span     uint64
 	Upstream string
-	Born     int64
 	Address  string
 	Grant    cuminlift.KeyGrant
 }
@@ -66,7 +63,6 @@
 	s.calling = true
 	s.sent = now
 	actions.Grants = append(actions.Grants, GrantCall{
-		Span:     s.id,
 		Upstream: u.ID,
 		Address:  u.Address,
 		Grant: cuminlift.KeyGrant{
@@ -101,9 +97,7 @@
 	}
 	p.releasing = true
 	actions.Releases = append(actions.Releases, ReleaseCall{
-		Span:     s.id,
 		Upstream: u.ID,
-		Born:     u.Born,
 		Address:  u.Address,
 		Grant: cuminlift.KeyGrant{
 			Upstream: u.ID,
--- a/core/keyspace/plan.go
+++ b/core/keyspace/plan.go
@@ -125,20 +125,18 @@
 
 // seats returns the usable upstreams with their load, sorted by id.
 func (k *Keeper) seats(m memory) []*seat {
-	byID := map[string]*seat{}
 	var seats []*seat
-	for id, u := range k.upstreams {
+	for _, u := range k.upstreams {
 		if !u.Usable || u.Unreachable {
 			continue
 		}
-		s := &seat{
+		seats = append(seats, &seat{
 			upstream: u,
-		}
-		byID[id] = s
-		seats = append(seats, s)
+		})
 	}
+	index := byID(seats)
 	for _, s := range k.spans {
-		if seat := byID[s.holder.id]; seat != nil && seat.upstream.Born == s.holder.born {
+		if seat := index[s.holder.id]; seat != nil && seat.upstream.Born == s.holder.born {
 			seat.rate += k.heat.rate(s.from, s.to, m)
 			seat.keys += int(s.to-s.from) + 1
 		}
@@ -147,14 +145,19 @@
 	return seats
 }
 
+func byID(seats []*seat) map[string]*seat {
+	index := make(map[string]*seat, len(seats))
+	for _, s := range seats {
+		index[s.upstream.ID] = s
+	}
+	return index
+}
+
 // leave moves all keys of holders that are gone, leave, or can't be reached.
 func (k *Keeper) leave(now time.Duration, seats []*seat) []move {
 	var moves []move
 	fine := len(k.spans) > finePerHolder*len(seats)
-	byID := map[string]*seat{}
-	for _, seat := range seats {
-		byID[seat.upstream.ID] = seat
-	}
+	index := byID(seats)
 	for i, s := range k.spans {
 		u, known := k.upstreams[s.holder.id]
 		lost := s.gone || (s.failures > 1 && now-s.failingSince > lostAfter && !u.Lively)
@@ -177,14 +180,14 @@
 		}
 		others := without(seats, s.holder.id)
 		if !fine {
-			moves = append(moves, k.deal(s, others, dealPieces)...)
+			moves = append(moves, k.deal(s, others, short, dealPieces)...)
 			continue
 		}
-		if m, ok := k.joinNeighbour(i, byID); ok {
+		if m, ok := k.joinNeighbour(i, index); ok {
 			moves = append(moves, m)
 			continue
 		}
-		moves = append(moves, k.deal(s, others, 1)...)
+		moves = append(moves, k.deal(s, others, short, 1)...)
 	}
 	sortMoves(moves)
 	return moves
@@ -235,11 +238,7 @@
 )
 
 // deal divides a span into at most so many pieces among the seats with most room, each by its room, by heat where there is any and by width otherwise.
-func (k *Keeper) deal(s *span, seats []*seat, most int) []move {
-	return k.dealBy(s, seats, short, most)
-}
-
-func (k *Keeper) dealBy(s *span, seats []*seat, m memory, most int) []move {
+func (k *Keeper) deal(s *span, seats []*seat, m memory, most int) []move {
 	if len(seats) == 0 {
 		return nil
 	}
--- a/internal/gateway/assignment.go
+++ b/internal/gateway/assignment.go
@@ -149,7 +149,7 @@
 	case errors.As(err, &refused):
 		d.keeper.NotRecorded()
 	case conflict:
-		c.resolve(now, d, assignment, rows)
+		c.resolve(now, d, rows)
 	default:
 		c.log.WithField("service", d.name).WithError(err).Warn("it is not known whether the assignment was written")
 		time.AfterFunc(storePause, func() {
@@ -160,7 +160,7 @@
 }
 
 // resolve learns from the assignment as it stands: the own write whose answer was lost, or a later coordinator's.
-func (c *coordinator) resolve(now time.Duration, d *serviceDuty, assignment *schema.Assignment, rows []cuminlift.Row) {
+func (c *coordinator) resolve(now time.Duration, d *serviceDuty, rows []cuminlift.Row) {
 	for _, row := range rows {
 		head := &schema.AssignmentRow{}
 		if row.Key != rowKey(0) || proto.Unmarshal(row.Value, head) != nil {
--- a/internal/gateway/election.go
+++ b/internal/gateway/election.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -183,8 +182,7 @@
 	})
 	cancel()
 	if err != nil {
-		var conflict *cuminlift.ConflictError
-		if !errors.As(err, &conflict) {
+		if _, conflict := conflictRows(err); !conflict {
 			e.log.WithError(err).Warn("lease may have been taken, and is not used")
 		}
 		return
--- a/internal/gateway/follow.go
+++ b/internal/gateway/follow.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/sirupsen/logrus"
+	"google.golang.org/protobuf/proto"
 
 	"cuminlift/core/authority"
 	"cuminlift/io/frames"
@@ -148,18 +149,9 @@
 
 // refresh makes a request anew with the time that is left: the old one may still be on its way.
 func (o *office) refresh(now time.Duration, w *waiter) {
-	w.request = &schema.TicketRequest{
-		Id:          w.request.GetId(),
-		Service:     w.request.GetService(),
-		Key:         w.request.GetKey(),
-		Priority:    w.request.GetPriority(),
-		Idempotent:  w.request.GetIdempotent(),
-		Bulk:        w.request.GetBulk(),
-		RemainingMs: uint32(max(1, (w.deadline - now).Milliseconds())),
-		ObjectiveMs: uint32(max(0, (w.objective - now).Milliseconds())),
-		Attempt:     w.request.GetAttempt(),
-		Avoid:       w.request.GetAvoid(),
-	}
+	w.request = proto.Clone(w.request).(*schema.TicketRequest)
+	w.request.RemainingMs = uint32(max(1, (w.deadline - now).Milliseconds()))
+	w.request.ObjectiveMs = uint32(max(0, (w.objective - now).Milliseconds()))
 }
 
 func (o *office) takeReply(reply *schema.TicketReply) {
--- a/internal/gateway/queue.go
+++ b/internal/gateway/queue.go
@@ -106,25 +106,31 @@
 }
 
 func (c *coordinator) takeEnd(now time.Duration, l *link, end *schema.TicketEnd) {
-	d := l.services[end.GetId()]
+	d, id := c.forget(l, end.GetId())
 	if d == nil {
 		return
 	}
-	delete(l.services, end.GetId())
-	id := l.global(end.GetId())
-	delete(d.tickets, id)
 	d.pool.End(now, id, dispatch.Outcome(end.GetOutcome()), time.Duration(end.GetTookUs())*time.Microsecond, end.GetLoad())
 	c.decide(now, d)
 }
 
 func (c *coordinator) takeCancel(now time.Duration, l *link, cancel *schema.TicketCancel) {
-	d := l.services[cancel.GetId()]
+	d, id := c.forget(l, cancel.GetId())
 	if d == nil {
 		return
 	}
-	delete(l.services, cancel.GetId())
-	id := l.global(cancel.GetId())
-	delete(d.tickets, id)
 	d.pool.Cancel(now, id)
 	c.decide(now, d)
 }
+
+// forget takes an instance's ticket out of the books, and returns its duty, nil for one that is not known, and its number there.
+func (c *coordinator) forget(l *link, number uint64) (d *serviceDuty, id uint64) {
+	d = l.services[number]
+	if d == nil {
+		return nil, 0
+	}
+	id = l.global(number)
+	delete(l.services, number)
+	delete(d.tickets, id)
+	return d, id
+}
--- a/internal/gateway/tickets.go
+++ b/internal/gateway/tickets.go
@@ -264,18 +264,7 @@
 func (o *office) head(p place, service string, took time.Duration, load []uint32) {
 	o.mutex.Lock()
 	defer o.mutex.Unlock()
-	if p.local {
-		if pool := o.reserve[service]; pool != nil {
-			now := o.clock.Now()
-			pool.Head(now, p.id, took, load)
-			o.decide(now, service, pool)
-		}
-		return
-	}
-	if o.carrier == nil {
-		return
-	}
-	o.carrier.Send(&schema.Frame{
+	o.report(p, service, func(now time.Duration, pool *dispatch.Pool) { pool.Head(now, p.id, took, load) }, &schema.Frame{
 		Body: &schema.Frame_Head{
 			Head: &schema.TicketHead{
 				Id:     p.id,
@@ -286,6 +275,21 @@
 	})
 }
 
+// report tells whoever granted a ticket what became of it: the own pool, or the coordinator, if it is still there.
+func (o *office) report(p place, service string, local func(now time.Duration, pool *dispatch.Pool), frame *schema.Frame) {
+	if !p.local {
+		if o.carrier != nil {
+			o.carrier.Send(frame)
+		}
+		return
+	}
+	if pool := o.reserve[service]; pool != nil {
+		now := o.clock.Now()
+		local(now, pool)
+		o.decide(now, service, pool)
+	}
+}
+
 // end tells how a ticket ended.
 func (o *office) end(p place, service string, outcome schema.TicketOutcome, took time.Duration, load []uint32) {
 	o.mutex.Lock()
@@ -297,18 +301,9 @@
 	if p.upstream == "" {
 		return
 	}
-	if p.local {
-		now := o.clock.Now()
-		if pool := o.reserve[service]; pool != nil {
-			pool.End(now, p.id, dispatch.Outcome(outcome), took, load)
-			o.decide(now, service, pool)
-		}
-		return
-	}
-	if o.carrier == nil {
-		return
-	}
-	o.carrier.Send(&schema.Frame{
+	o.report(p, service, func(now time.Duration, pool *dispatch.Pool) {
+		pool.End(now, p.id, dispatch.Outcome(outcome), took, load)
+	}, &schema.Frame{
 		Body: &schema.Frame_End{
 			End: &schema.TicketEnd{
 				Id:      p.id,
