core/authority: count the takeover delay from the answer to a read of the lease

Cause: Monitor.LeaseRead counted from when the read was sent. The model executed reads when they were sent and missed it. Change: the delay counts from the answer. The model executes reads late; the old behaviour is its third mutant.

--- a/core/authority/authority.go
+++ b/core/authority/authority.go
@@ -134,7 +134,7 @@
 	// lastHeartbeat is when the instance last acknowledged a heartbeat of an active coordinator.
 	lastHeartbeat time.Duration
 	// leaseVersion is the last known lease version, and versionSince is when this instance first saw it: when the read
-	// was sent or the heartbeat arrived.
+	// was answered or the heartbeat arrived. It was written before then.
 	leaseVersion uint64
 	versionSince time.Duration
 	leaseKnown   bool
@@ -182,11 +182,12 @@
 	m.readFailing = true
 }
 
-// LeaseRead records the lease's version, 0 if there is no lease, and term, as returned by a read that was sent at sent.
-func (m *Monitor) LeaseRead(sent time.Duration, leaseVersion, leaseTerm uint64) {
+// LeaseRead records the lease's version, 0 if there is no lease, and term, as returned by a read that was answered at
+// answered. The store may have executed the read at any time before, so the version may be younger than the read.
+func (m *Monitor) LeaseRead(answered time.Duration, leaseVersion, leaseTerm uint64) {
 	if m.readFailing {
 		m.readFailing = false
-		m.readRecovered = sent
+		m.readRecovered = answered
 	}
 	if m.leaseKnown && leaseVersion == m.leaseVersion {
 		return
@@ -194,7 +195,7 @@
 	m.leaseKnown = true
 	m.leaseVersion = leaseVersion
 	m.leaseTerm = leaseTerm
-	m.versionSince = sent
+	m.versionSince = answered
 }
 
 // NextLeaseRead returns the earliest time at which reading the lease again may allow a takeover.
--- a/core/authority/authority_test.go
+++ b/core/authority/authority_test.go
@@ -54,6 +54,23 @@
 	c.Check(version, qt.Equals, uint64(10))
 }
 
+// TestReadExecutedLateDelaysTakeover guards against a second coordinator: the store executed a read long after it was sent, so
+// the version that it returned was written after the read was sent.
+func TestReadExecutedLateDelaysTakeover(t *testing.T) {
+	c := qt.New(t)
+	const renewalSent, readAnswered = 1400 * time.Millisecond, 1500 * time.Millisecond
+	l := authority.NewLeadership(renewalSent)
+	l.SetMembers([]string{"a"})
+	m := authority.NewMonitor(0)
+	m.LeaseRead(readAnswered, 7, 1)
+	for now := readAnswered; now < l.ValidUntil(); now += 10 * time.Millisecond {
+		_, ok := m.CanTakeLease(now, 0)
+		c.Assert(ok, qt.IsFalse, qt.Commentf("at %v", now))
+	}
+	_, ok := m.CanTakeLease(readAnswered+authority.TakeoverDelay, 0)
+	c.Check(ok, qt.IsTrue)
+}
+
 // The model simulates instances with a single lease row. At random, instances pause, and lose contact with the store
 // and with each other.
 
@@ -96,6 +113,8 @@
 	countFromAnswer bool
 	// takeoverTooEarly is a mutant that takes over before the leadership of the last coordinator has expired.
 	takeoverTooEarly bool
+	// countReadsFromSending is a mutant that takes a version for as old as the read that returned it.
+	countReadsFromSending bool
 }
 
 func newSimulation(seed uint64) *simulation {
@@ -139,10 +158,7 @@
 	if s.storeDown || i.storeDenied {
 		return
 	}
-	delay := s.messageDelay()
-	if s.random.Float64() < 0.05 {
-		delay = time.Duration(s.random.IntN(3000)) * time.Millisecond
-	}
+	delay := s.storeDelay()
 	lost := s.random.Float64() < 0.1
 	s.events = append(s.events, event{
 		at: s.now + delay,
@@ -175,16 +191,39 @@
 		return
 	}
 	i.lastRead = s.now
-	sent, version, term := s.now, s.version, s.term
-	s.send(i, s.messageDelay(), func() {
+	sent := s.now
+	s.readLease(func(version, term uint64) {
 		i.lastStoreAnswer = s.now
-		i.monitor.LeaseRead(sent, version, term)
+		seen := s.now
+		if s.countReadsFromSending {
+			seen = sent
+		}
+		i.monitor.LeaseRead(seen, version, term)
 		if v, ok := i.monitor.CanTakeLease(s.now, 0); ok && i.lead == nil {
 			s.takeOver(i, v, term)
 		}
+	}, i)
+}
+
+// readLease reads the lease for an instance. The store may execute the read, and the answer may arrive, late.
+func (s *simulation) readLease(answer func(version, term uint64), i *instance) {
+	s.events = append(s.events, event{
+		at: s.now + s.storeDelay(),
+		apply: func() {
+			version, term := s.version, s.term
+			s.send(i, s.messageDelay(), func() { answer(version, term) })
+		},
 	})
 }
 
+// storeDelay is the time from sending a call until the store executes it, at times seconds.
+func (s *simulation) storeDelay() time.Duration {
+	if s.random.Float64() < 0.05 {
+		return time.Duration(s.random.IntN(3000)) * time.Millisecond
+	}
+	return s.messageDelay()
+}
+
 func (s *simulation) takeOver(i *instance, version, term uint64) {
 	i.takeoverPending = true
 	sent := s.now
@@ -360,6 +399,7 @@
 	for name, enableMutant := range map[string]func(*simulation){
 		"counts from the answer": func(s *simulation) { s.countFromAnswer = true },
 		"takes over too early":   func(s *simulation) { s.takeoverTooEarly = true },
+		"counts from the read":   func(s *simulation) { s.countReadsFromSending = true },
 	} {
 		t.Run(name, func(t *testing.T) {
 			c := qt.New(t)
--- a/internal/gateway/election.go
+++ b/internal/gateway/election.go
@@ -161,8 +161,9 @@
 	}
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
-	t.monitor.LeaseRead(now, version, lease.GetTerm())
-	version, acquire = t.monitor.CanTakeLease(e.clock.Now(), rank)
+	answered := e.clock.Now()
+	t.monitor.LeaseRead(answered, version, lease.GetTerm())
+	version, acquire = t.monitor.CanTakeLease(answered, rank)
 	t.acquiringLease = acquire
 	return version, lease.GetTerm(), acquire
 }
