core/replica: pass over pages that arrive late, and read at once after an outage

Cause: a page that was read from the store could be applied after newer rows that the coordinator had forwarded. The copy of the table then held older rows under a newer version: an upstream that had left came back, a taken-out zone was in use again, and rows in between were never read. Change: replica.Table.Apply takes only what is newer and leaves no gap, and returns just that; a whole page older than what is known is passed over. A feed reads again at once when another call shows that the store is back, and while it fails the coordinator neither forwards nor claims to.

--- a/core/authority/authority.go
+++ b/core/authority/authority.go
@@ -69,9 +69,9 @@
 	}
 }
 
-// StoreFailing reports whether the last write of the lease failed.
-func (l *Leadership) StoreFailing() bool {
-	return l.failingSince != 0
+// StoreFailing returns since when writes of the lease fail. failing is false if the last one succeeded.
+func (l *Leadership) StoreFailing() (since time.Duration, failing bool) {
+	return l.failingSince, l.failingSince != 0
 }
 
 // Acknowledged records that a member acknowledged the heartbeat sent at sent.
--- a/core/replica/replica.go
+++ b/core/replica/replica.go
@@ -7,9 +7,8 @@
 type Table struct {
 	rows   map[string]cuminlift.Row
 	loaded bool
-	// syncedVersion is the version up to which all changes are known. newestRowVersion is the version of the newest row
-	// applied.
-	syncedVersion, newestRowVersion uint64
+	// syncedVersion is the version up to which all changes are known, also while loaded is false.
+	syncedVersion uint64
 	// removals are the rows removed after removalsSince, ordered by version.
 	removals      []cuminlift.Row
 	removalsSince uint64
@@ -18,8 +17,14 @@
 // maxRemovals bounds the number of removed rows that are kept. An instance that lacks more removals gets a snapshot.
 const maxRemovals = 2048
 
-// Apply applies a page, which is either a snapshot of all rows or the rows that changed.
-func (t *Table) Apply(page cuminlift.RowPage, snapshot bool) {
+// Apply applies a page, which is either a snapshot of all rows or the rows that changed, and returns it without the changes
+// that were known before. A page may arrive late, after newer ones from another source: ok is false if it must not be
+// applied, because it is older than what is known or leaves a gap. A page of changes must hold all changes after since.
+func (t *Table) Apply(page cuminlift.RowPage, snapshot bool, since uint64) (news cuminlift.RowPage, ok bool) {
+	if !t.CanApply(page, snapshot, since) {
+		return cuminlift.RowPage{}, false
+	}
+	news.Version = page.Version
 	if snapshot {
 		t.rows = make(map[string]cuminlift.Row, len(page.Rows))
 		t.loaded = true
@@ -28,7 +33,10 @@
 		t.removalsSince = page.Version
 	}
 	for _, row := range page.Rows {
-		t.newestRowVersion = max(t.newestRowVersion, row.Version)
+		if !snapshot && row.Version <= t.syncedVersion {
+			continue
+		}
+		news.Rows = append(news.Rows, row)
 		if !row.Removed {
 			t.rows[row.Key] = row
 			continue
@@ -41,6 +49,7 @@
 		t.removals = append(t.removals[:0], t.removals[excess:]...)
 	}
 	t.syncedVersion = max(t.syncedVersion, page.Version)
+	return news, true
 }
 
 // Invalidate requires the next page to be a snapshot. The current rows are kept until then.
@@ -85,11 +94,11 @@
 	return page, false, true
 }
 
-// CanApply reports whether applying a page from another instance leaves no gap. A snapshot must not be older than the
-// newest known row. A page of changes holds those after since, up to which all changes must be known.
+// CanApply reports whether applying a page loses and omits no change. A snapshot must not be older than what is known. A page
+// of changes holds those after since, up to which all changes must be known.
 func (t *Table) CanApply(page cuminlift.RowPage, snapshot bool, since uint64) bool {
 	if snapshot {
-		return page.Version >= t.newestRowVersion
+		return page.Version >= t.syncedVersion
 	}
 	return t.loaded && since <= t.syncedVersion
 }
--- a/core/replica/replica_test.go
+++ b/core/replica/replica_test.go
@@ -23,6 +23,61 @@
 	return known
 }
 
+func apply(c *qt.C, t *replica.Table, page cuminlift.RowPage, snapshot bool, since uint64) {
+	_, ok := t.Apply(page, snapshot, since)
+	c.Assert(ok, qt.IsTrue)
+}
+
+// TestLatePageRestoresNothing guards against an instance that brings back a row it has already seen removed or replaced. A
+// read of the store was answered late, after the coordinator had forwarded newer rows.
+func TestLatePageRestoresNothing(t *testing.T) {
+	c := qt.New(t)
+	table := &replica.Table{}
+	apply(c, table, cuminlift.RowPage{
+		Version: 5,
+		Rows: []cuminlift.Row{{
+			Key:     "left",
+			Version: 2,
+		}, {
+			Key:     "kept",
+			Version: 3,
+		}},
+	}, true, 0)
+	apply(c, table, cuminlift.RowPage{
+		Version: 9,
+		Rows: []cuminlift.Row{{
+			Key:     "left",
+			Version: 7,
+			Removed: true,
+		}, {
+			Key:     "kept",
+			Version: 9,
+		}},
+	}, false, 5)
+	late := cuminlift.RowPage{
+		Version: 6,
+		Rows: []cuminlift.Row{{
+			Key:     "left",
+			Version: 6,
+		}, {
+			Key:     "kept",
+			Version: 6,
+		}},
+	}
+	news, ok := table.Apply(late, false, 5)
+	c.Check(ok, qt.IsTrue)
+	c.Check(news.Rows, qt.HasLen, 0)
+	_, ok = table.Apply(late, true, 0)
+	c.Check(ok, qt.IsFalse, qt.Commentf("a snapshot from before the removal"))
+	c.Check(knownVersions(table), qt.DeepEquals, map[string]uint64{
+		"kept": 9,
+	})
+	c.Check(table.SyncedVersion(), qt.Equals, uint64(9))
+	table.Invalidate()
+	_, ok = table.Apply(late, true, 0)
+	c.Check(ok, qt.IsFalse, qt.Commentf("a snapshot from before the removal, after the history was lost"))
+}
+
 // TestFollowerMatchesLeaderAfterCatchingUp changes a table at random and lets a follower catch up from what it knew
 // earlier, sometimes after the leader has dropped the removals since then. It guards against a follower that keeps
 // removed rows or misses changed ones.
@@ -33,23 +88,23 @@
 		random := rand.New(rand.NewPCG(seed, 3))
 		leader, follower := &replica.Table{}, &replica.Table{}
 		version := uint64(1)
-		leader.Apply(cuminlift.RowPage{
+		apply(c, leader, cuminlift.RowPage{
 			Version: version,
-		}, true)
-		follower.Apply(cuminlift.RowPage{
+		}, true, 0)
+		apply(c, follower, cuminlift.RowPage{
 			Version: version,
-		}, true)
+		}, true, 0)
 		for range 40 {
 			for range random.IntN(800) {
 				version++
-				leader.Apply(cuminlift.RowPage{
+				apply(c, leader, cuminlift.RowPage{
 					Version: version,
 					Rows: []cuminlift.Row{{
 						Key:     fmt.Sprint(random.IntN(50)),
 						Version: version,
 						Removed: random.IntN(3) == 0,
 					}},
-				}, false)
+				}, false, version-1)
 			}
 			if random.IntN(4) > 0 {
 				continue
@@ -57,8 +112,7 @@
 			since := follower.SyncedVersion()
 			page, snapshot, ok := leader.Since(since)
 			c.Assert(ok, qt.IsTrue)
-			c.Assert(follower.CanApply(page, snapshot, since), qt.IsTrue)
-			follower.Apply(page, snapshot)
+			apply(c, follower, page, snapshot, since)
 			c.Assert(knownVersions(follower), qt.DeepEquals, knownVersions(leader))
 			c.Assert(follower.SyncedVersion(), qt.Equals, version)
 			if snapshot {
@@ -75,9 +129,9 @@
 	c := qt.New(t)
 	table := &replica.Table{}
 	c.Check(table.CanApply(cuminlift.RowPage{}, false, 0), qt.IsFalse) // No snapshot has been read.
-	table.Apply(cuminlift.RowPage{
+	apply(c, table, cuminlift.RowPage{
 		Version: 5,
-	}, true)
+	}, true, 0)
 	c.Check(table.CanApply(cuminlift.RowPage{}, false, 6), qt.IsFalse)
 	c.Check(table.CanApply(cuminlift.RowPage{}, false, 5), qt.IsTrue)
 	table.Invalidate()
--- a/internal/gateway/coordinator.go
+++ b/internal/gateway/coordinator.go
@@ -44,11 +44,12 @@
 	links          map[string]*link
 	nextLinkNumber uint64
 	services       map[string]*serviceState
-	// tables are forwarded to all instances.
-	tables    []*tableFeed
-	cancel    context.CancelFunc
-	ctx       context.Context
-	lastProbe time.Duration
+	// tables are forwarded to all instances. storeFailed is the last result of storeFails.
+	tables      []*tableFeed
+	storeFailed bool
+	cancel      context.CancelFunc
+	ctx         context.Context
+	lastProbe   time.Duration
 	// lastQueueLog is when the queue statistics were last logged.
 	lastQueueLog time.Duration
 }
@@ -198,7 +199,7 @@
 				Sequence:     uint64(c.clock.Now()),
 				Resigned:     resigned,
 				Instances:    uint32(len(c.links)),
-				StoreFails:   c.leadership.StoreFailing(),
+				StoreFails:   c.storeFails(),
 				LeaseVersion: c.leaseVersion,
 
 				LargestCpuPermille: c.maxCPUPermille(),
@@ -219,9 +220,40 @@
 	return highest
 }
 
+// storeFails reports whether the store fails for this instance, so that the tables that it forwards may be outdated.
+func (c *coordinator) storeFails() bool {
+	for _, feed := range c.tables {
+		if feed.failing() {
+			return true
+		}
+	}
+	_, failing := c.leadership.StoreFailing()
+	return failing
+}
+
+// wakeFeeds reads the tables at once after a call has shown that the store works again.
+func (c *coordinator) wakeFeeds(failingSince time.Duration) {
+	for _, feed := range c.tables {
+		feed.wakeAfterOutage(failingSince)
+	}
+}
+
+// resendTables sends the tables to all instances once the store works again. They began to read it themselves.
+func (c *coordinator) resendTables() {
+	failed := c.storeFails()
+	if c.storeFailed && !failed {
+		for _, l := range c.links {
+			l.tablesSent = false
+			c.sendTables(l)
+		}
+	}
+	c.storeFailed = failed
+}
+
 // tick runs time-driven work.
 func (c *coordinator) tick(now time.Duration) {
 	c.renew(now)
+	c.resendTables()
 	v := c.view()
 	if v.table == nil || !v.listed {
 		return
@@ -337,16 +369,11 @@
 func (c *coordinator) handleRenewal(now, sentAt time.Duration, version uint64, err error) {
 	c.renewing = false
 	if err == nil {
-		wasFailing := c.leadership.StoreFailing()
+		if failingSince, failing := c.leadership.StoreFailing(); failing {
+			c.wakeFeeds(failingSince)
+		}
 		c.leaseVersion = version
 		c.leadership.Renewed(sentAt)
-		if wasFailing {
-			// Instances began to read the store themselves, so send them the tables again.
-			for _, l := range c.links {
-				l.tablesSent = false
-				c.sendTables(l)
-			}
-		}
 		return
 	}
 	c.leadership.RenewalFailed(now)
--- a/internal/gateway/election.go
+++ b/internal/gateway/election.go
@@ -24,6 +24,8 @@
 	incarnation string
 	// lastRead is when the lease was last read, and readPause the minimum time until the next read.
 	lastRead, readPause time.Duration
+	// failingSince is when reading the lease began to fail, 0 while it works.
+	failingSince time.Duration
 }
 
 // maxLeaseReadPause is the longest pause between reads of the lease while the store fails. All instances read it then, and
@@ -142,12 +144,21 @@
 	page, err := e.config.Store.Rows(callCtx, leaseTable, "")
 	if err != nil {
 		e.readPause = min(2*e.readPause, maxLeaseReadPause)
+		if e.failingSince == 0 {
+			e.failingSince = now
+		}
 		t.mutex.Lock()
 		defer t.mutex.Unlock()
 		t.monitor.LeaseReadFailed()
 		return 0, 0, false // The table feeds log that the store is lost.
 	}
 	e.readPause = storeRetryPause
+	if e.failingSince != 0 {
+		for _, feed := range e.tables {
+			feed.wakeAfterOutage(e.failingSince)
+		}
+		e.failingSince = 0
+	}
 	lease := &schema.LeaseRow{}
 	for _, row := range page.Rows {
 		if row.Key != leaseKey {
--- a/internal/gateway/links.go
+++ b/internal/gateway/links.go
@@ -76,7 +76,7 @@
 		c.post(func(time.Duration) { c.setInstances(registered) })
 	}
 	// follow returns only when the context ends.
-	_ = f.follow(c.ctx, &tableFeed{
+	_ = f.follow(c.ctx, newTableFeed(&tableFeed{
 		table: instanceTable,
 		replaceRows: func(list []cuminlift.Row) {
 			clear(rows)
@@ -85,7 +85,7 @@
 		applyChanges: apply,
 		onRecovered:  func(context.Context, time.Duration) {},
 		pause:        changeBatchInterval,
-	})
+	}))
 }
 
 func (c *coordinator) setInstances(instances []*schema.InstanceRow) {
@@ -225,8 +225,8 @@
 // forwardTables sends all changes of the operators' and upstreams' tables to all instances.
 func (c *coordinator) forwardTables() {
 	for _, feed := range c.tables {
-		feed.setListener(func(page cuminlift.RowPage, whole bool) {
-			frame := rowsFrame(feed.table, page, whole)
+		feed.setListener(func(page cuminlift.RowPage, whole bool, since uint64) {
+			frame := rowsFrame(feed.table, page, whole, since)
 			// The caller holds the feed's mutex, for which the coordinator's goroutine may wait: this must not block.
 			select {
 			case c.events <- func(time.Duration) { c.broadcast(frame) }:
@@ -247,7 +247,7 @@
 // sendTables sends an instance the rows it lacks, once its first heartbeat reply has told its versions. While the store
 // fails, the coordinator's rows may be outdated, and the instance reads the store itself.
 func (c *coordinator) sendTables(l *link) {
-	if l.tablesSent || c.leadership.StoreFailing() {
+	if l.tablesSent || c.storeFails() {
 		return
 	}
 	l.tablesSent = true
--- a/internal/gateway/poll.go
+++ b/internal/gateway/poll.go
@@ -6,6 +6,8 @@
 	"sync"
 	"time"
 
+	"github.com/sirupsen/logrus"
+
 	"cuminlift"
 	"cuminlift/core/replica"
 	"cuminlift/schema"
@@ -29,21 +31,31 @@
 	source frameConn
 	// cancelPoll cancels the long poll of the store.
 	cancelPoll context.CancelFunc
-	// listener is called with each page that is applied; it may be nil.
-	listener func(page cuminlift.RowPage, whole bool)
+	// listener is called with each page that is applied, and the version after which its changes count; it may be nil.
+	listener func(page cuminlift.RowPage, whole bool, since uint64)
+	// failingSince is when the store began to fail, 0 while it works or is not read.
+	failingSince time.Duration
+	// forwardedVersion is the version up to which all changes were passed to the listener.
+	forwardedVersion uint64
+	// woken has an element if the pause before the next read is to end at once.
+	woken chan struct{}
+}
+
+// newTableFeed completes a feed.
+func newTableFeed(feed *tableFeed) *tableFeed {
+	feed.woken = make(chan struct{}, 1)
+	return feed
 }
 
 // follow reads the whole table, then its changes, until ctx ends. It pauses while the coordinator forwards the rows.
 func (f *follower) follow(ctx context.Context, feed *tableFeed) error {
-	failingSince := time.Duration(0)
 	pause := storeRetryPause
 	for ctx.Err() == nil {
 		if feed.forwarded() {
-			failingSince = 0
 			sleep(ctx, changeBatchInterval)
 			continue
 		}
-		page, whole, err := f.readTable(ctx, feed)
+		page, whole, since, err := f.readTable(ctx, feed)
 		if errors.Is(err, context.Canceled) {
 			continue
 		}
@@ -54,21 +66,26 @@
 			continue
 		}
 		if err != nil {
-			if failingSince == 0 {
+			if feed.fails(f.clock.Now()) {
 				f.log.WithField("table", feed.table).WithError(err).Warn("store lost")
-				failingSince = f.clock.Now()
 			}
-			sleep(ctx, pause)
+			feed.wait(ctx, pause)
 			pause = min(2*pause, maxStoreRetryPause)
 			continue
 		}
 		pause = storeRetryPause
-		if failingSince != 0 {
+		if failed := feed.recovers(f.clock.Now()); failed > 0 {
 			f.log.WithField("table", feed.table).Info("store regained")
-			feed.onRecovered(ctx, f.clock.Now()-failingSince)
-			failingSince = 0
+			feed.onRecovered(ctx, failed)
+		}
+		if !feed.applyPage(page, whole, since) {
+			f.log.WithFields(logrus.Fields{
+				"table":   feed.table,
+				"version": page.Version,
+			}).Info("a late answer of the store is passed over")
+			feed.wait(ctx, pause)
+			continue
 		}
-		feed.applyPage(page, whole)
 		if !whole && len(page.Rows) > 0 {
 			sleep(ctx, feed.pause)
 		}
@@ -76,14 +93,75 @@
 	return nil
 }
 
-func (f *follower) readTable(ctx context.Context, feed *tableFeed) (page cuminlift.RowPage, whole bool, err error) {
-	limit := longPollWait + longPollMargin
+// fails records that a read failed at now. It reports whether the store worked before.
+func (t *tableFeed) fails(now time.Duration) bool {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	if t.failingSince != 0 {
+		return false
+	}
+	t.failingSince = now
+	return true
+}
+
+// recovers records that a read succeeded at now. It returns how long the store failed before, 0 if it did not.
+func (t *tableFeed) recovers(now time.Duration) time.Duration {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	if t.failingSince == 0 {
+		return 0
+	}
+	failed := now - t.failingSince
+	t.failingSince = 0
+	return failed
+}
+
+// failing reports whether the last read failed, so that the rows may be outdated.
+func (t *tableFeed) failing() bool {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	return t.failingSince != 0
+}
+
+// wait pauses, at most until wakeAfterOutage is called.
+func (t *tableFeed) wait(ctx context.Context, pause time.Duration) {
+	waitCtx, cancel := context.WithTimeout(ctx, pause)
+	defer cancel()
+	select {
+	case <-waitCtx.Done():
+	case <-t.woken:
+	}
+}
+
+// wakeAfterOutage starts a new read at once, because another call shows that the store works again after failing since
+// failingSince. A read that the store accepted before it failed may never be answered.
+func (t *tableFeed) wakeAfterOutage(failingSince time.Duration) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	if t.source != nil {
+		return
+	}
+	if t.failingSince == 0 || failingSince < t.failingSince {
+		t.failingSince = failingSince
+	}
+	if t.cancelPoll != nil {
+		t.cancelPoll()
+	}
+	select {
+	case t.woken <- struct{}{}:
+	default:
+	}
+}
+
+func (f *follower) readTable(ctx context.Context, feed *tableFeed) (page cuminlift.RowPage, whole bool, since uint64, err error) {
+	limit, wait := longPollWait+longPollMargin, longPollWait
 	feed.mutex.Lock()
 	whole = !feed.known.Loaded()
-	if whole {
-		limit = storeReadTimeout
+	if whole || feed.failingSince != 0 {
+		// After a failure, an answer without changes must not wait: it shows that the store works again.
+		limit, wait = storeReadTimeout, 0
 	}
-	after := feed.known.SyncedVersion()
+	since = feed.known.SyncedVersion()
 	callCtx, cancel := context.WithTimeout(ctx, limit)
 	feed.cancelPoll = cancel
 	feed.mutex.Unlock()
@@ -91,27 +169,36 @@
 	if whole {
 		page, err = f.store.Rows(callCtx, feed.table, "")
 	} else {
-		page, err = f.store.Changes(callCtx, feed.table, after, longPollWait)
+		page, err = f.store.Changes(callCtx, feed.table, since, wait)
 	}
 	if err != nil && errors.Is(callCtx.Err(), context.Canceled) {
 		err = context.Canceled
 	}
-	return page, whole, err
+	return page, whole, since, err
 }
 
-// applyPage applies a page and passes it to the listener.
-func (t *tableFeed) applyPage(page cuminlift.RowPage, whole bool) {
+// applyPage applies a page and passes it to the listener. It reports false if the page is outdated or leaves a gap.
+func (t *tableFeed) applyPage(page cuminlift.RowPage, whole bool, since uint64) bool {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
+	return t.applyPageLocked(page, whole, since)
+}
+
+func (t *tableFeed) applyPageLocked(page cuminlift.RowPage, whole bool, since uint64) bool {
+	news, ok := t.known.Apply(page, whole, since)
+	if !ok {
+		return false
+	}
 	if whole {
-		t.replaceRows(page.Rows)
-	} else if len(page.Rows) > 0 {
-		t.applyChanges(page.Rows)
+		t.replaceRows(news.Rows)
+	} else if len(news.Rows) > 0 {
+		t.applyChanges(news.Rows)
 	}
-	t.known.Apply(page, whole)
-	if t.listener != nil && (whole || len(page.Rows) > 0) {
-		t.listener(page, whole)
+	if t.listener != nil && (whole || len(news.Rows) > 0) {
+		t.listener(news, whole, t.forwardedVersion)
+		t.forwardedVersion = news.Version
 	}
+	return true
 }
 
 func (t *tableFeed) forget() {
@@ -142,17 +229,23 @@
 		})
 	}
 	t.mutex.Lock()
-	accepted := t.source == from
-	if (rows.GetWhole() || rows.GetJoins()) && t.known.CanApply(page, rows.GetWhole(), rows.GetSince()) {
-		t.source = from
-		accepted = true
-		if t.cancelPoll != nil {
-			t.cancelPoll()
+	defer t.mutex.Unlock()
+	if t.source != from && !rows.GetWhole() && !rows.GetJoins() {
+		return
+	}
+	if !t.applyPageLocked(page, rows.GetWhole(), rows.GetSince()) {
+		if t.source == from {
+			t.source = nil // The forwarded rows leave a gap.
 		}
+		return
 	}
-	t.mutex.Unlock()
-	if accepted {
-		t.applyPage(page, rows.GetWhole())
+	if t.source == from {
+		return
+	}
+	t.source = from
+	t.failingSince = 0
+	if t.cancelPoll != nil {
+		t.cancelPoll()
 	}
 }
 
@@ -166,10 +259,11 @@
 }
 
 // setListener makes listener receive each page from now on; nil removes it.
-func (t *tableFeed) setListener(listener func(page cuminlift.RowPage, whole bool)) {
+func (t *tableFeed) setListener(listener func(page cuminlift.RowPage, whole bool, since uint64)) {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
 	t.listener = listener
+	t.forwardedVersion = t.known.SyncedVersion()
 }
 
 // version returns the version up to which the table is known.
@@ -180,23 +274,26 @@
 }
 
 // frameSince returns the message that brings an instance up to date that knows the table up to version. ok is false before
-// the first read.
+// the first read, and while the rows are outdated: the store fails, or the instance knows newer ones.
 func (t *tableFeed) frameSince(version uint64) (frame *schema.Frame, ok bool) {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
 	page, whole, ok := t.known.Since(version)
-	frame = rowsFrame(t.table, page, whole)
+	if !ok || t.failingSince != 0 || version > page.Version {
+		return nil, false
+	}
+	frame = rowsFrame(t.table, page, whole, version)
 	frame.GetRows().Joins = true
-	frame.GetRows().Since = version
-	return frame, ok
+	return frame, true
 }
 
-// rowsFrame converts a page to a message.
-func rowsFrame(table string, page cuminlift.RowPage, whole bool) *schema.Frame {
+// rowsFrame converts a page to a message. Unless it is whole, it holds all changes after since.
+func rowsFrame(table string, page cuminlift.RowPage, whole bool, since uint64) *schema.Frame {
 	message := &schema.TableRows{
 		Table:   table,
 		Version: page.Version,
 		Whole:   whole,
+		Since:   since,
 	}
 	for _, row := range page.Rows {
 		message.Rows = append(message.Rows, &schema.TableRow{
--- a/internal/gateway/view.go
+++ b/internal/gateway/view.go
@@ -151,7 +151,7 @@
 
 // configurationFeed returns the feed of the operators' table.
 func (f *follower) configurationFeed() *tableFeed {
-	return &tableFeed{
+	return newTableFeed(&tableFeed{
 		table: f.registry.ConfigurationTable(),
 		replaceRows: func(rows []cuminlift.Row) {
 			f.update(func() {
@@ -164,7 +164,7 @@
 			f.update(func() { f.applyOperatorRows(rows) })
 		},
 		onRecovered: func(context.Context, time.Duration) {},
-	}
+	})
 }
 
 func (f *follower) update(change func()) {
@@ -211,7 +211,7 @@
 
 // upstreamFeed returns the feed of the upstreams' table.
 func (f *follower) upstreamFeed() *tableFeed {
-	return &tableFeed{
+	return newTableFeed(&tableFeed{
 		table: f.registry.UpstreamTable(),
 		replaceRows: func(rows []cuminlift.Row) {
 			f.update(func() { f.replaceUpstreams(rows) })
@@ -225,7 +225,7 @@
 			}
 		},
 		pause: changeBatchInterval,
-	}
+	})
 }
 
 // startRegistrationGrace keeps missing entries until live upstreams have had time to register again.
