core/authority: replace a coordinator that resigns at once

Cause: instances that knew of a resignation still waited for as long as after a loss: the resigned term equals the known term of the lease, and only a higher one counted; and NextLeaseRead knew nothing of resignations. Change: a resignation of the known term or a later one counts, staggered by rank. An instance whose write of the lease meets a conflict keeps what it knows, since the last renewal of the one that resigned may come in between. Result: TestResignationHandsOverWithoutTheTakeoverDelay fails before.

--- a/core/authority/authority.go
+++ b/core/authority/authority.go
@@ -142,8 +142,9 @@
 	readFailing   bool
 	readRecovered time.Duration
 	// leaseTerm is the last known term of the lease. resignedTerm is the newest term whose holder has resigned, 0 if
-	// there is none.
+	// there is none, and resignedAt is when this instance learned of it.
 	leaseTerm, resignedTerm uint64
+	resignedAt              time.Duration
 }
 
 // NewMonitor returns a monitor that starts at now.
@@ -163,18 +164,26 @@
 	m.versionSince = now
 }
 
-// CoordinatorResigned records that the holder of the lease in the given term has resigned.
-func (m *Monitor) CoordinatorResigned(term uint64) {
-	m.resignedTerm = max(m.resignedTerm, term)
+// CoordinatorResigned records at now that the holder of the lease in the given term has resigned.
+func (m *Monitor) CoordinatorResigned(now time.Duration, term uint64) {
+	if term > m.resignedTerm {
+		m.resignedTerm = term
+		m.resignedAt = now
+	}
+}
+
+// resigned reports whether the holder of the lease, as far as known, has resigned.
+func (m *Monitor) resigned() bool {
+	return m.resignedTerm != 0 && m.resignedTerm >= m.leaseTerm
 }
 
 // ShouldReadLease reports whether to read the lease because the coordinator is silent or has resigned. rank staggers
 // the instances, so that they do not all read and write at once.
 func (m *Monitor) ShouldReadLease(now time.Duration, rank int) bool {
-	if m.resignedTerm > m.leaseTerm {
-		return true
+	if m.resigned() {
+		return now >= m.resignedAt+rankDelay(rank)
 	}
-	return now-m.lastHeartbeat > 2*HeartbeatInterval+time.Duration(rank)*HeartbeatInterval/4
+	return now-m.lastHeartbeat > 2*HeartbeatInterval+rankDelay(rank)
 }
 
 // LeaseReadFailed records a failure to read the lease.
@@ -200,7 +209,7 @@
 
 // NextLeaseRead returns the earliest time at which reading the lease again may allow a takeover.
 func (m *Monitor) NextLeaseRead(rank int) time.Duration {
-	if !m.leaseKnown {
+	if !m.leaseKnown || m.resigned() {
 		return 0
 	}
 	return max(m.versionSince+rankedTakeoverDelay(rank), m.earliestTakeover(rank))
@@ -212,12 +221,16 @@
 	if m.readRecovered == 0 {
 		return 0
 	}
-	return m.readRecovered + time.Duration(rank)*HeartbeatInterval/4
+	return m.readRecovered + rankDelay(rank)
+}
+
+// rankDelay staggers the instances, so that the others see the write of the first one.
+func rankDelay(rank int) time.Duration {
+	return time.Duration(rank) * HeartbeatInterval / 4
 }
 
-// rankedTakeoverDelay staggers the instances, so that the others see the write of the first one.
 func rankedTakeoverDelay(rank int) time.Duration {
-	return TakeoverDelay + time.Duration(rank)*HeartbeatInterval/4
+	return TakeoverDelay + rankDelay(rank)
 }
 
 // CanTakeLease reports whether the instance may take the lease at now, by a compare-and-set on the returned version.
@@ -225,7 +238,7 @@
 	if !m.leaseKnown {
 		return 0, false
 	}
-	if m.leaseVersion == 0 || (m.resignedTerm != 0 && m.leaseTerm == m.resignedTerm) {
+	if m.leaseVersion == 0 || (m.resigned() && m.leaseTerm == m.resignedTerm) {
 		return m.leaseVersion, true
 	}
 	if now < m.earliestTakeover(rank) {
--- a/core/authority/authority_test.go
+++ b/core/authority/authority_test.go
@@ -45,15 +45,42 @@
 	m.LeaseRead(time.Second, 10, 3)
 	_, ok := m.CanTakeLease(time.Second, 0)
 	c.Check(ok, qt.IsFalse)
-	m.CoordinatorResigned(2)
+	m.CoordinatorResigned(time.Second, 2)
 	_, ok = m.CanTakeLease(time.Second, 0)
 	c.Check(ok, qt.IsFalse, qt.Commentf("the resignation is of an older term"))
-	m.CoordinatorResigned(3)
+	m.CoordinatorResigned(time.Second, 3)
 	version, ok := m.CanTakeLease(time.Second, 0)
 	c.Check(ok, qt.IsTrue)
 	c.Check(version, qt.Equals, uint64(10))
 }
 
+// TestResignationHandsOverWithoutTheTakeoverDelay guards against seconds without a coordinator after a planned stop: the
+// instances knew of the resignation, and still waited for as long as after a loss.
+func TestResignationHandsOverWithoutTheTakeoverDelay(t *testing.T) {
+	c := qt.New(t)
+	const resignedAt = 1100 * time.Millisecond
+	for rank := range 3 {
+		m := authority.NewMonitor(0)
+		m.HeartbeatReceived(time.Second, 10, 3)
+		m.CoordinatorResigned(resignedAt, 3)
+		turn := resignedAt + time.Duration(rank)*authority.HeartbeatInterval/4
+		if rank > 0 {
+			c.Check(m.ShouldReadLease(turn-1, rank), qt.IsFalse, qt.Commentf("rank %d", rank))
+		}
+		c.Check(m.ShouldReadLease(turn, rank), qt.IsTrue, qt.Commentf("rank %d", rank))
+		c.Check(m.NextLeaseRead(rank) <= turn, qt.IsTrue, qt.Commentf("rank %d", rank))
+		m.LeaseRead(turn, 10, 3)
+		version, ok := m.CanTakeLease(turn, rank)
+		c.Check(ok, qt.IsTrue)
+		c.Check(version, qt.Equals, uint64(10))
+		// Another instance was faster.
+		m.LeaseRead(turn, 11, 4)
+		_, ok = m.CanTakeLease(turn, rank)
+		c.Check(ok, qt.IsFalse)
+		c.Check(m.NextLeaseRead(rank) > turn, qt.IsTrue)
+	}
+}
+
 // TestReadExecutedLateDelaysTakeover guards against a second coordinator: the store executed a read long after it was sent, so
 // the version that it returned was written after the read was sent.
 func TestReadExecutedLateDelaysTakeover(t *testing.T) {
@@ -260,7 +287,7 @@
 		for _, o := range s.instances {
 			if o != i && !s.partitioned[i.name+o.name] {
 				term := i.term
-				s.send(o, s.messageDelay(), func() { o.monitor.CoordinatorResigned(term) })
+				s.send(o, s.messageDelay(), func() { o.monitor.CoordinatorResigned(s.now, term) })
 			}
 		}
 		return
--- a/internal/gateway/coordinator_conn.go
+++ b/internal/gateway/coordinator_conn.go
@@ -87,7 +87,7 @@
 		return false
 	}
 	if beat.GetResigned() {
-		t.monitor.CoordinatorResigned(beat.GetTerm())
+		t.monitor.CoordinatorResigned(now, beat.GetTerm())
 		if conn == t.frameConn {
 			t.disconnectLocked(conn)
 		}
--- a/internal/gateway/election.go
+++ b/internal/gateway/election.go
@@ -159,29 +159,40 @@
 		}
 		e.failingSince = 0
 	}
+	term, ok := e.recordLease(page.Rows)
+	if !ok {
+		return 0, 0, false
+	}
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	version, acquire = t.monitor.CanTakeLease(e.clock.Now(), rank)
+	t.acquiringLease = acquire
+	return version, term, acquire
+}
+
+// recordLease passes the lease among rows of the store to the monitor and returns its term. ok is false if it can't be decoded.
+func (e *elector) recordLease(rows []cuminlift.Row) (term uint64, ok bool) {
 	lease := &schema.LeaseRow{}
-	for _, row := range page.Rows {
+	version := uint64(0)
+	for _, row := range rows {
 		if row.Key != leaseKey {
 			continue
 		}
 		version = row.Version
 		if err := proto.Unmarshal(row.Value, lease); err != nil {
 			e.log.WithError(err).Error("decoding the lease failed: remove its row")
-			return 0, 0, false
+			return 0, false
 		}
 	}
+	t := e.ticketClient
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
-	answered := e.clock.Now()
-	t.monitor.LeaseRead(answered, version, lease.GetTerm())
-	version, acquire = t.monitor.CanTakeLease(answered, rank)
-	t.acquiringLease = acquire
-	return version, lease.GetTerm(), acquire
+	t.monitor.LeaseRead(e.clock.Now(), version, lease.GetTerm())
+	return lease.GetTerm(), true
 }
 
 // acquire writes the lease and, if that succeeds, runs the coordinator until its authority ends.
 func (e *elector) acquire(ctx context.Context, version, term uint64) {
-	defer e.resetMonitor()
 	sentAt := e.clock.Now()
 	callCtx, cancel := context.WithTimeout(ctx, leaseWriteTimeout)
 	written, err := e.config.Store.Commit(callCtx, cuminlift.RowTransaction{
@@ -193,26 +204,29 @@
 		Put: []cuminlift.Row{leaseRow(e.config.Settings.Name, e.incarnation, term+1, 0)},
 	})
 	cancel()
-	if err != nil {
-		if _, conflict := conflictRows(err); !conflict {
-			e.log.WithError(err).Warn("outcome of the lease write is unknown, not acting as coordinator")
-		}
-		return
-	}
 	e.ticketClient.mutex.Lock()
 	e.ticketClient.acquiringLease = false
 	e.ticketClient.mutex.Unlock()
+	if rows, conflict := conflictRows(err); conflict {
+		// What the monitor knows still holds, such as a resignation whose last renewal came in between.
+		e.recordLease(rows)
+		return
+	}
+	defer e.resetMonitor()
+	if err != nil {
+		e.log.WithError(err).Warn("outcome of the lease write is unknown, not acting as coordinator")
+		return
+	}
 	e.ticketClient.resumeStoreReads(nil)
 	c := newCoordinator(ctx, e.config, e.log, e.view, e.incarnation, term+1, written, sentAt)
 	c.tables = e.tables
 	c.run()
 }
 
-// resetMonitor starts monitoring anew and makes the instance accept heartbeats of other coordinators again.
+// resetMonitor starts monitoring anew.
 func (e *elector) resetMonitor() {
 	t := e.ticketClient
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
-	t.acquiringLease = false
 	t.monitor = authority.NewMonitor(e.clock.Now())
 }
