core/keyspace: balance keys also when the ranges are at their limit

Only consolidation could free ranges, at most five a plan, two seconds apart, and only above the limit. Change: at the limit whole ranges move instead of parts; a donor whose ranges are each too small for the wanted rate gives the largest that fits (before only beside a dominant key); narrow ranges with few requests are consolidated from half of the limit on, a sixth of all ranges a plan.

--- a/core/keyspace/balance.go
+++ b/core/keyspace/balance.go
@@ -2,7 +2,6 @@
 
 import (
 	"sort"
-	"sync"
 	"time"
 )
 
@@ -57,9 +56,14 @@
 	return moves
 }
 
+// spanLimit returns the number of spans above which rebalancing does not divide them further.
+func spanLimit(candidates []*candidate) int {
+	return max(cheapSpanCount, spansPerHolder*len(candidates))
+}
+
 // tooManySpans reports whether there are too many spans for rebalancing to divide them further.
 func (k *Manager) tooManySpans(candidates []*candidate) bool {
-	return len(k.spans) > max(cheapSpanCount, spansPerHolder*len(candidates))
+	return len(k.spans) > spanLimit(candidates)
 }
 
 // donors returns the candidates with keys, sorted by decreasing utilization.
@@ -154,27 +158,21 @@
 // horizon, is at or above limit and well above the mean.
 func (k *Manager) moveRanges(h horizon, limit float64) []move {
 	candidates := k.candidates(h)
-	if len(candidates) < 2 || k.tooManySpans(candidates) {
+	if len(candidates) < 2 {
 		return nil
 	}
 	mean := meanUtilization(candidates)
 	limit = max(limit, unevenUtilization*mean)
+	divide := !k.tooManySpans(candidates)
 	var moves []move
 	exhausted := map[*candidate]bool{}
-	// The hottest key is computed at most once, and only if a donor has no range with the wanted rate, because it
-	// requires a scan of all keys.
-	hottest := sync.OnceValues(func() (uint32, float64) { return k.rates.hottest(h) })
 	for len(moves) < moveLimit(candidates) {
 		donor := mostUtilized(candidates, exhausted)
 		recipient := leastUtilized(candidates)
 		if donor == nil || donor.utilization() < limit || recipient == donor || recipient.utilization() > donor.utilization()-0.2 {
 			break
 		}
-		want := rateToMove(donor, recipient, mean)
-		selected, ok := k.selectRange(donor, recipient, want, h, moves)
-		if !ok && k.hasDominantKey(donor, hottest) {
-			selected, ok = k.selectReducedRange(donor, recipient, want/2, h, moves)
-		}
+		selected, ok := k.selectReducedRange(donor, recipient, rateToMove(donor, recipient, mean), h, moves, divide)
 		if !ok {
 			// The donor cannot give up any range, for example because it has a single hot key. Other donors may still
 			// be able to.
@@ -196,18 +194,11 @@
 // minMovedRate is the rate, in requests per second, below which moving keys is not worthwhile.
 const minMovedRate = 0.4
 
-// hasDominantKey reports whether the hottest key uses a large part of the candidate's capacity.
-func (k *Manager) hasDominantKey(c *candidate, hottest func() (key uint32, rate float64)) bool {
-	key, rate := hottest()
-	holding := k.find(key)
-	return holding != nil && holding.holder.id == c.upstream.ID && rate > hotKeyUtilization*c.upstream.Capacity
-}
-
-// selectReducedRange selects a range with the wanted rate or, if there is none, half of it, and so on. This moves the
-// keys around a key that alone overloads its holder.
-func (k *Manager) selectReducedRange(donor, recipient *candidate, want float64, h horizon, moves []move) (move, bool) {
+// selectReducedRange selects a range with the wanted rate or, if there is none, half of it, and so on. A donor may hold many
+// ranges of which each has few requests, or a key that alone overloads it among others that can move.
+func (k *Manager) selectReducedRange(donor, recipient *candidate, want float64, h horizon, moves []move, divide bool) (move, bool) {
 	for ; want > minMovedRate; want /= 2 {
-		if selected, ok := k.selectRange(donor, recipient, want, h, moves); ok {
+		if selected, ok := k.selectRange(donor, recipient, want, h, moves, divide); ok {
 			return selected, true
 		}
 	}
@@ -264,8 +255,8 @@
 }
 
 // selectRange selects the narrowest range of the donor with about the wanted request rate and adds its rate to the
-// recipient.
-func (k *Manager) selectRange(donor, recipient *candidate, want float64, h horizon, moves []move) (move, bool) {
+// recipient. It selects part of a span only if divide is true.
+func (k *Manager) selectRange(donor, recipient *candidate, want float64, h horizon, moves []move, divide bool) (move, bool) {
 	var best move
 	bestRate := 0.0
 	found := false
@@ -274,6 +265,9 @@
 			continue
 		}
 		narrow, rate, ok := k.narrowestWindow(s, want, h)
+		if !divide {
+			narrow, rate, ok = k.wholeSpan(s, want, h)
+		}
 		if !ok || (found && narrow.to-narrow.from >= best.to-best.from) {
 			continue
 		}
@@ -313,8 +307,7 @@
 			sum -= float64(counts[start])
 			start++
 		}
-		whole := start == s.from && end == s.to
-		if sum >= least && sum <= most && !whole && (!found || end-start < best.to-best.from) {
+		if sum >= least && sum <= most && (!found || end-start < best.to-best.from) {
 			best.from, best.to = start, end
 			bestSum = sum
 			found = true
@@ -326,6 +319,15 @@
 	return best, bestSum / timeConstant, found
 }
 
+// wholeSpan returns all of s if it has about the wanted rate.
+func (k *Manager) wholeSpan(s *span, want float64, h horizon) (move, float64, bool) {
+	rate := k.rates.rate(s.from, s.to, h)
+	return move{
+		from: s.from,
+		to:   s.to,
+	}, rate, rate >= windowMinRatio*want && rate <= windowMaxRatio*want
+}
+
 // mergeInterval is the minimum time between merges, so that stable load causes few writes.
 const mergeInterval = 2 * time.Second
 
@@ -364,9 +366,13 @@
 // second, a few hundredths of a CPU core.
 const cheapSpanCount = 150
 
-// consolidationDivisor limits the consolidating moves of one plan to the number of holders divided by it. These moves
-// affect few requests.
-const consolidationDivisor = 2
+// consolidationDivisor limits the consolidating moves of one plan to the number of ranges divided by it. These moves
+// affect few requests, and a hot range may need several new ranges within a second.
+const consolidationDivisor = 6
+
+// consolidationWidthDivisor limits the width of a range that is moved only in order to be merged, to all keys divided by it and
+// by the number of holders, so that few keys change hands.
+const consolidationWidthDivisor = 4
 
 // consolidate assigns stable ranges with very few requests to the holder of the preceding range, so that both can be
 // merged.
@@ -377,14 +383,15 @@
 	}
 	k.lastConsolidation = now
 	index := byID(candidates)
+	widest := k.config.Keys / uint32(consolidationWidthDivisor*len(candidates))
 	var moves []move
 	// before is the holder of the preceding range after the moves so far.
 	before := k.spans[0].holder.id
-	for i := 1; i < len(k.spans) && len(moves) < len(candidates)/consolidationDivisor; i++ {
+	for i := 1; i < len(k.spans) && len(moves) < len(k.spans)/consolidationDivisor; i++ {
 		a, b := k.spans[i-1], k.spans[i]
 		recipient := index[before]
 		before = b.holder.id
-		if recipient == nil || recipient.upstream.ID == b.holder.id || !k.stable(now, a) || !k.stable(now, b) {
+		if recipient == nil || recipient.upstream.ID == b.holder.id || !k.stable(now, a) || !k.stable(now, b) || b.to-b.from >= widest {
 			continue
 		}
 		rate := k.rates.rate(b.from, b.to, long)
--- a/core/keyspace/balance_test.go
+++ b/core/keyspace/balance_test.go
@@ -238,3 +238,26 @@
 	ranges = len(b.manager.Map().GetWidths())
 	c.Check(ranges <= 3*len(capacities), qt.IsTrue, qt.Commentf("%d ranges under stable load", ranges))
 }
+
+// TestHotRangesAreSpreadAfterManyOthers replays hot neighbours that change every few seconds on a small service, for a minute.
+// Once the ranges had reached their limit nothing moved any more: holders with twice the load that they can serve kept it,
+// beside upstreams with little.
+func TestHotRangesAreSpreadAfterManyOthers(t *testing.T) {
+	c := qt.New(t)
+	capacities := []float64{18, 22, 15, 20, 18, 22, 15, 20, 18, 22, 15}
+	b := newBalanceSimulation(c, capacities...)
+	const rounds, counted = 40, 20
+	excessShare := 0.0
+	for round := range uint32(rounds) {
+		rates := decreasingLoad(70)
+		for key := range uint32(200) {
+			rates[(round*23456+3*key)%(1<<16)] += 0.25
+		}
+		b.run(time.Second, rates)
+		if round >= rounds-counted {
+			excessShare += b.excessShare(rates, capacities) / counted
+		}
+		b.run(2*time.Second, rates)
+	}
+	c.Check(excessShare <= 0.05, qt.IsTrue, qt.Commentf("%.3f of the requests exceed the capacity of their owners a second after they changed; %d ranges", excessShare, len(b.manager.Map().GetWidths())))
+}
--- a/core/keyspace/plan.go
+++ b/core/keyspace/plan.go
@@ -33,6 +33,9 @@
 	// adjacent range if it has capacity.
 	spansPerHolder     = 6
 	fineSpansPerHolder = 3
+	// crowdedShare is the fraction of the limit of ranges above which ranges with few requests are consolidated, so that
+	// there is room to divide the next hot range.
+	crowdedShare = 0.5
 	// neighbourUtilization is the utilization up to which a holder takes over an adjacent range.
 	neighbourUtilization = 0.6
 	// initialLoadShare is the fraction of its capacity that an upstream without keys is assigned at first.
@@ -74,10 +77,13 @@
 	merge := func() []move { return k.merge(now) }
 	consolidate := func() []move { return k.consolidate(now) }
 	steps := []func() []move{evacuate, assignIdle, rebalance, merge}
-	if len(k.spans) > cheapSpanCount {
+	switch limit := spanLimit(candidates); {
+	case len(k.spans) > limit:
 		// Rebalancing may find something to move in every plan and starve the merges, which only affect ranges that
 		// have not moved recently.
 		steps = []func() []move{evacuate, assignIdle, merge, consolidate, rebalance}
+	case float64(len(k.spans)) > crowdedShare*float64(limit):
+		steps = append(steps, consolidate)
 	}
 	for _, step := range steps {
 		if moves := step(); len(moves) > 0 {
@@ -314,7 +320,7 @@
 			break
 		}
 		want := min(donor.rate/2, c.upstream.Capacity*initialLoadShare)
-		m, ok := k.selectRange(donor, c, want, short, moves)
+		m, ok := k.selectRange(donor, c, want, short, moves, true)
 		if !ok {
 			m, ok = k.splitWidest(donor, c, moves)
 		}
