core/dispatch: keep using upstreams that reject requests beside free slots

Cause: each rejection blocked its upstream for 20 to 640 ms. Change: a rejection whose load report shows a free slot and no queue doesn't block; one of a full upstream, or without a report, does as before.

--- a/core/dispatch/pool.go
+++ b/core/dispatch/pool.go
@@ -293,7 +293,9 @@
 		u.recordAnswer(now, p)
 	case Shed:
 		u.recordOutcome(true)
-		u.backOff(now, 0)
+		if !u.hasFreeSlot(load) {
+			u.backOff(now, 0)
+		}
 	case Unreachable:
 		u.recordOutcome(true)
 		u.suspect = true
--- a/core/dispatch/upstream.go
+++ b/core/dispatch/upstream.go
@@ -94,6 +94,12 @@
 	u.blockedUntil = now + min(pause, max(maxBlock, minPause))
 }
 
+// hasFreeSlot reports whether a load report tells of a slot that is not in use. An upstream that rejects a request in spite of
+// it has a fault that the next request may not meet.
+func (u *upstream) hasFreeSlot(load []uint32) bool {
+	return len(load) >= 3 && load[1] == 0 && load[0] < load[2]
+}
+
 // isCold reports whether the upstream is limited to its cold-start rate at now.
 func (u *upstream) isCold(now time.Duration) bool {
 	return u.suspect || now < u.coldUntil
