gateway: wait for the next coordinator instead of trying keys blindly

Cause: without a coordinator an instance sent every request for a key to the holder last reported, or, having started anew, to any upstream. Change: a rejection marks the range as without a holder, two mark all ranges of the holder, until the coordinator reports again (core/keyspace.HolderMap). A request for such a key waits for an owner as at a coordinator, but only for as long as one is to be expected after a loss; beyond that, as in an outage of the store, it is refused at once.

--- a/core/dispatch/decide.go
+++ b/core/dispatch/decide.go
@@ -16,8 +16,8 @@
 	// own zone. Sending a large response between zones costs about a quarter of its value; the limit leaves enough time
 	// for the work itself.
 	localZoneWait = 0.15
-	// ownerWait is how long a request waits for its key to get an owner. It covers the duration of a handover.
-	ownerWait = 600 * time.Millisecond
+	// DefaultOwnerWait is how long a request waits for its key to get an owner. It covers the duration of a handover.
+	DefaultOwnerWait = 600 * time.Millisecond
 	// lateMargin is the multiple of the expected latency that must remain before the objective for a response to count
 	// as on time. With a standard deviation of 0.3 to 0.8 of the mean, about three of four responses take less than 1.2
 	// times the mean.
@@ -131,9 +131,9 @@
 			Ticket: t,
 		}
 		switch {
-		case q.unowned && (now-t.arrived > ownerWait || now >= t.Deadline):
+		case q.unowned && (now-t.arrived > p.ownerWait || now >= t.Deadline):
 			decision.Reason = NoOwner
-			decision.RetryAfter = ownerWait
+			decision.RetryAfter = DefaultOwnerWait
 		case !q.unowned && p.overdue(now, t, q.owner):
 			decision.Reason = TooLate
 			decision.RetryAfter = retryAfter(p.expectedWait(now, t, q))
--- a/core/dispatch/dispatch_test.go
+++ b/core/dispatch/dispatch_test.go
@@ -305,6 +305,25 @@
 	c.Check(refused[0].Reason, qt.Equals, dispatch.NoOwner)
 }
 
+// TestKeyedRequestIsRefusedAtOnceIfNoOwnerIsExpected covers an outage of the store in which there is no coordinator: a request
+// that no upstream can serve must not be held.
+func TestKeyedRequestIsRefusedAtOnceIfNoOwnerIsExpected(t *testing.T) {
+	c := qt.New(t)
+	p := dispatch.NewPool(dispatch.Config{
+		RetryWindow: 10 * time.Second,
+		Owners:      &singleOwner{},
+	})
+	p.SetUpstreams(0, states(4))
+	p.SetOwnerWait(0)
+	r := ticket(1, 0)
+	r.Key = 7
+	p.Submit(0, r)
+	refused := p.Decide(0)
+	c.Assert(refused, qt.HasLen, 1)
+	c.Check(refused[0].Reason, qt.Equals, dispatch.NoOwner)
+	c.Check(refused[0].RetryAfter, qt.Equals, dispatch.DefaultOwnerWait)
+}
+
 func TestUnusableUpstreamGetsNoNewRequests(t *testing.T) {
 	c := qt.New(t)
 	p := newPool(dispatch.Share{})
--- a/core/dispatch/pool.go
+++ b/core/dispatch/pool.go
@@ -43,6 +43,8 @@
 	budget      *budget
 	initialized bool
 	refusals    []Decision
+	// ownerWait is how long a request waits for its key to get an owner.
+	ownerWait time.Duration
 	// overcommit is the number of requests sent to an upstream beyond its slots, as a fraction of the slots.
 	overcommit float64
 	// sent and refused count decisions.
@@ -64,9 +66,15 @@
 		lastSweep: -sweepInterval,
 		running:   map[uint64]*upstream{},
 		budget:    newBudget(config),
+		ownerWait: DefaultOwnerWait,
 	}
 }
 
+// SetOwnerWait changes how long a request waits for its key to get an owner. If it is 0, the request is refused at once.
+func (p *Pool) SetOwnerWait(wait time.Duration) {
+	p.ownerWait = wait
+}
+
 // SetService sets the service configuration.
 func (p *Pool) SetService(service route.Service) {
 	p.service = service
@@ -155,7 +163,7 @@
 		p.refuse(t, NoBudget, wait, work)
 		return
 	}
-	if reason, ok := p.admit(now, t, wait, work); !ok {
+	if reason, ok := p.admit(now, t, q, wait, work); !ok {
 		p.refuse(t, reason, wait, work)
 		return
 	}
@@ -165,10 +173,13 @@
 }
 
 // admit reports whether t may be queued, which requires that it is expected to be answered in time.
-func (p *Pool) admit(now time.Duration, t *Ticket, wait, work time.Duration) (Reason, bool) {
+func (p *Pool) admit(now time.Duration, t *Ticket, q *queue, wait, work time.Duration) (Reason, bool) {
 	if !p.anyUsable() {
 		return NoUpstream, false
 	}
+	if q.unowned && p.ownerWait == 0 {
+		return NoOwner, false
+	}
 	if wait == 0 {
 		return "", true
 	}
@@ -324,10 +335,14 @@
 }
 
 func (p *Pool) refuse(t *Ticket, reason Reason, wait, work time.Duration) {
+	delay := retryAfter(wait, work)
+	if reason == NoOwner {
+		delay = DefaultOwnerWait
+	}
 	p.refusals = append(p.refusals, Decision{
 		Ticket:     t,
 		Reason:     reason,
-		RetryAfter: retryAfter(wait, work),
+		RetryAfter: delay,
 	})
 }
 
--- a/internal/gateway/coordinator_conn.go
+++ b/internal/gateway/coordinator_conn.go
@@ -172,13 +172,7 @@
 }
 
 func (t *ticketClient) handleOwners(owners *schema.Owners) {
-	known := t.owners[owners.GetService()]
-	if known == nil {
-		known = &ownerMap{}
-		t.owners[owners.GetService()] = known
-		delete(t.localPools, owners.GetService())
-	}
-	if !known.update(owners.GetMap()) {
+	if !t.keyOwners(owners.GetService()).Update(owners.GetMap()) {
 		t.log.WithField("service", owners.GetService()).Error("key owners from the coordinator are inconsistent: check that all instances run the same version")
 	}
 }
@@ -217,6 +211,7 @@
 		"waiting":     len(t.waiters),
 	}).Warn("coordinator lost")
 	now := t.clock.Now()
+	t.coordinatorLostAt = now
 	for _, w := range t.waiters {
 		t.refreshRequest(now, w)
 		t.submit(now, w)
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -213,6 +213,7 @@
 		outcome := schema.TicketOutcome_shed
 		if response.Status == http.StatusMisdirectedRequest {
 			outcome = schema.TicketOutcome_misdirected
+			h.ticketClient.denyOwner(result, c.service, c.key)
 		}
 		h.ticketClient.reportEnd(result, c.service, outcome, time.Since(sentAt), load)
 		h.logFailedAttempt(c, result, sentAt, "not run", response.Status)
--- a/internal/gateway/restart_test.go
+++ b/internal/gateway/restart_test.go
@@ -75,3 +75,27 @@
 	c.Check(extra <= requests/5+58/(others+1)+1, qt.IsTrue, qt.Commentf("%d retries for %d requests", extra, requests))
 	c.Check(extra > 0, qt.IsTrue)
 }
+
+// TestKeysWithoutKnownHolderAreNotTriedBlindly covers an instance that starts while there is no coordinator. It used to send
+// each request for a key to three upstreams that all rejected it, which used up the retry budget.
+func TestKeysWithoutKnownHolderAreNotTriedBlindly(t *testing.T) {
+	c := qt.New(t)
+	k := newCluster(c, 0)
+	k.rows = &noLeaseStore{
+		Store: k.store,
+	}
+	k.configure(1, "keyed")
+	u := k.upstream("k0", "keyed", "z1")
+	k.upstream("p0", "plain", "z1")
+	k.start("n0")
+	eventually(func() bool {
+		status, _, _ := k.send("n0", http.MethodPost, "/order/x", 0, "")
+		return status == http.StatusOK
+	})
+	for key := range 5 {
+		status, _, retryAfter := k.send("n0", http.MethodGet, "/read/x", key, "")
+		c.Check(status, qt.Equals, http.StatusServiceUnavailable)
+		c.Check(retryAfter, qt.Not(qt.Equals), "")
+	}
+	c.Check(u.Rejections(), qt.Equals, 0)
+}
--- a/internal/gateway/tickets.go
+++ b/internal/gateway/tickets.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"sort"
 	"sync"
 	"time"
 
@@ -11,6 +10,7 @@
 	"cuminlift"
 	"cuminlift/core/authority"
 	"cuminlift/core/dispatch"
+	"cuminlift/core/keyspace"
 	"cuminlift/core/roster"
 	"cuminlift/schema"
 )
@@ -51,11 +51,13 @@
 	frameConn       frameConn
 	term            uint64
 	coordinatorName string
-	nextID          uint64
-	waiters         map[uint64]*waiter
+	// coordinatorLostAt is when the last coordinator was lost, or when this instance started.
+	coordinatorLostAt time.Duration
+	nextID            uint64
+	waiters           map[uint64]*waiter
 	// localPools holds the local pools by service, and owners the holders of keys last reported by the coordinator.
 	localPools           map[string]*dispatch.Pool
-	owners               map[string]*ownerMap
+	owners               map[string]*keyspace.HolderMap
 	instanceCount, index int
 	// maxCPUPermille is the largest CPU share of an instance as last reported, in thousandths of a core, 0 if unknown.
 	maxCPUPermille uint32
@@ -78,9 +80,11 @@
 		monitor:       authority.NewMonitor(config.Clock.Now()),
 		waiters:       map[uint64]*waiter{},
 		localPools:    map[string]*dispatch.Pool{},
-		owners:        map[string]*ownerMap{},
+		owners:        map[string]*keyspace.HolderMap{},
 		instanceCount: 1,
 		wake:          make(chan struct{}, 1),
+
+		coordinatorLostAt: config.Clock.Now(),
 	}
 }
 
@@ -161,17 +165,19 @@
 		Index: t.index,
 		Count: max(2, t.instanceCount),
 	}
+	v := t.view()
+	keyed := v.table != nil && v.table.Services[service].Keyed
 	pool := t.localPools[service]
 	if pool == nil {
 		config := poolConfig(t.config.Settings, share)
-		if owners := t.owners[service]; owners != nil {
-			config.Owners = owners
+		if keyed {
+			config.Owners = t.keyOwners(service)
 		}
 		pool = dispatch.NewPool(config)
 		t.localPools[service] = pool
 	}
 	pool.SetShare(share)
-	v := t.view()
+	pool.SetOwnerWait(t.ownerWait(now))
 	if v.table != nil {
 		pool.SetService(v.table.Services[service])
 	}
@@ -179,6 +185,19 @@
 	return pool
 }
 
+// coordinatorGap is how long there is usually no coordinator after the loss of one: until another may take over, its write of
+// the lease and its first grants.
+const coordinatorGap = authority.TakeoverDelay + 500*time.Millisecond
+
+// ownerWait returns how long a request waits for its key to get an owner while there is no coordinator. Beyond coordinatorGap,
+// there is none to expect, for example because the store is down.
+func (t *ticketClient) ownerWait(now time.Duration) time.Duration {
+	if now-t.coordinatorLostAt > coordinatorGap {
+		return 0
+	}
+	return dispatch.DefaultOwnerWait
+}
+
 func poolConfig(settings Settings, share dispatch.Share) dispatch.Config {
 	return dispatch.Config{
 		Share:       share,
@@ -290,6 +309,17 @@
 	}
 }
 
+// denyOwner records that an upstream has said that it doesn't hold a key, given as in call. Tickets of a local pool come from
+// holders reported earlier; those of the coordinator from what it grants itself.
+func (t *ticketClient) denyOwner(result ticketResult, service string, key uint32) {
+	if !result.local || key == 0 {
+		return
+	}
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	t.keyOwners(service).Deny(key-1, result.upstream)
+}
+
 // reportEnd reports the outcome of a ticket.
 func (t *ticketClient) reportEnd(result ticketResult, service string, outcome schema.TicketOutcome, took time.Duration, load []uint32) {
 	t.mutex.Lock()
@@ -330,37 +360,12 @@
 	}
 }
 
-// ownerMap implements dispatch.Owners with the holders last reported by the coordinator.
-type ownerMap struct {
-	holders []*schema.KeyHolder
-	// rangeHolders holds the index into holders for each range, and lastKeys the last key of each range.
-	rangeHolders []uint32
-	lastKeys     []uint32
-}
-
-// update replaces the holders. An inconsistent map is rejected, and the previous one stays.
-func (m *ownerMap) update(keyMap *schema.KeyMap) bool {
-	if len(keyMap.GetWidths()) != len(keyMap.GetOwners()) {
-		return false
-	}
-	lastKeys := make([]uint32, 0, len(keyMap.GetWidths()))
-	next := uint32(0)
-	for i, width := range keyMap.GetWidths() {
-		if int(keyMap.GetOwners()[i]) >= len(keyMap.GetHolders()) {
-			return false
-		}
-		next += width
-		lastKeys = append(lastKeys, next-1)
-	}
-	m.holders, m.rangeHolders, m.lastKeys = keyMap.GetHolders(), keyMap.GetOwners(), lastKeys
-	return true
-}
-
-// Owner implements dispatch.Owners. The map may be outdated: an upstream refuses keys that it does not hold.
-func (m *ownerMap) Owner(_ time.Duration, key uint32) (string, bool) {
-	index := sort.Search(len(m.lastKeys), func(i int) bool { return m.lastKeys[i] >= key })
-	if index == len(m.lastKeys) {
-		return "", false
+// keyOwners returns the holders of a keyed service's keys, none before the coordinator reports them.
+func (t *ticketClient) keyOwners(service string) *keyspace.HolderMap {
+	known := t.owners[service]
+	if known == nil {
+		known = &keyspace.HolderMap{}
+		t.owners[service] = known
 	}
-	return m.holders[m.rangeHolders[index]].GetUpstream(), true
+	return known
 }
--- a/internal/standin/keyholder/keyholder.go
+++ b/internal/standin/keyholder/keyholder.go
@@ -34,6 +34,8 @@
 	leases map[uint32]lease
 	// runs counts the executions of each request by its Request-Id header.
 	runs map[string]int
+	// rejections counts the requests for keys that the upstream does not hold.
+	rejections int
 }
 
 // lease is a lease on one key. The fence stays after a release, so that older grants are still refused.
@@ -80,6 +82,13 @@
 	return runs
 }
 
+// Rejections returns how many requests came for keys that the upstream does not hold.
+func (u *Upstream) Rejections() int {
+	u.mutex.Lock()
+	defer u.mutex.Unlock()
+	return u.rejections
+}
+
 // HoldsKey reports whether the upstream has an unexpired lease on key.
 func (u *Upstream) HoldsKey(key uint32) bool {
 	u.mutex.Lock()
@@ -162,6 +171,9 @@
 	if u.config.Keyed {
 		key, err := strconv.ParseUint(r.Header.Get("Shard-Key"), 10, 32)
 		if err != nil || !u.HoldsKey(uint32(key)) {
+			u.mutex.Lock()
+			u.rejections++
+			u.mutex.Unlock()
 			w.Header().Set("Not-Executed", "1")
 			w.WriteHeader(http.StatusMisdirectedRequest)
 			return
