gateway: a coordinator outlasts more requests than it can queue

Requests, heartbeats, renewals and grants waited in one queue. Change: control events have a queue of their own and go first; above 512 waiting ticket events a new request is refused when it arrives, with a Retry-After, instead of being queued; pages of the tables are taken at the next tick and can't find a full queue. Looking whether authority lasts no longer visits every member for each event.

--- a/core/authority/authority.go
+++ b/core/authority/authority.go
@@ -108,7 +108,11 @@
 
 // Valid reports whether the instance may act as the coordinator at now.
 func (l *Leadership) Valid(now time.Duration) bool {
-	return now < l.ValidUntil()
+	if l.resigned {
+		return false
+	}
+	// The members are looked at only without a recent renewal: there may be hundreds, and this is asked before each event.
+	return now < l.renewedAt+LeaseDuration || now < l.ValidUntil()
 }
 
 // resignAfter is how long the store must be failing for the coordinator, while other members reach it, before the
--- a/internal/gateway/coordinator.go
+++ b/internal/gateway/coordinator.go
@@ -34,7 +34,12 @@
 	// incarnation distinguishes this start of the instance from others.
 	incarnation string
 
-	events     chan func(now time.Duration)
+	// control has the events that keep the coordinator's authority and the grants alive, tickets those of requests. The former go
+	// first, so that a burst of requests delays neither.
+	control, tickets chan func(now time.Duration)
+	// pages are forwarded at the next tick.
+	pages pageQueue
+
 	leadership *authority.Leadership
 	// leaseVersion is the version of the lease row as last written or read by this coordinator.
 	leaseVersion   uint64
@@ -80,8 +85,11 @@
 }
 
 const (
-	// eventBufferSize bounds the events that wait for the coordinator's goroutine.
+	// eventBufferSize bounds the events of each kind that wait for the coordinator's goroutine.
 	eventBufferSize = 4096
+	// maxWaitingTicketEvents is the number of waiting ticket events above which new requests are refused without being queued. The
+	// rest of the buffer is for the ends of granted ones.
+	maxWaitingTicketEvents = 512
 	// coordinatorInterval is the interval of time-driven work.
 	coordinatorInterval = 20 * time.Millisecond
 	// ticketGrace is how long after its deadline a ticket's slot is reclaimed if no end was reported.
@@ -110,7 +118,8 @@
 		view:         currentView,
 		term:         term,
 		incarnation:  incarnation,
-		events:       make(chan func(time.Duration), eventBufferSize),
+		control:      make(chan func(time.Duration), eventBufferSize),
+		tickets:      make(chan func(time.Duration), eventBufferSize),
 		leadership:   authority.NewLeadership(sentAt),
 		leaseVersion: version,
 		lastRenewal:  sentAt,
@@ -121,14 +130,27 @@
 	}
 }
 
-// post queues an event for the coordinator's goroutine. It drops the event if the coordinator has stopped.
+// post queues a control event for the coordinator's goroutine. It drops the event if the coordinator has stopped.
 func (c *coordinator) post(event func(now time.Duration)) {
 	select {
-	case c.events <- event:
+	case c.control <- event:
+	case <-c.ctx.Done():
+	}
+}
+
+// postTicket does the same for an event of tickets or of the link that carries them, which must keep their order.
+func (c *coordinator) postTicket(event func(now time.Duration)) {
+	select {
+	case c.tickets <- event:
 	case <-c.ctx.Done():
 	}
 }
 
+// overloaded reports whether so many ticket events wait that a further request had better go elsewhere or come back later.
+func (c *coordinator) overloaded() bool {
+	return len(c.tickets) > maxWaitingTicketEvents
+}
+
 // run acts as coordinator until ctx ends or its authority is lost.
 func (c *coordinator) run() {
 	defer c.shutdown()
@@ -140,21 +162,32 @@
 	c.forwardTables()
 	go c.followInstances()
 	for {
-		select {
-		case <-c.ctx.Done():
+		event, running := c.nextEvent(ticker.C)
+		if !running || !c.hasAuthority() {
 			return
-		case event := <-c.events:
-			if !c.hasAuthority() {
-				return
-			}
-			event(c.clock.Now())
-		case <-ticker.C:
-			if !c.hasAuthority() {
-				return
-			}
-			c.tick(c.clock.Now())
 		}
+		event(c.clock.Now())
+	}
+}
+
+// nextEvent returns the next event, control events first. running is false once ctx has ended.
+func (c *coordinator) nextEvent(ticks <-chan time.Time) (event func(now time.Duration), running bool) {
+	select {
+	case event = <-c.control:
+		return event, true
+	case <-ticks:
+		return c.tick, true
+	default:
+	}
+	select {
+	case <-c.ctx.Done():
+		return nil, false
+	case event = <-c.control:
+	case event = <-c.tickets:
+	case <-ticks:
+		event = c.tick
 	}
+	return event, true
 }
 
 // hasAuthority reports whether the coordinator may still act. It is checked before each event, because the process may have
@@ -253,6 +286,7 @@
 // tick runs time-driven work.
 func (c *coordinator) tick(now time.Duration) {
 	c.renew(now)
+	c.forwardPages()
 	c.resendTables()
 	v := c.view()
 	if v.table == nil || !v.listed {
@@ -292,7 +326,7 @@
 			"lead":    stats.Overcommit,
 			"sent":    stats.Sent,
 			"refused": stats.Refused,
-			"events":  len(c.events),
+			"events":  len(c.tickets),
 		}).Info("queue statistics")
 	}
 }
--- a/internal/gateway/links.go
+++ b/internal/gateway/links.go
@@ -4,12 +4,14 @@
 	"context"
 	"maps"
 	"slices"
+	"sync"
 	"time"
 
 	"google.golang.org/protobuf/proto"
 
 	"cuminlift"
 	"cuminlift/core/authority"
+	"cuminlift/core/dispatch"
 	"cuminlift/io/frames"
 	"cuminlift/io/upstream"
 	"cuminlift/schema"
@@ -152,7 +154,7 @@
 		}
 		f := frames.NewConnection(conn)
 		stop := context.AfterFunc(ctx, func() { time.AfterFunc(coordinatorInterval, f.Close) })
-		l.coordinator.post(func(time.Duration) {
+		l.coordinator.postTicket(func(time.Duration) {
 			l.current = f
 			l.send(l.coordinator.beatFrame(l, false))
 			l.coordinator.sendOwners(l)
@@ -160,7 +162,7 @@
 		})
 		l.serve(ctx, f)
 		stop()
-		l.coordinator.post(func(now time.Duration) { l.coordinator.handleDisconnect(now, l, f) })
+		l.coordinator.postTicket(func(now time.Duration) { l.coordinator.handleDisconnect(now, l, f) })
 		sleep(ctx, reconnectPause)
 	}
 }
@@ -178,13 +180,26 @@
 			f.Close()
 			return
 		}
-		if frame.GetBeatReply() != nil {
+		switch body := frame.GetBody().(type) {
+		case *schema.Frame_BeatReply:
 			watchdog.Reset(beatTimeout)
+			l.coordinator.post(func(time.Duration) { l.coordinator.handleBeatReply(l, body.BeatReply) })
+		case *schema.Frame_Request:
+			if l.coordinator.overloaded() {
+				f.Send(refusal(body.Request.GetId(), dispatch.TooLate, overloadRetryAfter))
+				continue
+			}
+			l.coordinator.postTicket(func(now time.Duration) { l.coordinator.handleRequest(now, l, body.Request) })
+		default:
+			l.coordinator.postTicket(func(now time.Duration) { l.coordinator.handleFrame(now, l, frame) })
 		}
-		l.coordinator.post(func(now time.Duration) { l.coordinator.handleFrame(now, l, frame) })
 	}
 }
 
+// overloadRetryAfter is the Retry-After delay of requests that the coordinator has no time to queue: about twice the time in which
+// it works off what waits.
+const overloadRetryAfter = 300 * time.Millisecond
+
 func (l *link) sendBeats(ctx context.Context, f *frames.Connection, done <-chan struct{}) {
 	ticker := time.NewTicker(authority.HeartbeatInterval)
 	defer ticker.Stop()
@@ -228,16 +243,38 @@
 		feed.setListener(func(page cuminlift.RowPage, whole bool, since uint64) {
 			frame := rowsFrame(feed.table, page, whole, since)
 			// The caller holds the feed's mutex, for which the coordinator's goroutine may wait: this must not block.
-			select {
-			case c.events <- func(time.Duration) { c.broadcast(frame) }:
-			default:
-				c.log.Error("coordinator stops: its event queue is full")
-				c.cancel()
-			}
+			c.pages.add(frame)
 		})
 	}
 }
 
+// pageQueue passes pages of tables to the coordinator's goroutine.
+type pageQueue struct {
+	mutex  sync.Mutex
+	frames []*schema.Frame
+}
+
+func (q *pageQueue) add(frame *schema.Frame) {
+	q.mutex.Lock()
+	defer q.mutex.Unlock()
+	q.frames = append(q.frames, frame)
+}
+
+func (q *pageQueue) take() []*schema.Frame {
+	q.mutex.Lock()
+	defer q.mutex.Unlock()
+	frames := q.frames
+	q.frames = nil
+	return frames
+}
+
+// forwardPages sends the pages that have been read since the last call.
+func (c *coordinator) forwardPages() {
+	for _, frame := range c.pages.take() {
+		c.broadcast(frame)
+	}
+}
+
 func (c *coordinator) broadcast(frame *schema.Frame) {
 	for _, l := range c.links {
 		l.send(frame)
--- a/internal/gateway/queue.go
+++ b/internal/gateway/queue.go
@@ -46,17 +46,31 @@
 	}
 }
 
-// handleFrame handles a message of an instance.
+// handleBeatReply handles an instance's acknowledgement of a heartbeat.
+func (c *coordinator) handleBeatReply(l *link, reply *schema.BeatReply) {
+	for _, t := range reply.GetTables() {
+		l.tableVersions[t.GetTable()] = t.GetVersion()
+	}
+	c.sendTables(l)
+	c.leadership.Acknowledged(l.name, time.Duration(reply.GetSequence()), reply.GetStoreReached())
+}
+
+// refusal returns the reply to a ticket request that is refused.
+func refusal(id uint64, reason dispatch.Reason, retryAfter time.Duration) *schema.Frame {
+	return &schema.Frame{
+		Body: &schema.Frame_Reply{
+			Reply: &schema.TicketReply{
+				Id:           id,
+				Reason:       string(reason),
+				RetryAfterMs: uint32(retryAfter.Milliseconds()),
+			},
+		},
+	}
+}
+
+// handleFrame handles a message of an instance about a ticket that it requested.
 func (c *coordinator) handleFrame(now time.Duration, l *link, frame *schema.Frame) {
 	switch body := frame.GetBody().(type) {
-	case *schema.Frame_BeatReply:
-		for _, t := range body.BeatReply.GetTables() {
-			l.tableVersions[t.GetTable()] = t.GetVersion()
-		}
-		c.sendTables(l)
-		c.leadership.Acknowledged(l.name, time.Duration(body.BeatReply.GetSequence()), body.BeatReply.GetStoreReached())
-	case *schema.Frame_Request:
-		c.handleRequest(now, l, body.Request)
 	case *schema.Frame_Head:
 		c.handleHead(now, l, body.Head)
 	case *schema.Frame_End:
@@ -70,15 +84,7 @@
 	s := c.services[request.GetService()]
 	if s == nil {
 		// The service belongs to a configuration that this instance has not read yet: the caller is told to retry soon.
-		l.send(&schema.Frame{
-			Body: &schema.Frame_Reply{
-				Reply: &schema.TicketReply{
-					Id:           request.GetId(),
-					Reason:       string(dispatch.NoUpstream),
-					RetryAfterMs: uint32(localPoolInterval.Milliseconds() * 10),
-				},
-			},
-		})
+		l.send(refusal(request.GetId(), dispatch.NoUpstream, 10*localPoolInterval))
 		return
 	}
 	id := l.globalID(request.GetId())
