core/keyspace: pace renewals and bound ranges where holders are many

Change: at most one range a holder and 1,000 more, the last fifth of them for the hottest only; above 1,200 renewals a second the time between them grows to at most 0.4 of the grant. Ranges are joined from half of the room on, whatever the number of holders.

--- a/core/keyspace/balance.go
+++ b/core/keyspace/balance.go
@@ -41,7 +41,7 @@
 // the holders themselves.
 func (k *Manager) spreadHotRanges(h horizon, limit float64) []move {
 	candidates := k.candidates(h)
-	if len(candidates) < 2 || k.tooManySpans(candidates) {
+	if len(candidates) < 2 || len(k.spans) > maxSpans(candidates) {
 		return nil
 	}
 	limit = max(limit, unevenUtilization*meanUtilization(candidates))
@@ -56,12 +56,24 @@
 	return moves
 }
 
-// spanLimit returns the number of spans above which rebalancing does not divide them further.
+// maxSpans returns the number of spans above which none is divided for the sake of balance. With many holders, few of which are
+// hot at a time, it grows by one a holder only: every span is renewed all the time, from one instance.
+func maxSpans(candidates []*candidate) int {
+	return max(cheapSpanCount, min(spansPerHolder*len(candidates), len(candidates)+extraSpans))
+}
+
+// spanLimit returns the number of spans up to which any range may be divided. Beyond it only the hottest are: they overload their
+// holders within a second, and consolidation takes a few.
 func spanLimit(candidates []*candidate) int {
-	return max(cheapSpanCount, spansPerHolder*len(candidates))
+	return int(ordinarySpanShare * float64(maxSpans(candidates)))
+}
+
+// crowded reports whether ranges with few requests are to be joined, so that there is room to divide the next hot range.
+func (k *Manager) crowded(candidates []*candidate) bool {
+	return float64(len(k.spans)) > float64(len(candidates))+crowdedShare*float64(spanLimit(candidates)-len(candidates))
 }
 
-// tooManySpans reports whether there are too many spans for rebalancing to divide them further.
+// tooManySpans reports whether only the hottest spans may be divided further.
 func (k *Manager) tooManySpans(candidates []*candidate) bool {
 	return len(k.spans) > spanLimit(candidates)
 }
@@ -366,6 +378,13 @@
 // second, a few hundredths of a CPU core.
 const cheapSpanCount = 150
 
+const (
+	// extraSpans is the number of spans beyond one for each holder up to which ranges are divided.
+	extraSpans = 1000
+	// ordinarySpanShare is the fraction of maxSpans that is not reserved for the hottest ranges.
+	ordinarySpanShare = 0.8
+)
+
 // consolidationDivisor limits the consolidating moves of one plan to the number of ranges divided by it. These moves
 // affect few requests, and a hot range may need several new ranges within a second.
 const consolidationDivisor = 6
@@ -378,7 +397,7 @@
 // merged.
 func (k *Manager) consolidate(now time.Duration) []move {
 	candidates := k.candidates(long)
-	if len(k.spans) <= fineSpansPerHolder*len(candidates) || now-k.lastConsolidation < mergeInterval {
+	if !k.crowded(candidates) || now-k.lastConsolidation < mergeInterval {
 		return nil
 	}
 	k.lastConsolidation = now
--- a/core/keyspace/balance_test.go
+++ b/core/keyspace/balance_test.go
@@ -21,6 +21,7 @@
 	now       time.Duration
 	random    *rand.Rand
 	moves     int
+	grants    int
 }
 
 func newBalanceSimulation(c *qt.C, capacities ...float64) *balanceSimulation {
@@ -64,6 +65,7 @@
 		for _, call := range actions.Releases {
 			b.manager.Released(b.now, call, "token", true)
 		}
+		b.grants += len(actions.Grants)
 		for _, call := range actions.Grants {
 			b.manager.Granted(b.now, b.now, call, keyspace.Granted)
 		}
@@ -261,3 +263,30 @@
 	}
 	c.Check(excessShare <= 0.05, qt.IsTrue, qt.Commentf("%.3f of the requests exceed the capacity of their owners a second after they changed; %d ranges", excessShare, len(b.manager.Map().GetWidths())))
 }
+
+// TestRenewalsAtManyHoldersStayWithinReach replays hot keys that change on a service with hundreds of holders. Its ranges grew
+// from 577 to 1700 within six seconds, and their renewals took more processor time than the requests.
+func TestRenewalsAtManyHoldersStayWithinReach(t *testing.T) {
+	c := qt.New(t)
+	capacities := manyUpstreams(400)
+	b := newBalanceSimulation(c, capacities...)
+	const rounds, counted, length = 12, 4, 2 * time.Second
+	excessShare := 0.0
+	for round := range uint32(rounds) {
+		rates := decreasingLoad(3200)
+		for key := range uint32(200) {
+			rates[(round*9000+key)%(1<<16)] += 4
+		}
+		if round == rounds-counted {
+			b.grants = 0
+		}
+		b.run(length, rates)
+		if round >= rounds-counted {
+			excessShare += b.excessShare(rates, capacities) / counted
+		}
+	}
+	// 2,000 grants a second, of about 0.1 ms each, are a quarter of a large instance.
+	perSecond := float64(b.grants) / (counted * length).Seconds()
+	c.Check(perSecond <= 2000, qt.IsTrue, qt.Commentf("%.0f grants a second, %d ranges", perSecond, len(b.manager.Map().GetWidths())))
+	c.Check(excessShare <= 0.05, qt.IsTrue, qt.Commentf("%.3f of the requests exceed the capacity of their owners", excessShare))
+}
--- a/core/keyspace/calls.go
+++ b/core/keyspace/calls.go
@@ -85,7 +85,21 @@
 	if s.failures > 0 {
 		return now-s.sent >= k.config.CallTimeout
 	}
-	return now-s.sent >= k.config.RenewInterval
+	return now-s.sent >= k.renewInterval()
+}
+
+const (
+	// maxRenewalsPerSecond is the number of grants a second above which the time between renewals grows: all of them are sent by
+	// one instance, at about 0.1 ms of its processor each.
+	maxRenewalsPerSecond = 1200
+	// maxRenewShare bounds that time, as a fraction of the duration of a grant. It leaves room for two failed calls.
+	maxRenewShare = 0.4
+)
+
+// renewInterval returns the time between grants of the same range.
+func (k *Manager) renewInterval() time.Duration {
+	paced := time.Duration(len(k.spans)) * time.Second / maxRenewalsPerSecond
+	return max(k.config.RenewInterval, min(paced, time.Duration(maxRenewShare*float64(k.config.Hold))))
 }
 
 // releaseRetryDelay is the delay before an unanswered release is sent again.
--- a/core/keyspace/plan.go
+++ b/core/keyspace/plan.go
@@ -33,8 +33,7 @@
 	// adjacent range if it has capacity.
 	spansPerHolder     = 6
 	fineSpansPerHolder = 3
-	// crowdedShare is the fraction of the limit of ranges above which ranges with few requests are consolidated, so that
-	// there is room to divide the next hot range.
+	// crowdedShare is the fraction of the ranges beyond one for each holder above which those with few requests are joined.
 	crowdedShare = 0.5
 	// neighbourUtilization is the utilization up to which a holder takes over an adjacent range.
 	neighbourUtilization = 0.6
@@ -77,12 +76,12 @@
 	merge := func() []move { return k.merge(now) }
 	consolidate := func() []move { return k.consolidate(now) }
 	steps := []func() []move{evacuate, assignIdle, rebalance, merge}
-	switch limit := spanLimit(candidates); {
-	case len(k.spans) > limit:
+	switch {
+	case k.tooManySpans(candidates):
 		// Rebalancing may find something to move in every plan and starve the merges, which only affect ranges that
 		// have not moved recently.
 		steps = []func() []move{evacuate, assignIdle, merge, consolidate, rebalance}
-	case float64(len(k.spans)) > crowdedShare*float64(limit):
+	case k.crowded(candidates):
 		steps = append(steps, consolidate)
 	}
 	for _, step := range steps {
--- a/internal/gateway/coordinator.go
+++ b/internal/gateway/coordinator.go
@@ -62,7 +62,7 @@
 // serviceState is the coordinator's state of one service.
 type serviceState struct {
 	name     string
-	pool     *dispatch.Pool
+	pool     *syncedPool
 	assigner *keyspace.Manager
 	// loading is true while the assignment is being read, and rowVersion is the version of its first row.
 	loading    bool
@@ -70,9 +70,10 @@
 	rowVersion uint64
 	// rows is the number of rows of the stored assignment, and pendingRows that of the one being written.
 	rows, pendingRows int
-	ownersSentAt      time.Duration
-	lastOwners        []byte
-	tickets           map[uint64]ticketOrigin
+	// ownersDueAt is when the holders may next be sent to all instances, and lastOwners what was last sent.
+	ownersDueAt time.Duration
+	lastOwners  []byte
+	tickets     map[uint64]ticketOrigin
 }
 
 // ticketOrigin records which instance requested a ticket, and its ID there.
@@ -98,10 +99,11 @@
 	// coordinator's authority lasts after a renewal.
 	leaseWriteTimeout      = 700 * time.Millisecond
 	assignmentWriteTimeout = 1500 * time.Millisecond
-	// ownersInterval is the shortest interval between owner updates to all instances. Instances use them only while there is
-	// no coordinator, and an upstream refuses requests based on outdated ones. An update takes some kilobytes, and the
-	// slowest links carry a megabyte per second.
-	ownersInterval = time.Second
+	// ownersInterval is the shortest interval between owner updates to all instances, and ownersBytesPerSecond bounds their traffic.
+	// Instances use them only while there is no coordinator, and an upstream refuses requests based on outdated ones. An update
+	// takes some tens of bytes for each range and instance, and the slowest links carry a megabyte per second.
+	ownersInterval       = time.Second
+	ownersBytesPerSecond = 1 << 20
 	// queueLogInterval is the interval between log lines with queue statistics.
 	queueLogInterval = time.Second
 	// probeInterval is the interval between probes of unreachable upstreams.
@@ -297,7 +299,7 @@
 		s.pool.SetService(service)
 	}
 	for _, s := range c.services {
-		s.pool.SetUpstreams(now, upstreamStates(v.list, s.name))
+		s.pool.sync(now, v, s.name)
 		c.advanceKeys(now, s, v)
 		c.decide(now, s)
 		c.reclaimExpired(now, s)
@@ -344,7 +346,9 @@
 			config.Owners = s
 			c.loadAssignment(s)
 		}
-		s.pool = dispatch.NewPool(config)
+		s.pool = &syncedPool{
+			Pool: dispatch.NewPool(config),
+		}
 		c.services[name] = s
 	}
 	return s
--- a/internal/gateway/keys.go
+++ b/internal/gateway/keys.go
@@ -37,9 +37,8 @@
 	for _, call := range actions.Releases {
 		c.sendRelease(s, call)
 	}
-	if now-s.ownersSentAt > ownersInterval {
-		s.ownersSentAt = now
-		c.broadcastOwners(s)
+	if now >= s.ownersDueAt {
+		c.broadcastOwners(now, s)
 	}
 }
 
@@ -141,7 +140,8 @@
 }
 
 // broadcastOwners sends the holders of the keys to all instances if they have changed.
-func (c *coordinator) broadcastOwners(s *serviceState) {
+func (c *coordinator) broadcastOwners(now time.Duration, s *serviceState) {
+	s.ownersDueAt = now + ownersInterval
 	frame := ownersFrame(s)
 	encoded, err := proto.MarshalOptions{
 		Deterministic: true,
@@ -150,6 +150,8 @@
 		return
 	}
 	s.lastOwners = encoded
+	traffic := len(encoded) * len(c.links)
+	s.ownersDueAt = now + max(ownersInterval, time.Duration(traffic)*time.Second/ownersBytesPerSecond)
 	c.broadcast(frame)
 }
 
--- a/internal/gateway/links.go
+++ b/internal/gateway/links.go
@@ -276,8 +276,11 @@
 }
 
 func (c *coordinator) broadcast(frame *schema.Frame) {
+	message := frames.Encode(frame)
 	for _, l := range c.links {
-		l.send(frame)
+		if l.current != nil {
+			l.current.SendEncoded(message)
+		}
 	}
 }
 
--- a/internal/gateway/tickets.go
+++ b/internal/gateway/tickets.go
@@ -18,6 +18,7 @@
 // frameConn is a connection that carries messages between coordinator and instance.
 type frameConn interface {
 	Send(*schema.Frame)
+	SendEncoded([]byte)
 	Close()
 }
 
@@ -56,7 +57,7 @@
 	nextID            uint64
 	waiters           map[uint64]*waiter
 	// localPools holds the local pools by service, and owners the holders of keys last reported by the coordinator.
-	localPools           map[string]*dispatch.Pool
+	localPools           map[string]*syncedPool
 	owners               map[string]*keyspace.HolderMap
 	instanceCount, index int
 	// maxCPUPermille is the largest CPU share of an instance as last reported, in thousandths of a core, 0 if unknown.
@@ -79,7 +80,7 @@
 		view:          currentView,
 		monitor:       authority.NewMonitor(config.Clock.Now()),
 		waiters:       map[uint64]*waiter{},
-		localPools:    map[string]*dispatch.Pool{},
+		localPools:    map[string]*syncedPool{},
 		owners:        map[string]*keyspace.HolderMap{},
 		instanceCount: 1,
 		wake:          make(chan struct{}, 1),
@@ -132,7 +133,7 @@
 	}
 	pool := t.localPool(now, w.request.GetService())
 	pool.Submit(now, newTicket(w.request, w.request.GetId(), t.config.Settings.Zone, w.deadline, w.objective))
-	t.decide(now, w.request.GetService(), pool)
+	t.decide(now, pool)
 	t.wakeUp()
 }
 
@@ -159,7 +160,7 @@
 }
 
 // localPool returns the local pool of a service, with the current services, upstreams and share of the limits.
-func (t *ticketClient) localPool(now time.Duration, service string) *dispatch.Pool {
+func (t *ticketClient) localPool(now time.Duration, service string) *syncedPool {
 	// An instance that knows of no others assumes one other.
 	share := dispatch.Share{
 		Index: t.index,
@@ -173,7 +174,9 @@
 		if keyed {
 			config.Owners = t.keyOwners(service)
 		}
-		pool = dispatch.NewPool(config)
+		pool = &syncedPool{
+			Pool: dispatch.NewPool(config),
+		}
 		t.localPools[service] = pool
 	}
 	pool.SetShare(share)
@@ -181,10 +184,32 @@
 	if v.table != nil {
 		pool.SetService(v.table.Services[service])
 	}
-	pool.SetUpstreams(now, upstreamStates(v.list, service))
+	pool.sync(now, v, service)
 	return pool
 }
 
+// syncedPool is a pool with the view from which its upstreams were last set.
+type syncedPool struct {
+	*dispatch.Pool
+	view     *view
+	syncedAt time.Duration
+}
+
+// syncInterval is how often a pool's upstreams are set although the view is the same, so that the pool forgets those that have
+// left once their last request has ended.
+const syncInterval = 500 * time.Millisecond
+
+// sync sets the upstreams of a service if the view has changed. Sorting hundreds of them for each request would take longer than
+// all else about it.
+func (p *syncedPool) sync(now time.Duration, v *view, service string) {
+	if p.view == v && now-p.syncedAt < syncInterval {
+		return
+	}
+	p.view = v
+	p.syncedAt = now
+	p.SetUpstreams(now, upstreamStates(v.list, service))
+}
+
 // coordinatorGap is how long there is usually no coordinator after the loss of one: until another may take over, its write of
 // the lease and its first grants.
 const coordinatorGap = authority.TakeoverDelay + 500*time.Millisecond
@@ -226,7 +251,7 @@
 	return states
 }
 
-func (t *ticketClient) decide(now time.Duration, service string, pool *dispatch.Pool) {
+func (t *ticketClient) decide(now time.Duration, pool *syncedPool) {
 	for _, decision := range pool.Decide(now) {
 		w := t.waiters[decision.Ticket.ID]
 		if w == nil {
@@ -272,8 +297,8 @@
 		if pool.Waiting() == 0 {
 			continue
 		}
-		pool.SetUpstreams(now, upstreamStates(t.view().list, service))
-		t.decide(now, service, pool)
+		pool.sync(now, t.view(), service)
+		t.decide(now, pool)
 		waiting = waiting || pool.Waiting() > 0
 	}
 	return waiting
@@ -304,8 +329,8 @@
 	}
 	if pool := t.localPools[service]; pool != nil {
 		now := t.clock.Now()
-		local(now, pool)
-		t.decide(now, service, pool)
+		local(now, pool.Pool)
+		t.decide(now, pool)
 	}
 }
 
--- a/io/frames/frames.go
+++ b/io/frames/frames.go
@@ -39,7 +39,7 @@
 type Connection struct {
 	conn      net.Conn
 	reader    *bufio.Reader
-	sendQueue chan *schema.Frame
+	sendQueue chan []byte
 	done      chan struct{}
 	once      sync.Once
 }
@@ -49,7 +49,7 @@
 	c := &Connection{
 		conn:      conn,
 		reader:    bufio.NewReader(conn),
-		sendQueue: make(chan *schema.Frame, sendQueueLength),
+		sendQueue: make(chan []byte, sendQueueLength),
 		done:      make(chan struct{}),
 	}
 	go c.writeLoop()
@@ -63,14 +63,33 @@
 
 // Send queues a message. It never blocks: if the queue is full, it closes the connection.
 func (c *Connection) Send(frame *schema.Frame) {
+	c.SendEncoded(Encode(frame))
+}
+
+// SendEncoded does the same for a message that is sent to many peers and encoded only once.
+func (c *Connection) SendEncoded(message []byte) {
 	select {
-	case c.sendQueue <- frame:
+	case c.sendQueue <- message:
 	case <-c.done:
 	default:
 		c.Close()
 	}
 }
 
+// Encode returns a message with its length in front, for SendEncoded.
+func Encode(frame *schema.Frame) []byte {
+	size := proto.Size(frame)
+	message := binary.AppendUvarint(make([]byte, 0, size+binary.MaxVarintLen32), uint64(size))
+	message, err := proto.MarshalOptions{
+		UseCachedSize: true,
+	}.MarshalAppend(message, frame)
+	if err != nil {
+		// Only a string that is not valid UTF-8 makes encoding fail, and names are checked when they are read.
+		return nil
+	}
+	return message
+}
+
 // Close ends the connection. It may be called more than once.
 func (c *Connection) Close() {
 	c.once.Do(func() {
@@ -112,13 +131,13 @@
 		select {
 		case <-c.done:
 			return
-		case frame := <-c.sendQueue:
-			buffer = appendFrame(buffer[:0], frame)
+		case message := <-c.sendQueue:
+			buffer = append(buffer[:0], message...)
 		}
 		for more := true; more; {
 			select {
-			case frame := <-c.sendQueue:
-				buffer = appendFrame(buffer, frame)
+			case message := <-c.sendQueue:
+				buffer = append(buffer, message...)
 			default:
 				more = false
 			}
@@ -133,13 +152,3 @@
 		}
 	}
 }
-
-func appendFrame(buffer []byte, frame *schema.Frame) []byte {
-	data, err := proto.Marshal(frame)
-	if err != nil {
-		// Only a string that is not valid UTF-8 makes encoding fail, and names are checked when they are read.
-		return buffer
-	}
-	buffer = binary.AppendUvarint(buffer, uint64(len(data)))
-	return append(buffer, data...)
-}
