gateway: spread the store reads of many instances that have no coordinator

Each of 295 instances without a coordinator read the upstreams' table ten times a second, began to read both tables the moment the coordinator was lost, read the lease twice a second and probed the store four times a second.

--- a/core/authority/rank.go
+++ b/core/authority/rank.go
@@ -30,3 +30,8 @@
 	}
 	return rank
 }
+
+// First reports whether an instance of that rank is among those that try before the small ones.
+func First(rank int) bool {
+	return rank < rankCount
+}
--- a/internal/gateway/election.go
+++ b/internal/gateway/election.go
@@ -9,6 +9,7 @@
 
 	"cuminlift"
 	"cuminlift/core/authority"
+	"cuminlift/core/replica"
 	"cuminlift/schema"
 )
 
@@ -143,7 +144,7 @@
 	defer cancel()
 	page, err := e.config.Store.Rows(callCtx, leaseTable, "")
 	if err != nil {
-		e.readPause = min(2*e.readPause, maxLeaseReadPause)
+		e.readPause = min(2*e.readPause, e.maxReadPause(rank))
 		if e.failingSince == 0 {
 			e.failingSince = now
 		}
@@ -170,6 +171,15 @@
 	return version, term, acquire
 }
 
+// maxReadPause returns the longest pause between reads of the lease while the store fails. The instances that come first in the
+// order of takeover are few; the others leave it to them.
+func (e *elector) maxReadPause(rank int) time.Duration {
+	if authority.First(rank) {
+		return maxLeaseReadPause
+	}
+	return max(maxLeaseReadPause, replica.ReadPause(e.ticketClient.knownInstances()), replica.ProbePause(e.ticketClient.knownInstances())/4)
+}
+
 // recordLease passes the lease among rows of the store to the monitor and returns its term. ok is false if it can't be decoded.
 func (e *elector) recordLease(rows []cuminlift.Row) (term uint64, ok bool) {
 	lease := &schema.LeaseRow{}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -64,6 +64,7 @@
 	g.ticketClient = newTicketClient(config, loggers.For("instance"), g.follower.view)
 	g.ticketClient.storeReachable = func() bool { return g.follower.storeReachable(storeProbeValidity) }
 	g.ticketClient.requestStoreProbe = func() { g.follower.probeStore(context.Background()) }
+	g.follower.instances = g.ticketClient.knownInstances
 	g.ticketClient.tables = []*tableFeed{g.follower.configuration, g.follower.upstreams}
 	g.requestHandler = &requestHandler{
 		config:         config,
--- a/internal/gateway/links.go
+++ b/internal/gateway/links.go
@@ -60,6 +60,8 @@
 		store: c.config.Store,
 		log:   c.log,
 		clock: c.clock,
+		// Only the coordinator reads this table.
+		instances: func() int { return 1 },
 	}
 	rows := map[string]*schema.InstanceRow{}
 	apply := func(list []cuminlift.Row) {
--- a/internal/gateway/poll.go
+++ b/internal/gateway/poll.go
@@ -50,11 +50,19 @@
 // follow reads the whole table, then its changes, until ctx ends. It pauses while the coordinator forwards the rows.
 func (f *follower) follow(ctx context.Context, feed *tableFeed) error {
 	pause := storeRetryPause
+	wasForwarded := false
 	for ctx.Err() == nil {
 		if feed.forwarded() {
+			wasForwarded = true
 			sleep(ctx, changeBatchInterval)
 			continue
 		}
+		if wasForwarded {
+			// The next coordinator may forward the rows before this instance needs to read them.
+			wasForwarded = false
+			feed.wait(ctx, jitter(replica.ReadPause(f.instances())))
+			continue
+		}
 		page, whole, since, err := f.readTable(ctx, feed)
 		if errors.Is(err, context.Canceled) {
 			continue
@@ -86,13 +94,24 @@
 			feed.wait(ctx, pause)
 			continue
 		}
-		if !whole && len(page.Rows) > 0 {
-			sleep(ctx, feed.pause)
+		if !whole && len(page.Rows) > 0 && feed.pause > 0 {
+			sleep(ctx, max(feed.pause, f.readPause(feed)))
 		}
 	}
 	return nil
 }
 
+// readPause returns the pause after a read of changes: none for an instance that reads for all others.
+func (f *follower) readPause(feed *tableFeed) time.Duration {
+	feed.mutex.Lock()
+	forwards := feed.listener != nil
+	feed.mutex.Unlock()
+	if forwards {
+		return 0
+	}
+	return replica.ReadPause(f.instances())
+}
+
 // fails records that a read failed at now. It reports whether the store worked before.
 func (t *tableFeed) fails(now time.Duration) bool {
 	t.mutex.Lock()
--- a/internal/gateway/tickets.go
+++ b/internal/gateway/tickets.go
@@ -89,6 +89,13 @@
 	}
 }
 
+// knownInstances returns the number of instances as last reported.
+func (t *ticketClient) knownInstances() int {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	return t.instanceCount
+}
+
 // acquire waits for a ticket. It returns an error only if ctx ends first; the request has then not been sent to an upstream.
 func (t *ticketClient) acquire(ctx context.Context, request *schema.TicketRequest) (ticketResult, error) {
 	w := &waiter{
--- a/internal/gateway/view.go
+++ b/internal/gateway/view.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -10,6 +11,7 @@
 	"github.com/sirupsen/logrus"
 
 	"cuminlift"
+	"cuminlift/core/replica"
 	"cuminlift/core/roster"
 	"cuminlift/core/route"
 )
@@ -35,6 +37,9 @@
 	probing atomic.Bool
 	clock   cuminlift.Clock
 
+	// instances returns the number of instances that may read the store at the same time.
+	instances func() int
+
 	// configuration and upstreams are the feeds of the two tables.
 	configuration, upstreams *tableFeed
 
@@ -77,12 +82,13 @@
 
 func newFollower(config Config, log *logrus.Entry) *follower {
 	f := &follower{
-		store:    config.Store,
-		registry: config.Registry,
-		log:      log,
-		clock:    config.Clock,
-		rows:     map[string]upstreamRow{},
-		missing:  map[string]bool{},
+		store:     config.Store,
+		registry:  config.Registry,
+		log:       log,
+		clock:     config.Clock,
+		rows:      map[string]upstreamRow{},
+		missing:   map[string]bool{},
+		instances: func() int { return 1 },
 		next: view{
 			list: roster.Snapshot{
 				Upstreams:     map[string]roster.Upstream{},
@@ -127,15 +133,25 @@
 	}
 	go func() {
 		defer f.probing.Store(false)
+		pause := replica.ProbePause(f.instances())
+		sleep(ctx, jitter(pause)) // All instances are asked at the same time.
 		callCtx, cancel := context.WithTimeout(ctx, storeProbeTimeout)
 		defer cancel()
 		if _, err := f.store.Rows(callCtx, leaseTable, ""); err == nil {
 			f.probeSucceededAt.Store(int64(f.clock.Now()))
 		}
-		sleep(ctx, storeProbeTimeout/2)
+		sleep(ctx, max(storeProbeTimeout/2, pause/2))
 	}()
 }
 
+// jitter returns a random duration below pause.
+func jitter(pause time.Duration) time.Duration {
+	if pause <= 0 {
+		return 0
+	}
+	return rand.N(pause)
+}
+
 // sleep waits for pause, or until ctx ends.
 func sleep(ctx context.Context, pause time.Duration) {
 	if pause <= 0 {
