gateway: remove the rows of instances that are gone

Change: while the store works the coordinator removes the rows of instances that it has not reached for 5 s. Taking the lease requires the taker's own row, and an instance without a coordinator looks for its row every 2 s and registers again: the argument that only an instance known to the coordinator can take over holds as before. Result: TestKeysOutlastAnOutageAfterAnInstanceIsGone and TestInstanceWhoseRowWasRemovedRegistersAgain. Left: a coordinator that is stopped in an outage resigns although none can follow it.

--- a/internal/gateway/coordinator.go
+++ b/internal/gateway/coordinator.go
@@ -55,8 +55,8 @@
 	cancel      context.CancelFunc
 	ctx         context.Context
 	lastProbe   time.Duration
-	// lastQueueLog is when the queue statistics were last logged.
-	lastQueueLog time.Duration
+	// lastQueueLog is when the queue statistics were last logged, and lastPrune when rows of lost instances were last removed.
+	lastQueueLog, lastPrune time.Duration
 }
 
 // serviceState is the coordinator's state of one service.
@@ -290,6 +290,7 @@
 	c.renew(now)
 	c.forwardPages()
 	c.resendTables()
+	c.pruneInstances(now)
 	v := c.view()
 	if v.table == nil || !v.listed {
 		return
--- a/internal/gateway/election.go
+++ b/internal/gateway/election.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -27,6 +28,11 @@
 	lastRead, readPause time.Duration
 	// failingSince is when reading the lease began to fail, 0 while it works.
 	failingSince time.Duration
+	// rowVersion is the version of the instance's own row, without which it may not take the lease, and row its value.
+	rowVersion uint64
+	row        []byte
+	// lastRegistrationCheck is when the own row was last looked for because there was no word from a coordinator.
+	lastRegistrationCheck time.Duration
 }
 
 // maxLeaseReadPause is the longest pause between reads of the lease while the store fails. All instances read it then, and
@@ -66,8 +72,9 @@
 		e.log.WithError(err).Error("encoding the instance row failed: correct the name in the settings")
 		return
 	}
+	e.row = value
 	for ctx.Err() == nil {
-		if err := e.writeInstanceRow(ctx, value); err == nil {
+		if err := e.writeInstanceRow(ctx); err == nil {
 			e.log.Info("instance registered")
 			return
 		}
@@ -75,31 +82,50 @@
 	}
 }
 
-func (e *elector) writeInstanceRow(ctx context.Context, value []byte) error {
+// registrationCheckInterval is the time between looks for the own row while others have a coordinator and this instance has none.
+const registrationCheckInterval = 2 * time.Second
+
+// checkRegistration registers again if a coordinator that did not reach this instance has removed its row.
+func (e *elector) checkRegistration(ctx context.Context) {
+	now := e.clock.Now()
+	if now-e.lastRegistrationCheck < registrationCheckInterval {
+		return
+	}
+	e.lastRegistrationCheck = now
+	if err := e.writeInstanceRow(ctx); err != nil {
+		e.log.WithError(err).Warn("looking for the own registration failed, trying again")
+	}
+}
+
+// writeInstanceRow writes the instance's row unless the stored one is up to date.
+func (e *elector) writeInstanceRow(ctx context.Context) error {
 	callCtx, cancel := context.WithTimeout(ctx, storeReadTimeout)
 	defer cancel()
 	page, err := e.config.Store.Rows(callCtx, instanceTable, "")
 	if err != nil {
 		return err
 	}
-	upToDate := e.observeInstances(page.Rows, value)
-	if upToDate {
+	if version, upToDate := e.observeInstances(page.Rows, e.row); upToDate {
+		e.rowVersion = version
 		return nil
 	}
-	_, err = e.config.Store.Commit(callCtx, cuminlift.RowTransaction{
+	version, err := e.config.Store.Commit(callCtx, cuminlift.RowTransaction{
 		Put: []cuminlift.Row{{
 			Table: instanceTable,
 			Key:   e.config.Settings.Name,
-			Value: value,
+			Value: e.row,
 		}},
 	})
-	return err
+	if err != nil {
+		return err
+	}
+	e.rowVersion = version
+	return nil
 }
 
-// observeInstances counts the registered instances before a coordinator reports them, and reports whether the own row is up
-// to date. Without the count, instances that start at the same time would each take half of the shared limits.
-func (e *elector) observeInstances(rows []cuminlift.Row, value []byte) bool {
-	upToDate := false
+// observeInstances counts the registered instances before a coordinator reports them, and returns the version of the own row
+// and whether it is up to date. Without the count, instances that start at the same time would each take half of the shared limits.
+func (e *elector) observeInstances(rows []cuminlift.Row, value []byte) (version uint64, upToDate bool) {
 	maxCPUPermille := uint32(0)
 	index, others := 0, 0
 	own := e.config.Settings.Name
@@ -109,8 +135,9 @@
 			continue
 		}
 		maxCPUPermille = max(maxCPUPermille, instance.GetCpuPermille())
-		upToDate = upToDate || (row.Key == own && string(row.Value) == string(value))
-		if row.Key != own {
+		if row.Key == own {
+			version, upToDate = row.Version, string(row.Value) == string(value)
+		} else {
 			others++
 		}
 		if row.Key < own {
@@ -124,7 +151,7 @@
 	if t.instanceCount <= others {
 		t.instanceCount, t.index = others+1, index
 	}
-	return upToDate
+	return version, upToDate
 }
 
 // checkLease reads the lease if the coordinator's heartbeats are missing, and reports whether to acquire it.
@@ -164,6 +191,9 @@
 	if !ok {
 		return 0, 0, false
 	}
+	if e.coordinatorMissing(now) {
+		e.checkRegistration(ctx)
+	}
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
 	version, acquire = t.monitor.CanTakeLease(e.clock.Now(), rank)
@@ -180,12 +210,20 @@
 	return max(maxLeaseReadPause, replica.ReadPause(e.ticketClient.knownInstances()), replica.ProbePause(e.ticketClient.knownInstances())/4)
 }
 
+// coordinatorMissing reports whether there has been no coordinator for this instance for longer than a takeover lasts.
+func (e *elector) coordinatorMissing(now time.Duration) bool {
+	t := e.ticketClient
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	return t.frameConn == nil && now-t.coordinatorLostAt > coordinatorGap
+}
+
 // recordLease passes the lease among rows of the store to the monitor and returns its term. ok is false if it can't be decoded.
 func (e *elector) recordLease(rows []cuminlift.Row) (term uint64, ok bool) {
 	lease := &schema.LeaseRow{}
 	version := uint64(0)
 	for _, row := range rows {
-		if row.Key != leaseKey {
+		if row.Table != leaseTable || row.Key != leaseKey {
 			continue
 		}
 		version = row.Version
@@ -210,6 +248,10 @@
 			Table:   leaseTable,
 			Key:     leaseKey,
 			Version: version,
+		}, {
+			Table:   instanceTable,
+			Key:     e.config.Settings.Name,
+			Version: e.rowVersion,
 		}},
 		Put: []cuminlift.Row{leaseRow(e.config.Settings.Name, e.incarnation, term+1, 0)},
 	})
@@ -219,7 +261,10 @@
 	e.ticketClient.mutex.Unlock()
 	if rows, conflict := conflictRows(err); conflict {
 		// What the monitor knows still holds, such as a resignation whose last renewal came in between.
-		e.recordLease(rows)
+		if containsLease(rows) {
+			e.recordLease(rows)
+		}
+		e.checkRegistration(ctx)
 		return
 	}
 	defer e.resetMonitor()
@@ -233,6 +278,10 @@
 	c.run()
 }
 
+func containsLease(rows []cuminlift.Row) bool {
+	return slices.ContainsFunc(rows, func(row cuminlift.Row) bool { return row.Table == leaseTable && row.Key == leaseKey })
+}
+
 // resetMonitor starts monitoring anew.
 func (e *elector) resetMonitor() {
 	t := e.ticketClient
--- a/internal/gateway/links.go
+++ b/internal/gateway/links.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"github.com/sirupsen/logrus"
 	"google.golang.org/protobuf/proto"
 
 	"cuminlift"
@@ -21,6 +22,9 @@
 type link struct {
 	name, zone, address string
 	cpuPermille         uint32
+	// rowVersion is the version of the instance's row. downSince is when the connection was lost or first tried, 0 while connected.
+	rowVersion uint64
+	downSince  time.Duration
 	// index is the position of the instance among all instances, sorted by name.
 	index uint32
 	// number distinguishes the links of one coordinator.
@@ -63,7 +67,7 @@
 		// Only the coordinator reads this table.
 		instances: func() int { return 1 },
 	}
-	rows := map[string]*schema.InstanceRow{}
+	rows := map[string]registeredInstance{}
 	apply := func(list []cuminlift.Row) {
 		for _, row := range list {
 			delete(rows, row.Key)
@@ -71,13 +75,16 @@
 			if row.Removed || proto.Unmarshal(row.Value, instance) != nil || instance.GetName() == "" {
 				continue
 			}
-			rows[row.Key] = instance
+			rows[row.Key] = registeredInstance{
+				InstanceRow: instance,
+				version:     row.Version,
+			}
 		}
-		registered := make([]*schema.InstanceRow, 0, len(rows))
+		registered := make([]registeredInstance, 0, len(rows))
 		for _, instance := range rows {
 			registered = append(registered, instance)
 		}
-		c.post(func(time.Duration) { c.setInstances(registered) })
+		c.post(func(now time.Duration) { c.setInstances(now, registered) })
 	}
 	// follow returns only when the context ends.
 	_ = f.follow(c.ctx, newTableFeed(&tableFeed{
@@ -92,7 +99,13 @@
 	}))
 }
 
-func (c *coordinator) setInstances(instances []*schema.InstanceRow) {
+// registeredInstance is an instance's row and its version.
+type registeredInstance struct {
+	*schema.InstanceRow
+	version uint64
+}
+
+func (c *coordinator) setInstances(now time.Duration, instances []registeredInstance) {
 	present := map[string]bool{}
 	var others []string
 	for _, instance := range instances {
@@ -102,12 +115,13 @@
 		}
 		old := c.links[instance.GetName()]
 		if old != nil && old.address == instance.GetAddress() {
+			old.rowVersion = instance.version
 			continue
 		}
 		if old != nil {
 			old.close()
 		}
-		c.addLink(instance)
+		c.addLink(now, instance)
 	}
 	for name, l := range c.links {
 		if !present[name] {
@@ -122,7 +136,7 @@
 }
 
 // addLink starts a link to an instance.
-func (c *coordinator) addLink(instance *schema.InstanceRow) {
+func (c *coordinator) addLink(now time.Duration, instance registeredInstance) {
 	c.nextLinkNumber++
 	ctx, cancel := context.WithCancel(c.ctx)
 	l := &link{
@@ -130,6 +144,8 @@
 		zone:           instance.GetZone(),
 		address:        instance.GetAddress(),
 		cpuPermille:    instance.GetCpuPermille(),
+		rowVersion:     instance.version,
+		downSince:      now,
 		number:         c.nextLinkNumber,
 		coordinator:    c,
 		tableVersions:  map[string]uint64{},
@@ -158,6 +174,7 @@
 		stop := context.AfterFunc(ctx, func() { time.AfterFunc(coordinatorInterval, f.Close) })
 		l.coordinator.postTicket(func(time.Duration) {
 			l.current = f
+			l.downSince = 0
 			l.send(l.coordinator.beatFrame(l, false))
 			l.coordinator.sendOwners(l)
 			l.tablesSent = false
@@ -229,6 +246,7 @@
 		return
 	}
 	l.current = nil
+	l.downSince = now
 	for id, s := range l.ticketServices {
 		globalID := l.globalID(id)
 		if origin := s.tickets[globalID]; origin.expires == 0 {
@@ -239,6 +257,52 @@
 	l.ticketServices = map[uint64]*serviceState{}
 }
 
+const (
+	// pruneAfter is how long an instance must have been out of reach for its row to be removed. It is longer than a restart or a
+	// short partition.
+	pruneAfter = 5 * time.Second
+	// pruneInterval is the time between looks for such instances, of which each removes at most maxPruned.
+	pruneInterval = time.Second
+	maxPruned     = 50
+)
+
+// pruneInstances removes the rows of instances that have been out of reach for long. Without the store, the coordinator needs an
+// acknowledgement of every registered instance, and one that is gone for good never gives it. An instance that is alive
+// can't take the lease without its row, and registers again.
+func (c *coordinator) pruneInstances(now time.Duration) {
+	if now-c.lastPrune < pruneInterval || c.storeFails() {
+		return
+	}
+	c.lastPrune = now
+	var transaction cuminlift.RowTransaction
+	for name, l := range c.links {
+		if l.downSince == 0 || now-l.downSince < pruneAfter || len(transaction.Remove) == maxPruned {
+			continue
+		}
+		row := cuminlift.Row{
+			Table:   instanceTable,
+			Key:     name,
+			Version: l.rowVersion,
+		}
+		transaction.Require = append(transaction.Require, row)
+		transaction.Remove = append(transaction.Remove, row)
+		c.log.WithFields(logrus.Fields{
+			"lost": name,
+			"for":  now - l.downSince,
+		}).Info("removing the row of an instance out of reach")
+	}
+	if len(transaction.Remove) == 0 {
+		return
+	}
+	go func() {
+		ctx, cancel := context.WithTimeout(c.ctx, storeReadTimeout)
+		defer cancel()
+		if _, err := c.config.Store.Commit(ctx, transaction); err != nil {
+			c.log.WithError(err).Warn("removing rows of instances failed, trying again")
+		}
+	}()
+}
+
 // forwardTables sends all changes of the operators' and upstreams' tables to all instances.
 func (c *coordinator) forwardTables() {
 	for _, feed := range c.tables {
--- a/internal/gateway/restart_test.go
+++ b/internal/gateway/restart_test.go
@@ -7,6 +7,7 @@
 	"net/http/httptest"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	qt "github.com/frankban/quicktest"
 	"google.golang.org/protobuf/proto"
@@ -99,3 +100,74 @@
 	}
 	c.Check(u.Rejections(), qt.Equals, 0)
 }
+
+// instanceRows returns the names of the registered instances.
+func (k *cluster) instanceRows() []string {
+	page, err := k.store.Rows(context.Background(), "gateway-instances", "")
+	k.c.Assert(err, qt.IsNil)
+	var names []string
+	for _, row := range page.Rows {
+		names = append(names, row.Key)
+	}
+	return names
+}
+
+// TestKeysOutlastAnOutageAfterAnInstanceIsGone covers an instance that is removed for good, and later an outage of the store. The
+// coordinator then needed an acknowledgement of the missing instance and gave up all keys within 1.2 s.
+func TestKeysOutlastAnOutageAfterAnInstanceIsGone(t *testing.T) {
+	c := qt.New(t)
+	k := newCluster(c, 0)
+	value, err := proto.Marshal(&schema.InstanceRow{
+		Name:    "gone",
+		Address: freeAddress(c),
+	})
+	c.Assert(err, qt.IsNil)
+	k.put("gateway-instances", "gone", string(value))
+	k.configure(1, "keyed")
+	k.upstream("k0", "keyed", "z1")
+	k.start("n0")
+	k.start("n1")
+	k.waitServing("n0")
+	k.waitServing("n1")
+	eventually(func() bool { return len(k.instanceRows()) == 2 })
+	result := retryIfStalled(func() string {
+		k.waitServing("n0")
+		// Let the coordinator see the removal before the outage.
+		time.Sleep(500 * time.Millisecond)
+		k.store.SetDown(true)
+		defer k.store.SetDown(false)
+		// Longer than a grant, and than the coordinator's authority without acknowledgements.
+		for range 40 {
+			time.Sleep(100 * time.Millisecond)
+			if status, text, _ := k.send("n0", http.MethodGet, "/read/x", 7, ""); status != http.StatusOK {
+				return fmt.Sprintf("status %d: %s", status, text)
+			}
+		}
+		return ""
+	})
+	c.Check(result, qt.Equals, "")
+}
+
+// TestInstanceWhoseRowWasRemovedRegistersAgain covers an instance that was out of reach for so long that the coordinator removed
+// its row, and then returns.
+func TestInstanceWhoseRowWasRemovedRegistersAgain(t *testing.T) {
+	c := qt.New(t)
+	k := newCluster(c, 2)
+	k.configure(1, "keyed")
+	k.upstream("k0", "keyed", "z1")
+	k.waitServing("n0")
+	k.waitServing("n1")
+	removed := "n0"
+	if k.coordinator() == removed {
+		removed = "n1"
+	}
+	_, err := k.store.Commit(context.Background(), cuminlift.RowTransaction{
+		Remove: []cuminlift.Row{{
+			Table: "gateway-instances",
+			Key:   removed,
+		}},
+	})
+	c.Assert(err, qt.IsNil)
+	eventually(func() bool { return len(k.instanceRows()) == 2 })
+	k.waitServing(removed)
+}
