--- a/internal/gateway/coordinator.go
+++ b/internal/gateway/coordinator.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"runtime/debug"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -70,6 +71,9 @@
 	rowVersion uint64
 	// rows is the number of rows of the stored assignment, and pendingRows that of the one being written.
 	rows, pendingRows int
+	// holdersView and holdersSetAt are the view and the time of the last update of the assigner's upstreams.
+	holdersView  *view
+	holdersSetAt time.Duration
 	// ownersDueAt is when the holders may next be sent to all instances, and lastOwners what was last sent.
 	ownersDueAt time.Duration
 	lastOwners  []byte
@@ -157,6 +161,7 @@
 func (c *coordinator) run() {
 	defer c.shutdown()
 	c.log.Info("coordinator starts")
+	defer debug.SetGCPercent(gcPercent)
 	// Load services and upstreams before the first ticket is requested.
 	c.tick(c.clock.Now())
 	ticker := time.NewTicker(coordinatorInterval)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -43,6 +43,9 @@
 	idleTimeout   = 90 * time.Second
 	// gcPercent is the GOGC value. Below the default of 100, because memory is scarcer than CPU time.
 	gcPercent = 60
+	// coordinatorGCPercent is the value at the coordinator of manyInstances or more, where one instance's processor is scarcer.
+	coordinatorGCPercent = 200
+	manyInstances        = 100
 )
 
 // New returns an instance that is not serving yet.
--- a/internal/gateway/keys.go
+++ b/internal/gateway/keys.go
@@ -26,7 +26,10 @@
 		c.loadAssignment(s)
 		return
 	}
-	s.assigner.SetUpstreams(c.keyHolders(now, s, v.list))
+	if s.holdersView != v || now-s.holdersSetAt >= keyHoldersInterval {
+		s.holdersView, s.holdersSetAt = v, now
+		s.assigner.SetUpstreams(c.keyHolders(now, s, v.list))
+	}
 	actions := s.assigner.Advance(now)
 	if actions.Record != nil {
 		c.writeAssignment(s, actions.Record)
@@ -42,6 +45,10 @@
 	}
 }
 
+// keyHoldersInterval is the time between updates of the holders' capacities, which matter when a plan is made. Hundreds of them
+// take longer than the rest of a tick.
+const keyHoldersInterval = 100 * time.Millisecond
+
 // keyHolders returns the service's upstreams as candidates for holding keys.
 func (c *coordinator) keyHolders(now time.Duration, s *serviceState, list roster.Snapshot) []keyspace.Upstream {
 	var keyHolders []keyspace.Upstream
--- a/internal/gateway/links.go
+++ b/internal/gateway/links.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"maps"
+	"runtime/debug"
 	"slices"
 	"sync"
 	"time"
@@ -130,6 +131,9 @@
 		}
 	}
 	c.leadership.SetMembers(others)
+	if len(c.links) >= manyInstances {
+		debug.SetGCPercent(coordinatorGCPercent)
+	}
 	for index, name := range slices.Sorted(maps.Keys(c.links)) {
 		c.links[name].index = uint32(index)
 	}
