core/keyspace: keys of silent holders pass to live ones

Change: an upstream with an unanswered or overdue grant, or lost within 10 s, gets no keys unless it answers something or starts anew. Result: TestKeysOfSilentHoldersPassToLiveOnes, 20 of 60 holders silent at once: 26 of 130 ranges went to silent holders and 219 of 2,048 keys had no owner 5 s later, now none.

--- a/core/keyspace/balance_test.go
+++ b/core/keyspace/balance_test.go
@@ -22,6 +22,15 @@
 	random    *rand.Rand
 	moves     int
 	grants    int
+	// dark upstreams answer nothing. late holds the results of calls to them.
+	dark map[string]bool
+	late []lateResult
+}
+
+// lateResult is the result of a call that was not answered in time.
+type lateResult struct {
+	at     time.Duration
+	report func()
 }
 
 func newBalanceSimulation(c *qt.C, capacities ...float64) *balanceSimulation {
@@ -62,16 +71,37 @@
 			b.moves++
 			b.manager.Recorded(b.now)
 		}
+		for len(b.late) > 0 && b.late[0].at <= b.now {
+			b.late[0].report()
+			b.late = b.late[1:]
+		}
 		for _, call := range actions.Releases {
+			if b.dark[call.Upstream] {
+				b.expire(func() { b.manager.Released(b.now, call, "", false) })
+				continue
+			}
 			b.manager.Released(b.now, call, "token", true)
 		}
 		b.grants += len(actions.Grants)
 		for _, call := range actions.Grants {
+			if b.dark[call.Upstream] {
+				sent := b.now
+				b.expire(func() { b.manager.Granted(b.now, sent, call, keyspace.NotAnswered) })
+				continue
+			}
 			b.manager.Granted(b.now, b.now, call, keyspace.Granted)
 		}
 	}
 }
 
+// expire reports a result after the timeout of a call.
+func (b *balanceSimulation) expire(report func()) {
+	b.late = append(b.late, lateResult{
+		at:     b.now + keyspace.DefaultCallTimeout,
+		report: report,
+	})
+}
+
 // loads returns the requests per second by owner.
 func (b *balanceSimulation) loads(rates map[uint32]float64) map[string]float64 {
 	loads := map[string]float64{}
@@ -290,3 +320,35 @@
 	c.Check(perSecond <= 2000, qt.IsTrue, qt.Commentf("%.0f grants a second, %d ranges", perSecond, len(b.manager.Map().GetWidths())))
 	c.Check(excessShare <= 0.05, qt.IsTrue, qt.Commentf("%.3f of the requests exceed the capacity of their owners", excessShare))
 }
+
+// TestKeysOfSilentHoldersPassToLiveOnes makes a third of the holders fall silent at the same moment. Their keys used to pass to
+// other silent ones as often as not, and waited for the end of a grant each time.
+func TestKeysOfSilentHoldersPassToLiveOnes(t *testing.T) {
+	c := qt.New(t)
+	b := newBalanceSimulation(c, manyUpstreams(60)...)
+	rates := decreasingLoad(400)
+	b.run(3*time.Second, rates)
+	b.dark = map[string]bool{}
+	for i := range 20 {
+		b.dark[fmt.Sprint("u", 3*i)] = true
+	}
+	// Two unanswered calls, the pause before a holder counts as lost, and a plan for each sixth of the holders.
+	b.run(2500*time.Millisecond, rates)
+	m := b.manager.Map()
+	silent := 0
+	for _, owner := range m.GetOwners() {
+		if b.dark[m.GetHolders()[owner].GetUpstream()] {
+			silent++
+		}
+	}
+	c.Check(silent, qt.Equals, 0, qt.Commentf("%d of %d ranges are assigned to silent holders", silent, len(m.GetOwners())))
+	// The grants of the silent holders have ended by then.
+	b.run(2500*time.Millisecond, rates)
+	unowned := 0
+	for key := range rates {
+		if _, ok := b.manager.Owner(b.now, key); !ok {
+			unowned++
+		}
+	}
+	c.Check(unowned, qt.Equals, 0, qt.Commentf("%d of %d keys have no owner", unowned, len(rates)))
+}
--- a/core/keyspace/keyspace.go
+++ b/core/keyspace/keyspace.go
@@ -74,12 +74,20 @@
 	lastMerge, lastConsolidation time.Duration
 	// needsHigherFence holds the IDs of spans that must be granted again with a higher fence.
 	needsHigherFence map[uint64]bool
+	// lostAt is when the keys of a lost holder were last assigned to others.
+	lostAt map[lostHolder]time.Duration
 	// firstSeen is when upstreams were first seen without an assignment. seenUpstreams is their number, and lastJoin is
 	// when it last changed.
 	firstSeen, lastJoin time.Duration
 	seenUpstreams       int
 }
 
+// lostHolder identifies a start of an upstream that left its grants unanswered.
+type lostHolder struct {
+	id          string
+	incarnation int64
+}
+
 // NewManager returns a Manager for a coordinator's term that starts at now. recorded is the assignment in the store,
 // nil if there is none; it must have passed Validate. The holders in it may still own their keys under a grant sent by
 // the previous coordinator.
@@ -92,6 +100,7 @@
 		departed:         map[string]Upstream{},
 		rates:            newRates(config.Keys),
 		needsHigherFence: map[uint64]bool{},
+		lostAt:           map[lostHolder]time.Duration{},
 	}
 	k.restore(recorded, now+config.CallTimeout+k.maxGrantDuration())
 	for _, s := range k.spans {
--- a/core/keyspace/plan.go
+++ b/core/keyspace/plan.go
@@ -35,6 +35,12 @@
 	fineSpansPerHolder = 3
 	// crowdedShare is the fraction of the ranges beyond one for each holder above which those with few requests are joined.
 	crowdedShare = 0.5
+	// lostPause is how long a lost holder is given no keys unless it answers something or starts anew. To try it with keys that
+	// another one serves makes them unavailable for seconds if it is still silent, and the list of upstreams usually tells of
+	// the loss before.
+	lostPause = 10 * time.Second
+	// usualAnswerTime is the time within which a live upstream answers a grant.
+	usualAnswerTime = 120 * time.Millisecond
 	// neighbourUtilization is the utilization up to which a holder takes over an adjacent range.
 	neighbourUtilization = 0.6
 	// initialLoadShare is the fraction of its capacity that an upstream without keys is assigned at first.
@@ -133,11 +139,36 @@
 	return p
 }
 
-// candidates returns the usable upstreams with their load, sorted by ID.
+// failingHolders returns the upstreams that have left a grant unanswered and have not answered anything since, and those that
+// were lost a short time ago.
+func (k *Manager) failingHolders(now time.Duration) map[string]bool {
+	failing := map[string]bool{}
+	for lost, at := range k.lostAt {
+		u := k.upstreams[lost.id]
+		if now-at > lostPause || u.Responsive {
+			delete(k.lostAt, lost)
+			continue
+		}
+		if u.Incarnation == lost.incarnation {
+			failing[lost.id] = true
+		}
+	}
+	for _, s := range k.spans {
+		overdue := s.callPending && now-s.sent > usualAnswerTime
+		if (s.failures > 0 || overdue) && !k.upstreams[s.holder.id].Responsive {
+			failing[s.holder.id] = true
+		}
+	}
+	return failing
+}
+
+// candidates returns the usable upstreams with their load, sorted by ID. An upstream whose own grants fail is none: where many
+// fall silent at once, keys would pass from one to the next and wait for the end of a grant each time.
 func (k *Manager) candidates(h horizon) []*candidate {
 	var candidates []*candidate
+	failing := k.failingHolders(k.lastPlan)
 	for _, u := range k.upstreams {
-		if !u.Usable || u.Unreachable {
+		if !u.Usable || u.Unreachable || failing[u.ID] {
 			continue
 		}
 		candidates = append(candidates, &candidate{
@@ -172,6 +203,12 @@
 	for i, s := range k.spans {
 		u, known := k.upstreams[s.holder.id]
 		lost := s.gone || (s.failures > 1 && now-s.failingSince > lossTimeout && !u.Responsive)
+		if lost {
+			k.lostAt[lostHolder{
+				id:          s.holder.id,
+				incarnation: s.holder.incarnation,
+			}] = now
+		}
 		healthy := known && u.Usable && u.Incarnation == s.holder.incarnation && !lost && !k.needsHigherFence[s.id]
 		if healthy {
 			continue
