--- a/internal/gateway/overload_test.go
+++ b/internal/gateway/overload_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"sync/atomic"
@@ -146,3 +147,62 @@
 	}
 	return lease.GetTerm()
 }
+
+// TestMalformedMessagesCloseOnlyTheirConnection sends bytes that are no messages, and messages that make no sense, to the port on
+// which an instance waits for its coordinator.
+func TestMalformedMessagesCloseOnlyTheirConnection(t *testing.T) {
+	c := qt.New(t)
+	k := newCluster(c, 1)
+	k.configure(1, "keyed")
+	k.upstream("k0", "keyed", "z1")
+	k.waitServing("n0")
+	peer := k.instances["n0"].settings.PeerAddress
+	random := rand.New(rand.NewPCG(1, 2))
+	for range 50 {
+		conn, err := net.Dial("tcp4", peer)
+		c.Assert(err, qt.IsNil)
+		garbage := make([]byte, random.IntN(2000))
+		for i := range garbage {
+			garbage[i] = byte(random.Uint32())
+		}
+		_, err = conn.Write(garbage)
+		c.Assert(err, qt.IsNil)
+		conn.Close()
+	}
+	conn, err := net.Dial("tcp4", peer)
+	c.Assert(err, qt.IsNil)
+	f := frames.NewConnection(conn)
+	defer f.Close()
+	for _, frame := range []*schema.Frame{
+		{},
+		{
+			Body: &schema.Frame_Reply{},
+		},
+		{
+			Body: &schema.Frame_Rows{
+				Rows: &schema.TableRows{
+					Table:   "op",
+					Whole:   true,
+					Version: 1 << 60,
+				},
+			},
+		},
+		{
+			Body: &schema.Frame_Owners{
+				Owners: &schema.Owners{
+					Service: "keyed",
+					Map: &schema.KeyMap{
+						Widths: []uint32{0, 7},
+						Owners: []uint32{9},
+					},
+				},
+			},
+		},
+		{
+			Body: &schema.Frame_Beat{},
+		},
+	} {
+		f.Send(frame)
+	}
+	k.waitServing("n0")
+}
--- a/internal/gateway/poll_test.go
+++ b/internal/gateway/poll_test.go
@@ -134,3 +134,75 @@
 	k.configure(2, "keyed")
 	eventually(func() bool { return !served("n1") })
 }
+
+// outageStore fails all calls while down. Reads of changes that were under way when it went down are never answered.
+type outageStore struct {
+	*rowstore.Store
+	down atomic.Bool
+	// replaced counts reads that were given up before their timeout, and waitsAfterFailure are those reads of the operators' table
+	// that asked the store to wait for a change although the read before had failed.
+	replaced, waitsAfterFailure atomic.Int64
+	lastFailed                  atomic.Bool
+}
+
+func (s *outageStore) Changes(ctx context.Context, table string, after uint64, wait time.Duration) (cuminlift.RowPage, error) {
+	if table != "op" {
+		return s.Store.Changes(ctx, table, after, wait)
+	}
+	if s.lastFailed.Load() && wait > 0 {
+		s.waitsAfterFailure.Add(1)
+	}
+	if s.down.Load() {
+		s.lastFailed.Store(true)
+		return cuminlift.RowPage{}, rowstore.ErrUnavailable
+	}
+	page, err := s.Store.Changes(ctx, table, after, wait)
+	s.lastFailed.Store(err != nil && ctx.Err() == nil)
+	if !s.down.Load() {
+		return page, err
+	}
+	<-ctx.Done()
+	if context.Cause(ctx) == context.Canceled {
+		s.replaced.Add(1)
+	}
+	return cuminlift.RowPage{}, ctx.Err()
+}
+
+func (s *outageStore) Commit(ctx context.Context, transaction cuminlift.RowTransaction) (uint64, error) {
+	if s.down.Load() {
+		return 0, rowstore.ErrUnavailable
+	}
+	return s.Store.Commit(ctx, transaction)
+}
+
+// TestReadFromBeforeAnOutageIsReplaced guards against a configuration that comes into force seconds late: the coordinator's read
+// was under way when the store went down, was never answered, and was waited for until its timeout although the store
+// had taken a write meanwhile.
+func TestReadFromBeforeAnOutageIsReplaced(t *testing.T) {
+	c := qt.New(t)
+	k := newCluster(c, 0)
+	store := &outageStore{
+		Store: k.store,
+	}
+	k.rows = store
+	k.configure(1, "plain")
+	k.upstream("p0", "plain", "z1")
+	k.start("n0")
+	served := func() bool {
+		status, _, _ := k.send("n0", http.MethodGet, "/read/x", 0, "")
+		return status == http.StatusOK
+	}
+	eventually(func() bool { return served() && len(k.instanceRows()) == 1 && k.leaseTerm() == 1 })
+	for version := 2; store.replaced.Load() == 0; version += 2 {
+		store.down.Store(true)
+		// A read that waits for a change is woken by one, and not answered.
+		k.configure(version, "plain")
+		time.Sleep(700 * time.Millisecond)
+		store.down.Store(false)
+		k.configure(version+1, "keyed")
+		eventually(func() bool { return !served() })
+		k.configure(version+2, "plain")
+		eventually(served)
+	}
+	c.Check(store.waitsAfterFailure.Load(), qt.Equals, int64(0))
+}
