--- a/internal/gateway/coordinator.go
+++ b/internal/gateway/coordinator.go
@@ -2,12 +2,10 @@
 
 import (
 	"context"
-	"errors"
 	"runtime/debug"
 	"time"
 
 	"github.com/sirupsen/logrus"
-	"google.golang.org/protobuf/proto"
 
 	"cuminlift"
 	"cuminlift/core/authority"
@@ -35,9 +33,9 @@
 	// incarnation distinguishes this start of the instance from others.
 	incarnation string
 
-	// control has the events that keep the coordinator's authority and the grants alive, tickets those of requests. The former go
-	// first, so that a burst of requests delays neither.
-	control, tickets chan func(now time.Duration)
+	// controlEvents keep the coordinator's authority and the grants alive, ticketEvents are those of requests. The former go first,
+	// so that a burst of requests delays neither.
+	controlEvents, ticketEvents chan func(now time.Duration)
 	// pages are forwarded at the next tick.
 	pages pageQueue
 
@@ -118,28 +116,28 @@
 func newCoordinator(ctx context.Context, config Config, log *logrus.Entry, currentView func() *view, incarnation string, term, version uint64, sentAt time.Duration) *coordinator {
 	ctx, cancel := context.WithCancel(ctx)
 	return &coordinator{
-		config:       config,
-		clock:        config.Clock,
-		log:          log.WithField("term", term),
-		view:         currentView,
-		term:         term,
-		incarnation:  incarnation,
-		control:      make(chan func(time.Duration), eventBufferSize),
-		tickets:      make(chan func(time.Duration), eventBufferSize),
-		leadership:   authority.NewLeadership(sentAt),
-		leaseVersion: version,
-		lastRenewal:  sentAt,
-		links:        map[string]*link{},
-		services:     map[string]*serviceState{},
-		ctx:          ctx,
-		cancel:       cancel,
+		config:        config,
+		clock:         config.Clock,
+		log:           log.WithField("term", term),
+		view:          currentView,
+		term:          term,
+		incarnation:   incarnation,
+		controlEvents: make(chan func(time.Duration), eventBufferSize),
+		ticketEvents:  make(chan func(time.Duration), eventBufferSize),
+		leadership:    authority.NewLeadership(sentAt),
+		leaseVersion:  version,
+		lastRenewal:   sentAt,
+		links:         map[string]*link{},
+		services:      map[string]*serviceState{},
+		ctx:           ctx,
+		cancel:        cancel,
 	}
 }
 
 // post queues a control event for the coordinator's goroutine. It drops the event if the coordinator has stopped.
 func (c *coordinator) post(event func(now time.Duration)) {
 	select {
-	case c.control <- event:
+	case c.controlEvents <- event:
 	case <-c.ctx.Done():
 	}
 }
@@ -147,14 +145,14 @@
 // postTicket does the same for an event of tickets or of the link that carries them, which must keep their order.
 func (c *coordinator) postTicket(event func(now time.Duration)) {
 	select {
-	case c.tickets <- event:
+	case c.ticketEvents <- event:
 	case <-c.ctx.Done():
 	}
 }
 
 // overloaded reports whether so many ticket events wait that a further request had better go elsewhere or come back later.
 func (c *coordinator) overloaded() bool {
-	return len(c.tickets) > maxWaitingTicketEvents
+	return len(c.ticketEvents) > maxWaitingTicketEvents
 }
 
 // run acts as coordinator until ctx ends or its authority is lost.
@@ -180,7 +178,7 @@
 // nextEvent returns the next event, control events first. running is false once ctx has ended.
 func (c *coordinator) nextEvent(ticks <-chan time.Time) (event func(now time.Duration), running bool) {
 	select {
-	case event = <-c.control:
+	case event = <-c.controlEvents:
 		return event, true
 	case <-ticks:
 		return c.tick, true
@@ -189,8 +187,8 @@
 	select {
 	case <-c.ctx.Done():
 		return nil, false
-	case event = <-c.control:
-	case event = <-c.tickets:
+	case event = <-c.controlEvents:
+	case event = <-c.ticketEvents:
 	case <-ticks:
 		event = c.tick
 	}
@@ -334,7 +332,7 @@
 			"lead":    stats.Overcommit,
 			"sent":    stats.Sent,
 			"refused": stats.Refused,
-			"events":  len(c.tickets),
+			"events":  len(c.ticketEvents),
 		}).Info("queue statistics")
 	}
 }
@@ -367,88 +365,3 @@
 	}
 	return s.assigner.Owner(now, key)
 }
-
-// renew renews the lease if it is due.
-func (c *coordinator) renew(now time.Duration) {
-	if c.renewing || now-c.lastRenewal < authority.RenewInterval {
-		return
-	}
-	c.renewing = true
-	c.lastRenewal = now
-	c.leaseBeat++
-	row := leaseRow(c.config.Settings.Name, c.incarnation, c.term, c.leaseBeat)
-	version := c.leaseVersion
-	go func() {
-		ctx, cancel := context.WithTimeout(c.ctx, leaseWriteTimeout)
-		defer cancel()
-		written, err := c.config.Store.Commit(ctx, cuminlift.RowTransaction{
-			Require: []cuminlift.Row{{
-				Table:   leaseTable,
-				Key:     leaseKey,
-				Version: version,
-			}},
-			Put: []cuminlift.Row{row},
-		})
-		c.post(func(at time.Duration) { c.handleRenewal(at, now, written, err) })
-	}()
-}
-
-func leaseRow(name, incarnation string, term, beat uint64) cuminlift.Row {
-	value, err := proto.Marshal(&schema.LeaseRow{
-		Name:        name,
-		Incarnation: incarnation,
-		Term:        term,
-		Beat:        beat,
-	})
-	if err != nil {
-		panic("encoding a lease row fails only for strings that are not UTF-8: " + err.Error())
-	}
-	return cuminlift.Row{
-		Table: leaseTable,
-		Key:   leaseKey,
-		Value: value,
-	}
-}
-
-func (c *coordinator) handleRenewal(now, sentAt time.Duration, version uint64, err error) {
-	c.renewing = false
-	if err == nil {
-		if failingSince, failing := c.leadership.StoreFailing(); failing {
-			c.wakeFeeds(failingSince)
-		}
-		c.leaseVersion = version
-		c.leadership.Renewed(sentAt)
-		return
-	}
-	c.leadership.RenewalFailed(now)
-	c.log.WithError(err).WithField("left", c.leadership.ValidUntil()-now).Warn("lease was not renewed")
-	if rows, ok := conflictRows(err); ok {
-		c.handleLeaseConflict(rows)
-	}
-}
-
-// handleLeaseConflict inspects the stored lease after a conflict: it is either an own write, whose reply was lost, or that
-// of another coordinator.
-func (c *coordinator) handleLeaseConflict(rows []cuminlift.Row) {
-	for _, row := range rows {
-		lease := &schema.LeaseRow{}
-		if row.Key != leaseKey || proto.Unmarshal(row.Value, lease) != nil {
-			continue
-		}
-		if lease.GetIncarnation() == c.incarnation && lease.GetTerm() == c.term {
-			c.leaseVersion = row.Version
-			return
-		}
-		c.log.WithField("holder", lease.GetName()).Warn("another instance holds the lease")
-	}
-	c.leadership.Resign()
-}
-
-// conflictRows returns the current rows of a *cuminlift.ConflictError; ok is false for any other error.
-func conflictRows(err error) (rows []cuminlift.Row, ok bool) {
-	var conflict *cuminlift.ConflictError
-	if errors.As(err, &conflict) {
-		return conflict.Rows, true
-	}
-	return nil, false
-}
--- a/internal/gateway/tickets.go
+++ b/internal/gateway/tickets.go
@@ -11,7 +11,6 @@
 	"cuminlift/core/authority"
 	"cuminlift/core/dispatch"
 	"cuminlift/core/keyspace"
-	"cuminlift/core/roster"
 	"cuminlift/schema"
 )
 
@@ -195,28 +194,6 @@
 	return pool
 }
 
-// syncedPool is a pool with the view from which its upstreams were last set.
-type syncedPool struct {
-	*dispatch.Pool
-	view     *view
-	syncedAt time.Duration
-}
-
-// syncInterval is how often a pool's upstreams are set although the view is the same, so that the pool forgets those that have
-// left once their last request has ended.
-const syncInterval = 500 * time.Millisecond
-
-// sync sets the upstreams of a service if the view has changed. Sorting hundreds of them for each request would take longer than
-// all else about it.
-func (p *syncedPool) sync(now time.Duration, v *view, service string) {
-	if p.view == v && now-p.syncedAt < syncInterval {
-		return
-	}
-	p.view = v
-	p.syncedAt = now
-	p.SetUpstreams(now, upstreamStates(v.list, service))
-}
-
 // coordinatorGap is how long there is usually no coordinator after the loss of one: until another may take over, its write of
 // the lease and its first grants.
 const coordinatorGap = authority.TakeoverDelay + 500*time.Millisecond
@@ -230,34 +207,6 @@
 	return dispatch.DefaultOwnerWait
 }
 
-func poolConfig(settings Settings, share dispatch.Share) dispatch.Config {
-	return dispatch.Config{
-		Share:       share,
-		RetryRatio:  settings.RetryRatio,
-		RetrySlack:  settings.RetrySlack,
-		RetryWindow: settings.RetryWindow,
-	}
-}
-
-func upstreamStates(list roster.Snapshot, service string) []dispatch.UpstreamState {
-	var states []dispatch.UpstreamState
-	for _, u := range list.Upstreams {
-		if u.Service != service {
-			continue
-		}
-		states = append(states, dispatch.UpstreamState{
-			ID:            u.ID,
-			Address:       u.Address,
-			Zone:          u.Zone,
-			Incarnation:   u.Incarnation,
-			Slots:         u.Slots,
-			Usable:        list.Usable(u),
-			ColdRemaining: u.ColdRemaining,
-		})
-	}
-	return states
-}
-
 func (t *ticketClient) decide(now time.Duration, pool *syncedPool) {
 	for _, decision := range pool.Decide(now) {
 		w := t.waiters[decision.Ticket.ID]
