--- a/core/keyspace/keyspace.go
+++ b/core/keyspace/keyspace.go
@@ -22,8 +22,9 @@
 
 // Default durations. The keys of a lost holder are served again after at most RenewInterval + CallTimeout + 1.02 x Hold
 // + maxTransitTime, plus the time to detect the loss and record the new assignment. With the values below, the sum
-// without that time is 0.6 + 0.35 + 2.448 + 0.05 = 3.448 s. This is more than the 3 s that users were promised. A
-// coordinator is replaced within Hold - RenewInterval.
+// without that time is 0.6 + 0.35 + 2.448 + 0.05 = 3.448 s. This is more than the 3 s that users were promised.
+// Where there are many ranges, the time between grants is up to maxRenewShare x Hold instead of RenewInterval, and the sum up to
+// 0.36 s more. Keys stay owned if a coordinator is replaced within Hold less the time between grants.
 const (
 	DefaultHold          = 2400 * time.Millisecond
 	DefaultRenewInterval = 600 * time.Millisecond
