gateway: log whom a table is followed through, and how long an answered read took

`store regained` says only that a read worked, and nothing tells that an instance has stopped reading because another forwards. Change: `store regained` names the time that the store failed, the time that the read took and the version. A new line tells when the source of a table changes.

--- a/internal/gateway/coordinator_conn.go
+++ b/internal/gateway/coordinator_conn.go
@@ -179,9 +179,15 @@
 
 func (t *ticketClient) handleRows(conn frameConn, rows *schema.TableRows) {
 	for _, feed := range t.tables {
-		if feed.table == rows.GetTable() {
-			feed.handleForwarded(conn, rows)
+		if feed.table != rows.GetTable() || !feed.handleForwarded(conn, rows) {
+			continue
 		}
+		t.log.WithFields(logrus.Fields{
+			"table":       feed.table,
+			"coordinator": t.coordinatorName,
+			"forwarded":   feed.forwarded(),
+			"version":     feed.version(),
+		}).Info("source of a table changed")
 	}
 }
 
--- a/internal/gateway/poll.go
+++ b/internal/gateway/poll.go
@@ -63,6 +63,7 @@
 			feed.wait(ctx, jitter(replica.ReadPause(f.instances())))
 			continue
 		}
+		began := f.clock.Now()
 		page, whole, since, err := f.readTable(ctx, feed)
 		if errors.Is(err, context.Canceled) {
 			continue
@@ -83,7 +84,12 @@
 		}
 		pause = storeRetryPause
 		if failed := feed.recovers(f.clock.Now()); failed > 0 {
-			f.log.WithField("table", feed.table).Info("store regained")
+			f.log.WithFields(logrus.Fields{
+				"table":   feed.table,
+				"failed":  failed,
+				"took":    f.clock.Now() - began,
+				"version": page.Version,
+			}).Info("store regained")
 			feed.onRecovered(ctx, failed)
 		}
 		if !feed.applyPage(page, whole, since) {
@@ -233,8 +239,8 @@
 }
 
 // handleForwarded applies rows forwarded by the coordinator. From the first page that continues the
-// known rows on, the store is no longer read.
-func (t *tableFeed) handleForwarded(from frameConn, rows *schema.TableRows) {
+// known rows on, the store is no longer read. changed is true if the source of the rows has changed.
+func (t *tableFeed) handleForwarded(from frameConn, rows *schema.TableRows) (changed bool) {
 	page := cuminlift.RowPage{
 		Version: rows.GetVersion(),
 	}
@@ -250,22 +256,24 @@
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
 	if t.source != from && !rows.GetWhole() && !rows.GetJoins() {
-		return
+		return false
 	}
 	if !t.applyPageLocked(page, rows.GetWhole(), rows.GetSince()) {
-		if t.source == from {
-			t.source = nil // The forwarded rows leave a gap.
+		if t.source != from {
+			return false
 		}
-		return
+		t.source = nil // The forwarded rows leave a gap.
+		return true
 	}
 	if t.source == from {
-		return
+		return false
 	}
 	t.source = from
 	t.failingSince = 0
 	if t.cancelPoll != nil {
 		t.cancelPoll()
 	}
+	return true
 }
 
 // detach resumes reading from the store if from is the source of the rows. If from is nil, it does so for any source.
