gateway: repeat unanswered reads as soon as any call to the store is answered

Change: all calls pass watchedStore; replica.Outage decides that the first answer after an unanswered read repeats all reads. It replaces the elector's own bookkeeping; the coordinator's renewals keep theirs, as only writes may lose their answer alone.

--- a/internal/gateway/election.go
+++ b/internal/gateway/election.go
@@ -26,8 +26,6 @@
 	incarnation string
 	// lastRead is when the lease was last read, and readPause the minimum time until the next read.
 	lastRead, readPause time.Duration
-	// failingSince is when reading the lease began to fail, 0 while it works.
-	failingSince time.Duration
 	// rowVersion is the version of the instance's own row, without which it may not take the lease, and row its value.
 	rowVersion uint64
 	row        []byte
@@ -172,21 +170,12 @@
 	page, err := e.config.Store.Rows(callCtx, leaseTable, "")
 	if err != nil {
 		e.readPause = min(2*e.readPause, e.maxReadPause(rank))
-		if e.failingSince == 0 {
-			e.failingSince = now
-		}
 		t.mutex.Lock()
 		defer t.mutex.Unlock()
 		t.monitor.LeaseReadFailed()
 		return 0, 0, false // The table feeds log that the store is lost.
 	}
 	e.readPause = storeRetryPause
-	if e.failingSince != 0 {
-		for _, feed := range e.tables {
-			feed.wakeAfterOutage(e.failingSince)
-		}
-		e.failingSince = 0
-	}
 	term, ok := e.recordLease(page.Rows)
 	if !ok {
 		return 0, 0, false
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -58,6 +58,11 @@
 	if _, err := rand.Read(incarnation); err != nil {
 		return nil, fmt.Errorf("generating the incarnation: %w", err)
 	}
+	store := &watchedStore{
+		store: config.Store,
+		clock: config.Clock,
+	}
+	config.Store = store
 	g := &Gateway{
 		config:   config,
 		log:      loggers.For("daemon"),
@@ -69,6 +74,7 @@
 	g.ticketClient.requestStoreProbe = func() { g.follower.probeStore(context.Background()) }
 	g.follower.instances = g.ticketClient.knownInstances
 	g.ticketClient.tables = []*tableFeed{g.follower.configuration, g.follower.upstreams}
+	store.feeds = g.ticketClient.tables
 	g.requestHandler = &requestHandler{
 		config:         config,
 		log:            loggers.For("caller"),
