gateway: read and log the limits that upstreams name

No configuration, loss or change of the coordinator near it. Hypotheses: the limit is not read at all; it is read by the instance that got it, but whoever grants the tickets does not know; it is known there, and the keys that only this upstream holds bring more than it takes. Neither logs nor metrics know of a limit. Change: answers are read for it (platform), kept per upstream and start with their age (dispatch.Notices), and each change is logged. An answer to a request that was sent before the limit was named does not end it; a malformed one changes nothing. Head and End of a pool take the whole report of an answer instead of the load alone; tests pass the load inside it, as strict. Nothing decides by it yet.

--- a/core/dispatch/overcommit_test.go
+++ b/core/dispatch/overcommit_test.go
@@ -95,7 +95,9 @@
 		if s.now <= overloadDuration {
 			s.served++
 		}
-		s.pool.End(s.now, id, dispatch.Answered, s.now-sent, load)
+		s.pool.End(s.now, id, dispatch.Answered, s.now-sent, &dispatch.Report{
+			Load: load,
+		})
 		s.decide()
 	})
 }
--- a/core/dispatch/pool.go
+++ b/core/dispatch/pool.go
@@ -263,34 +263,35 @@
 
 // Head releases the slot of a ticket whose response headers have arrived, because the upstream has finished its work by
 // then. End must still be called.
-func (p *Pool) Head(now time.Duration, id uint64, took time.Duration, load []uint32) {
+func (p *Pool) Head(now time.Duration, id uint64, took time.Duration, report *Report) {
 	u := p.running[id]
-	if u == nil || !p.releaseSlot(now, u, id, load) {
+	if u == nil || !p.releaseSlot(now, u, id, report) {
 		return
 	}
 	u.recordLatency(took)
 }
 
 // releaseSlot releases the slot of a ticket. It returns false if the slot was released before.
-func (p *Pool) releaseSlot(now time.Duration, u *upstream, id uint64, load []uint32) bool {
+func (p *Pool) releaseSlot(now time.Duration, u *upstream, id uint64, report *Report) bool {
 	if _, holdsSlot := u.running[id]; !holdsSlot {
 		return false
 	}
-	p.applyLoadReport(now, u, load)
+	if report != nil {
+		p.applyLoadReport(now, u, report.Load)
+	}
 	delete(u.running, id)
 	p.markDirty(u.queue)
 	p.markDirty(p.shared)
 	return true
 }
 
-// End records the outcome of a ticket and releases its slot unless Head has done so. load is the upstream's load
-// report, nil if there is none.
-func (p *Pool) End(now time.Duration, id uint64, outcome Outcome, took time.Duration, load []uint32) {
+// End records the outcome of a ticket and releases its slot unless Head has done so. report is nil if the upstream did not answer.
+func (p *Pool) End(now time.Duration, id uint64, outcome Outcome, took time.Duration, report *Report) {
 	u := p.running[id]
 	if u == nil {
 		return
 	}
-	heldSlot := p.releaseSlot(now, u, id, load)
+	heldSlot := p.releaseSlot(now, u, id, report)
 	delete(p.running, id)
 	switch outcome {
 	case Answered:
@@ -304,7 +305,7 @@
 		u.recordAnswer(now, p)
 	case Shed:
 		u.recordOutcome(true)
-		if !u.hasFreeSlot(load) {
+		if report == nil || !u.hasFreeSlot(report.Load) {
 			u.backOff(now, 0)
 		}
 	case Unreachable:
--- a/core/dispatch/shed_test.go
+++ b/core/dispatch/shed_test.go
@@ -78,7 +78,9 @@
 	case s.random.Float64() < shedShare:
 		load := []uint32{uint32(s.running[d.Upstream]), 0, 2, 100}
 		s.after(time.Millisecond, func() {
-			s.pool.End(s.now, t.ID, dispatch.Shed, time.Millisecond, load)
+			s.pool.End(s.now, t.ID, dispatch.Shed, time.Millisecond, &dispatch.Report{
+				Load: load,
+			})
 			if t.Attempt < 2 {
 				s.request(t.Key-1, arrived, clientAttempt, t.Attempt+1)
 				return
@@ -96,7 +98,9 @@
 			if s.now <= t.Objective {
 				s.inTime++
 			}
-			s.pool.End(s.now, t.ID, dispatch.Answered, shedWork, load)
+			s.pool.End(s.now, t.ID, dispatch.Answered, shedWork, &dispatch.Report{
+				Load: load,
+			})
 			for _, next := range s.pool.Decide(s.now) {
 				s.handle(next, clientAttempt)
 			}
--- a/internal/boot/boot.go
+++ b/internal/boot/boot.go
@@ -121,6 +121,7 @@
 		ReadyPath:        platform.ReadyPath,
 		RetryAfterHeader: platform.RetryAfterHeader,
 		ParseLoad:        platform.ParseLoad,
+		ParseLimit:       platform.ParseLimit,
 		ProbeClient:      newHTTPClient(1),
 		Log:              out,
 	})
--- a/internal/gateway/config.go
+++ b/internal/gateway/config.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"cuminlift"
+	"cuminlift/core/dispatch"
 	"cuminlift/core/roster"
 	"cuminlift/core/route"
 	"cuminlift/io/upstream"
@@ -64,6 +65,8 @@
 	RetryAfterHeader func(time.Duration) (name, text string)
 	// ParseLoad parses an upstream's load report.
 	ParseLoad func(text string) []uint32
+	// ParseLimit parses the limit that an upstream names.
+	ParseLimit func(text string) dispatch.Limit
 	// ProbeClient sends health checks to upstreams.
 	ProbeClient *http.Client
 	// Log receives log lines. Its Write must not block.
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -97,6 +97,7 @@
 		ReadyPath:        platform.ReadyPath,
 		RetryAfterHeader: platform.RetryAfterHeader,
 		ParseLoad:        platform.ParseLoad,
+		ParseLimit:       platform.ParseLimit,
 		ProbeClient:      &http.Client{},
 		Log:              testLog(),
 	})
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -12,6 +12,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"cuminlift/core/dispatch"
 	"cuminlift/core/request"
 	"cuminlift/core/route"
 	"cuminlift/io/upstream"
@@ -207,7 +208,7 @@
 		return false
 	}
 	defer response.Body.Close()
-	load := h.config.ParseLoad(response.Header.Get(h.config.Headers.Load))
+	report := h.parseReport(response.Header)
 	if response.NotRun {
 		c.advance(h, request.Refused)
 		outcome := schema.TicketOutcome_shed
@@ -215,14 +216,14 @@
 			outcome = schema.TicketOutcome_misdirected
 			h.ticketClient.denyOwner(result, c.service, c.key)
 		}
-		h.ticketClient.reportEnd(result, c.service, outcome, time.Since(sentAt), load)
+		h.ticketClient.reportEnd(result, c.service, outcome, time.Since(sentAt), report)
 		h.logFailedAttempt(c, result, sentAt, "not run", response.Status)
 		if outcome == schema.TicketOutcome_misdirected {
 			sleep(ctx, misdirectedBackoff)
 		}
 		return false
 	}
-	return h.handleResponse(ctx, w, c, result, response, sentAt, load, attempt)
+	return h.handleResponse(ctx, w, c, result, response, sentAt, report, attempt)
 }
 
 func (h *requestHandler) failAttempt(ctx context.Context, c *call, result ticketResult, err error, sentAt time.Time) {
@@ -246,9 +247,9 @@
 }
 
 // handleResponse forwards a response to the caller, or reports false to leave the call to another attempt.
-func (h *requestHandler) handleResponse(ctx context.Context, w http.ResponseWriter, c *call, result ticketResult, response *upstream.Response, sentAt time.Time, load []uint32, attempt int) bool {
+func (h *requestHandler) handleResponse(ctx context.Context, w http.ResponseWriter, c *call, result ticketResult, response *upstream.Response, sentAt time.Time, report *dispatch.Report, attempt int) bool {
 	if !response.BodyBuffered {
-		h.ticketClient.reportHead(result, c.service, time.Since(sentAt), load)
+		h.ticketClient.reportHead(result, c.service, time.Since(sentAt), report)
 	}
 	buffered, complete, err := bufferBody(response)
 	took := time.Since(sentAt)
@@ -257,11 +258,11 @@
 	switch {
 	case err != nil || (success && !signed):
 		c.advance(h, request.Lost)
-		h.ticketClient.reportEnd(result, c.service, schema.TicketOutcome_lost, took, load)
+		h.ticketClient.reportEnd(result, c.service, schema.TicketOutcome_lost, took, report)
 		h.logFailedAttempt(c, result, sentAt, "response incomplete or unsigned", response.Status)
 		return false
 	case response.Status >= 500:
-		h.ticketClient.reportEnd(result, c.service, schema.TicketOutcome_erred, took, load)
+		h.ticketClient.reportEnd(result, c.service, schema.TicketOutcome_erred, took, report)
 		h.logFailedAttempt(c, result, sentAt, "upstream responded with an error", response.Status)
 		if c.state.Idempotent && attempt+1 < c.route.Attempts && time.Until(c.deadline) > took && response.Status != http.StatusGatewayTimeout {
 			c.advance(h, request.Lost)
@@ -269,10 +270,10 @@
 		}
 	default:
 		if complete {
-			h.ticketClient.reportEnd(result, c.service, schema.TicketOutcome_answered, took, load)
+			h.ticketClient.reportEnd(result, c.service, schema.TicketOutcome_answered, took, report)
 		} else {
 			defer func() {
-				h.ticketClient.reportEnd(result, c.service, schema.TicketOutcome_answered, time.Since(sentAt), load)
+				h.ticketClient.reportEnd(result, c.service, schema.TicketOutcome_answered, time.Since(sentAt), report)
 			}()
 		}
 	}
--- a/internal/gateway/queue.go
+++ b/internal/gateway/queue.go
@@ -107,7 +107,7 @@
 	if s == nil {
 		return
 	}
-	s.pool.Head(now, l.globalID(head.GetId()), time.Duration(head.GetTookUs())*time.Microsecond, head.GetLoad())
+	s.pool.Head(now, l.globalID(head.GetId()), time.Duration(head.GetTookUs())*time.Microsecond, reportFrom(head.GetLoad()))
 	c.decide(now, s)
 }
 
@@ -116,7 +116,7 @@
 	if s == nil {
 		return
 	}
-	s.pool.End(now, id, dispatch.Outcome(end.GetOutcome()), time.Duration(end.GetTookUs())*time.Microsecond, end.GetLoad())
+	s.pool.End(now, id, dispatch.Outcome(end.GetOutcome()), time.Duration(end.GetTookUs())*time.Microsecond, reportFrom(end.GetLoad()))
 	c.decide(now, s)
 }
 
--- a/internal/gateway/tickets.go
+++ b/internal/gateway/tickets.go
@@ -61,7 +61,9 @@
 	instanceCount, index int
 	// maxCPUPermille is the largest CPU share of an instance as last reported, in thousandths of a core, 0 if unknown.
 	maxCPUPermille uint32
-	wake           chan struct{}
+	// notices holds what upstreams have said of themselves to this instance.
+	notices dispatch.Notices
+	wake    chan struct{}
 }
 
 type waiter struct {
@@ -261,15 +263,16 @@
 }
 
 // reportHead reports that the response to a ticket's request has begun, which frees the ticket's slot.
-func (t *ticketClient) reportHead(result ticketResult, service string, took time.Duration, load []uint32) {
+func (t *ticketClient) reportHead(result ticketResult, service string, took time.Duration, report *dispatch.Report) {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
-	t.report(result, service, func(now time.Duration, pool *dispatch.Pool) { pool.Head(now, result.id, took, load) }, &schema.Frame{
+	t.note(result, service, took, report)
+	t.report(result, service, func(now time.Duration, pool *dispatch.Pool) { pool.Head(now, result.id, took, report) }, &schema.Frame{
 		Body: &schema.Frame_Head{
 			Head: &schema.TicketHead{
 				Id:     result.id,
 				TookUs: uint64(took.Microseconds()),
-				Load:   load,
+				Load:   loadOf(report),
 			},
 		},
 	})
@@ -302,25 +305,26 @@
 }
 
 // reportEnd reports the outcome of a ticket.
-func (t *ticketClient) reportEnd(result ticketResult, service string, outcome schema.TicketOutcome, took time.Duration, load []uint32) {
+func (t *ticketClient) reportEnd(result ticketResult, service string, outcome schema.TicketOutcome, took time.Duration, report *dispatch.Report) {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
-	t.reportEndLocked(result, service, outcome, took, load)
+	t.note(result, service, took, report)
+	t.reportEndLocked(result, service, outcome, took, report)
 }
 
-func (t *ticketClient) reportEndLocked(result ticketResult, service string, outcome schema.TicketOutcome, took time.Duration, load []uint32) {
+func (t *ticketClient) reportEndLocked(result ticketResult, service string, outcome schema.TicketOutcome, took time.Duration, report *dispatch.Report) {
 	if result.upstream == "" {
 		return
 	}
 	t.report(result, service, func(now time.Duration, pool *dispatch.Pool) {
-		pool.End(now, result.id, dispatch.Outcome(outcome), took, load)
+		pool.End(now, result.id, dispatch.Outcome(outcome), took, report)
 	}, &schema.Frame{
 		Body: &schema.Frame_End{
 			End: &schema.TicketEnd{
 				Id:      result.id,
 				Outcome: outcome,
 				TookUs:  uint64(took.Microseconds()),
-				Load:    load,
+				Load:    loadOf(report),
 			},
 		},
 	})
--- a/internal/standin/keyholder/keyholder.go
+++ b/internal/standin/keyholder/keyholder.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"net/http/httptest"
 	"os"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -36,6 +37,10 @@
 	runs map[string]int
 	// rejections counts the requests for keys that the upstream does not hold.
 	rejections int
+	// limit is the text of the Server-Limit header, empty for none.
+	limit string
+	// arrivals holds the times of all requests.
+	arrivals []time.Time
 }
 
 // lease is a lease on one key. The fence stays after a release, so that older grants are still refused.
@@ -89,6 +94,20 @@
 	return u.rejections
 }
 
+// SetLimit sets the limit, in requests per second, that all answers name from now on; an empty text removes it.
+func (u *Upstream) SetLimit(limit string) {
+	u.mutex.Lock()
+	defer u.mutex.Unlock()
+	u.limit = limit
+}
+
+// Arrivals returns the times at which requests arrived, rejected ones included.
+func (u *Upstream) Arrivals() []time.Time {
+	u.mutex.Lock()
+	defer u.mutex.Unlock()
+	return slices.Clone(u.arrivals)
+}
+
 // HoldsKey reports whether the upstream has an unexpired lease on key.
 func (u *Upstream) HoldsKey(key uint32) bool {
 	u.mutex.Lock()
@@ -164,6 +183,12 @@
 func (u *Upstream) run(w http.ResponseWriter, r *http.Request) {
 	name := r.Header.Get("Request-Id")
 	w.Header().Set("Request-Id", name)
+	u.mutex.Lock()
+	u.arrivals = append(u.arrivals, time.Now())
+	if u.limit != "" {
+		w.Header().Set("Server-Limit", u.limit)
+	}
+	u.mutex.Unlock()
 	if r.Header.Get("Expect-Instance") != u.config.ID {
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
--- a/io/upstream/client.go
+++ b/io/upstream/client.go
@@ -25,6 +25,8 @@
 	ExpectedUpstream string
 	// Load carries the upstream's load report.
 	Load string
+	// Limit carries the number of requests per second that the upstream takes from all instances.
+	Limit string
 	// NotRun marks the response to a request that was not run.
 	NotRun string
 	// Key carries the number of the request's key.
