core/dispatch: keep the limits that upstreams name, summed over all instances

Cause: the header went to the caller only. Class: what a peer says of itself does not reach those who decide. Change: the report of an answer goes with the ticket's end to the pool that granted it, which spaces sends by credit. Instances tell a new coordinator what they were told, before their first request, and share a limit while there is none.

--- a/core/dispatch/decide.go
+++ b/core/dispatch/decide.go
@@ -114,7 +114,7 @@
 
 func (p *Pool) send(now time.Duration, t *Ticket, u *upstream) Decision {
 	p.dequeue(t)
-	u.recordSend(now, t.ID)
+	u.recordSend(now, t.ID, p)
 	p.running[t.ID] = u
 	return Decision{
 		Ticket:   t,
--- a/core/dispatch/pool.go
+++ b/core/dispatch/pool.go
@@ -128,6 +128,7 @@
 	}
 	if newIncarnation {
 		u.blockCount, u.blockedUntil, u.failureRate, u.suspect, u.latency = 0, 0, 0, false, 0
+		u.limiter = limiter{}
 	}
 	if (newIncarnation && p.initialized) || returned {
 		u.coldUntil = now + max(state.ColdRemaining, p.service.ColdDuration)
@@ -225,9 +226,9 @@
 		if position == 0 && owner.freeSlots(now, p) > 0 {
 			return 0, owner.typicalLatency()
 		}
-		return time.Duration(float64(owner.typicalLatency()) * float64(position+1) / owner.concurrency(p)), owner.typicalLatency()
+		return waitFor(position+1, owner.throughput(p, owner.typicalLatency())), owner.typicalLatency()
 	}
-	slots, rate := 0.0, 0.0
+	slots, slotRate, rate := 0.0, 0.0, 0.0
 	for _, u := range p.sorted {
 		if !u.state.Usable {
 			continue
@@ -236,12 +237,13 @@
 			return 0, u.typicalLatency()
 		}
 		slots += u.concurrency(p)
-		rate += u.concurrency(p) / u.typicalLatency().Seconds()
+		slotRate += u.concurrency(p) / u.typicalLatency().Seconds()
+		rate += u.throughput(p, u.typicalLatency())
 	}
 	if slots == 0 {
 		return 0, defaultLatency
 	}
-	return time.Duration(float64(position+1) / rate * float64(time.Second)), time.Duration(slots / rate * float64(time.Second))
+	return waitFor(position+1, rate), time.Duration(slots / slotRate * float64(time.Second))
 }
 
 // Cancel removes a ticket that is waiting or running.
@@ -273,11 +275,13 @@
 
 // releaseSlot releases the slot of a ticket. It returns false if the slot was released before.
 func (p *Pool) releaseSlot(now time.Duration, u *upstream, id uint64, report *Report) bool {
-	if _, holdsSlot := u.running[id]; !holdsSlot {
+	sent, holdsSlot := u.running[id]
+	if !holdsSlot {
 		return false
 	}
 	if report != nil {
 		p.applyLoadReport(now, u, report.Load)
+		u.applyLimit(now, sent, report.Limit)
 	}
 	delete(u.running, id)
 	p.markDirty(u.queue)
--- a/core/dispatch/report.go
+++ b/core/dispatch/report.go
@@ -27,6 +27,8 @@
 	Incarnation int64
 	// Limit is the limit in requests per second, 0 for none.
 	Limit float64
+	// Age is how long ago an answer last said so.
+	Age time.Duration
 }
 
 // Notices keeps the notices of one instance. The zero value is empty. It is not safe for concurrent use.
@@ -79,14 +81,16 @@
 }
 
 // List returns the notices in force at now. Those of upstreams that present does not know are dropped.
-func (n *Notices) List(present func(upstream string, incarnation int64) bool) []Notice {
+func (n *Notices) List(now time.Duration, present func(upstream string, incarnation int64) bool) []Notice {
 	var list []Notice
 	for id, entry := range n.byUpstream {
 		if !present(id, entry.Incarnation) {
 			delete(n.byUpstream, id)
 			continue
 		}
-		list = append(list, entry.Notice)
+		notice := entry.Notice
+		notice.Age = now - entry.limitNamedAt
+		list = append(list, notice)
 	}
 	return list
 }
--- a/core/dispatch/report_test.go
+++ b/core/dispatch/report_test.go
@@ -54,9 +54,10 @@
 		}, named(3))
 		c.Check(changed, qt.IsTrue)
 	}
-	c.Check(notices.List(func(id string, _ int64) bool { return id == "kept" }), qt.DeepEquals, []dispatch.Notice{{
+	c.Check(notices.List(3*time.Second, func(id string, _ int64) bool { return id == "kept" }), qt.DeepEquals, []dispatch.Notice{{
 		Service:  "calendar",
 		Upstream: "kept",
 		Limit:    3,
+		Age:      2 * time.Second,
 	}})
 }
--- a/core/dispatch/stats.go
+++ b/core/dispatch/stats.go
@@ -7,9 +7,9 @@
 
 // Stats describes the state of a pool.
 type Stats struct {
-	// Waiting and Running count requests. Usable, Cold, Blocked and Full count upstreams; an upstream is full when all
-	// of its slots are in use.
-	Waiting, Running, Usable, Cold, Blocked, Full int
+	// Waiting and Running count requests. Usable, Cold, Blocked, Full and Limited count upstreams; an upstream is full when all
+	// of its slots are in use, and limited while it names a limit.
+	Waiting, Running, Usable, Cold, Blocked, Full, Limited int
 	// MedianLatency is the median of the upstreams' average latencies.
 	MedianLatency time.Duration
 	// Overcommit is the number of requests sent to an upstream beyond its slots, as a fraction of the slots.
@@ -42,6 +42,9 @@
 		if len(u.running) >= u.state.Slots {
 			stats.Full++
 		}
+		if u.limiter.rate > 0 {
+			stats.Limited++
+		}
 	}
 	return stats
 }
@@ -56,7 +59,7 @@
 	if u.latency == 0 {
 		latency = p.medianLatency(now)
 	}
-	return u.concurrency(p) / latency.Seconds()
+	return u.throughput(p, latency)
 }
 
 // Cold reports whether an upstream is limited to its cold-start rate.
--- a/core/dispatch/upstream.go
+++ b/core/dispatch/upstream.go
@@ -44,6 +44,8 @@
 	// arrived, 0 for none.
 	reportedQueue uint32
 	reportedAt    time.Duration
+	// limiter holds the limit that the upstream has named.
+	limiter limiter
 }
 
 const (
@@ -107,7 +109,7 @@
 
 // freeSlots returns how many more requests may be sent to the upstream at now. It may be negative.
 func (u *upstream) freeSlots(now time.Duration, p *Pool) int {
-	if !u.state.Usable || now < u.blockedUntil {
+	if !u.state.Usable || now < u.blockedUntil || !u.limitAllows(now, p) {
 		return 0
 	}
 	slots := u.state.Slots
@@ -210,7 +212,10 @@
 	return recent == 0 && p.config.Share.mayUse(u.state.ID, max(1, int(rate)))
 }
 
-func (u *upstream) recordSend(now time.Duration, id uint64) {
+func (u *upstream) recordSend(now time.Duration, id uint64, p *Pool) {
+	if share, limited := u.limitShare(p); limited {
+		u.limiter.spend(now, share)
+	}
 	u.running[id] = now
 	u.lastSent = now
 	if !u.isCold(now) {
--- a/internal/gateway/coordinator.go
+++ b/internal/gateway/coordinator.go
@@ -326,6 +326,7 @@
 			"running": stats.Running,
 			"usable":  stats.Usable,
 			"full":    stats.Full,
+			"limited": stats.Limited,
 			"cold":    stats.Cold,
 			"blocked": stats.Blocked,
 			"usual":   stats.MedianLatency,
--- a/internal/gateway/coordinator_conn.go
+++ b/internal/gateway/coordinator_conn.go
@@ -138,6 +138,7 @@
 		"term":        beat.GetTerm(),
 	}).Info("coordinator found")
 	now := t.clock.Now()
+	t.sendNotices(now)
 	for _, w := range t.waiters {
 		if pool := t.localPools[w.request.GetService()]; pool != nil {
 			pool.Cancel(now, w.request.GetId())
--- a/internal/gateway/keys.go
+++ b/internal/gateway/keys.go
@@ -45,6 +45,9 @@
 	}
 }
 
+// minCapacity is the lowest capacity of a holder, in requests per second.
+const minCapacity = 0.1
+
 // keyHoldersInterval is the time between updates of the holders' capacities, which matter when a plan is made. Hundreds of them
 // take longer than the rest of a tick.
 const keyHoldersInterval = 100 * time.Millisecond
@@ -66,7 +69,7 @@
 			Incarnation: u.Incarnation,
 			Address:     u.Address,
 			Usable:      list.Usable(u),
-			Capacity:    max(capacity, 1),
+			Capacity:    max(capacity, minCapacity),
 			Unreachable: s.pool.ConnectFailed(u.ID),
 			Responsive:  s.pool.Responsive(now, u.ID),
 		})
--- a/internal/gateway/queue.go
+++ b/internal/gateway/queue.go
@@ -77,6 +77,10 @@
 		c.handleEnd(now, l, body.End)
 	case *schema.Frame_Cancel:
 		c.handleCancel(now, l, body.Cancel)
+	case *schema.Frame_Notice:
+		if s := c.services[body.Notice.GetService()]; s != nil {
+			s.pool.ApplyNotice(now, decodeNotice(body.Notice))
+		}
 	}
 }
 
@@ -107,7 +111,7 @@
 	if s == nil {
 		return
 	}
-	s.pool.Head(now, l.globalID(head.GetId()), time.Duration(head.GetTookUs())*time.Microsecond, reportFrom(head.GetLoad()))
+	s.pool.Head(now, l.globalID(head.GetId()), time.Duration(head.GetTookUs())*time.Microsecond, decodeReport(head.GetLoad(), head.GetReport()))
 	c.decide(now, s)
 }
 
@@ -116,7 +120,7 @@
 	if s == nil {
 		return
 	}
-	s.pool.End(now, id, dispatch.Outcome(end.GetOutcome()), time.Duration(end.GetTookUs())*time.Microsecond, reportFrom(end.GetLoad()))
+	s.pool.End(now, id, dispatch.Outcome(end.GetOutcome()), time.Duration(end.GetTookUs())*time.Microsecond, decodeReport(end.GetLoad(), end.GetReport()))
 	c.decide(now, s)
 }
 
--- a/internal/gateway/reports.go
+++ b/internal/gateway/reports.go
@@ -7,6 +7,7 @@
 	"github.com/sirupsen/logrus"
 
 	"cuminlift/core/dispatch"
+	"cuminlift/schema"
 )
 
 // parseReport returns what an upstream says of itself in the headers of an answer.
@@ -32,6 +33,9 @@
 	if !changed {
 		return
 	}
+	if pool := t.localPools[service]; pool != nil {
+		pool.ApplyNotice(now, notice)
+	}
 	t.log.WithFields(logrus.Fields{
 		"upstream": notice.Upstream,
 		"service":  service,
@@ -39,6 +43,54 @@
 	}).Info("upstream's notice changed")
 }
 
+// applyNotices passes on to a new local pool what upstreams have said to this instance.
+func (t *ticketClient) applyNotices(now time.Duration, pool *syncedPool, service string) {
+	for _, notice := range t.currentNotices(now) {
+		if notice.Service == service {
+			pool.ApplyNotice(now, notice)
+		}
+	}
+}
+
+// sendNotices tells a new coordinator what upstreams have said to this instance. It must go before the first request.
+func (t *ticketClient) sendNotices(now time.Duration) {
+	for _, notice := range t.currentNotices(now) {
+		t.frameConn.Send(&schema.Frame{
+			Body: &schema.Frame_Notice{
+				Notice: encodeNotice(notice),
+			},
+		})
+	}
+}
+
+func (t *ticketClient) currentNotices(now time.Duration) []dispatch.Notice {
+	upstreams := t.view().list.Upstreams
+	return t.notices.List(now, func(id string, incarnation int64) bool {
+		u, known := upstreams[id]
+		return known && u.Incarnation == incarnation
+	})
+}
+
+func encodeNotice(notice dispatch.Notice) *schema.UpstreamNotice {
+	return &schema.UpstreamNotice{
+		Service:  notice.Service,
+		Upstream: notice.Upstream,
+		Born:     notice.Incarnation,
+		Limit:    notice.Limit,
+		AgeMs:    uint32(notice.Age.Milliseconds()),
+	}
+}
+
+func decodeNotice(notice *schema.UpstreamNotice) dispatch.Notice {
+	return dispatch.Notice{
+		Service:     notice.GetService(),
+		Upstream:    notice.GetUpstream(),
+		Incarnation: notice.GetBorn(),
+		Limit:       notice.GetLimit(),
+		Age:         time.Duration(notice.GetAgeMs()) * time.Millisecond,
+	}
+}
+
 func loadOf(report *dispatch.Report) []uint32 {
 	if report == nil {
 		return nil
@@ -46,8 +98,36 @@
 	return report.Load
 }
 
-func reportFrom(load []uint32) *dispatch.Report {
+func encodeReport(report *dispatch.Report) *schema.UpstreamReport {
+	if report == nil {
+		return nil
+	}
+	return &schema.UpstreamReport{
+		Limited:        report.Limit.Named,
+		Limit:          report.Limit.Rate,
+		LimitMalformed: report.Limit.Malformed,
+	}
+}
+
+// decodeReport returns nil if there was no answer. An instance of an earlier version sends the load alone.
+func decodeReport(load []uint32, report *schema.UpstreamReport) *dispatch.Report {
+	if report == nil {
+		if load == nil {
+			return nil
+		}
+		return &dispatch.Report{
+			Load: load,
+			Limit: dispatch.Limit{
+				Malformed: true,
+			},
+		}
+	}
 	return &dispatch.Report{
 		Load: load,
+		Limit: dispatch.Limit{
+			Named:     report.GetLimited(),
+			Rate:      report.GetLimit(),
+			Malformed: report.GetLimitMalformed(),
+		},
 	}
 }
--- a/internal/gateway/tickets.go
+++ b/internal/gateway/tickets.go
@@ -177,7 +177,8 @@
 	v := t.view()
 	keyed := v.table != nil && v.table.Services[service].Keyed
 	pool := t.localPools[service]
-	if pool == nil {
+	created := pool == nil
+	if created {
 		config := poolConfig(t.config.Settings, share)
 		if keyed {
 			config.Owners = t.keyOwners(service)
@@ -193,6 +194,9 @@
 		pool.SetService(v.table.Services[service])
 	}
 	pool.sync(now, v, service)
+	if created {
+		t.applyNotices(now, pool, service)
+	}
 	return pool
 }
 
@@ -273,6 +277,7 @@
 				Id:     result.id,
 				TookUs: uint64(took.Microseconds()),
 				Load:   loadOf(report),
+				Report: encodeReport(report),
 			},
 		},
 	})
@@ -325,6 +330,7 @@
 				Outcome: outcome,
 				TookUs:  uint64(took.Microseconds()),
 				Load:    loadOf(report),
+				Report:  encodeReport(report),
 			},
 		},
 	})
