gateway: send nothing more to an upstream that says in an answer that it leaves

Change: roster.Departures remembers which starts of upstreams have said so, and the view takes them out of use whatever their entry says: queues, keys, retries and local pools follow the view. The coordinator learns of it from the ticket's end and tells all instances; an instance tells a new coordinator before its first request, and a coordinator each instance that connects. A ticket that was on its way is returned. It holds for the start that the ticket was for: a later one under the same ID is used again.

--- a/core/dispatch/decide.go
+++ b/core/dispatch/decide.go
@@ -120,6 +120,8 @@
 		Ticket:   t,
 		Upstream: u.state.ID,
 		Address:  u.state.Address,
+
+		Incarnation: u.state.Incarnation,
 	}
 }
 
--- a/core/dispatch/report.go
+++ b/core/dispatch/report.go
@@ -9,6 +9,8 @@
 	Load []uint32
 	// Limit is the number of requests per second that the upstream takes from all instances together.
 	Limit Limit
+	// Leaving is true if the upstream leaves and wants no new requests.
+	Leaving bool
 }
 
 // Limit is a limit as named by an upstream. The zero value means that the answer names none, so that one named before has ended.
--- a/core/dispatch/stats.go
+++ b/core/dispatch/stats.go
@@ -62,6 +62,15 @@
 	return u.throughput(p, latency)
 }
 
+// Assigned returns the upstream, and the start of it, that a ticket was granted. ok is false if the ticket is not in progress.
+func (p *Pool) Assigned(id uint64) (upstream string, incarnation int64, ok bool) {
+	u := p.running[id]
+	if u == nil {
+		return "", 0, false
+	}
+	return u.state.ID, u.state.Incarnation, true
+}
+
 // Cold reports whether an upstream is limited to its cold-start rate.
 func (p *Pool) Cold(now time.Duration, id string) bool {
 	u := p.upstreams[id]
--- a/core/dispatch/ticket.go
+++ b/core/dispatch/ticket.go
@@ -52,7 +52,9 @@
 	Ticket *Ticket
 	// Upstream and Address are empty in a refusal.
 	Upstream, Address string
-	Reason            Reason
+	// Incarnation is the start of the upstream that the ticket is for.
+	Incarnation int64
+	Reason      Reason
 	// RetryAfter is the delay after which a retry may succeed.
 	RetryAfter time.Duration
 }
--- a/internal/gateway/config.go
+++ b/internal/gateway/config.go
@@ -65,6 +65,8 @@
 	RetryAfterHeader func(time.Duration) (name, text string)
 	// ParseLoad parses an upstream's load report.
 	ParseLoad func(text string) []uint32
+	// ParseLeaving reports whether an upstream says that it leaves.
+	ParseLeaving func(text string) bool
 	// ParseLimit parses the limit that an upstream names.
 	ParseLimit func(text string) dispatch.Limit
 	// ProbeClient sends health checks to upstreams.
--- a/internal/gateway/coordinator.go
+++ b/internal/gateway/coordinator.go
@@ -11,6 +11,7 @@
 	"cuminlift/core/authority"
 	"cuminlift/core/dispatch"
 	"cuminlift/core/keyspace"
+	"cuminlift/core/roster"
 	"cuminlift/schema"
 )
 
@@ -51,9 +52,12 @@
 	// tables are forwarded to all instances. storeFailed is the last result of storeFails.
 	tables      []*tableFeed
 	storeFailed bool
-	cancel      context.CancelFunc
-	ctx         context.Context
-	lastProbe   time.Duration
+	// spread holds the upstreams of which all instances have been told that they leave.
+	departures departureKeeper
+	spread     roster.Departures
+	cancel     context.CancelFunc
+	ctx        context.Context
+	lastProbe  time.Duration
 	// lastQueueLog is when the queue statistics were last logged, and lastPrune when rows of lost instances were last removed.
 	lastQueueLog, lastPrune time.Duration
 }
--- a/internal/gateway/coordinator_conn.go
+++ b/internal/gateway/coordinator_conn.go
@@ -73,6 +73,10 @@
 		if conn == t.frameConn && t.coordinatorName != t.config.Settings.Name {
 			t.handleRows(conn, body.Rows)
 		}
+	case *schema.Frame_Notice:
+		if body.Notice.GetLeaving() {
+			t.departures.noteLeaving(body.Notice.GetUpstream(), body.Notice.GetBorn())
+		}
 	case *schema.Frame_Owners:
 		if conn == t.frameConn {
 			t.handleOwners(body.Owners)
@@ -157,11 +161,12 @@
 
 func (t *ticketClient) handleReply(reply *schema.TicketReply) {
 	result := ticketResult{
-		id:         reply.GetId(),
-		upstream:   reply.GetUpstream(),
-		address:    reply.GetAddress(),
-		reason:     reply.GetReason(),
-		retryAfter: time.Duration(reply.GetRetryAfterMs()) * time.Millisecond,
+		id:          reply.GetId(),
+		upstream:    reply.GetUpstream(),
+		address:     reply.GetAddress(),
+		incarnation: reply.GetBorn(),
+		reason:      reply.GetReason(),
+		retryAfter:  time.Duration(reply.GetRetryAfterMs()) * time.Millisecond,
 	}
 	w := t.waiters[result.id]
 	if w == nil {
--- a/internal/gateway/election.go
+++ b/internal/gateway/election.go
@@ -23,6 +23,7 @@
 	view         func() *view
 	// tables are forwarded by the coordinator.
 	tables      []*tableFeed
+	departures  departureKeeper
 	incarnation string
 	// lastRead is when the lease was last read, and readPause the minimum time until the next read.
 	lastRead, readPause time.Duration
@@ -264,6 +265,7 @@
 	e.ticketClient.resumeStoreReads(nil)
 	c := newCoordinator(ctx, e.config, e.log, e.view, e.incarnation, term+1, written, sentAt)
 	c.tables = e.tables
+	c.departures = e.departures
 	c.run()
 }
 
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -72,6 +72,7 @@
 	g.ticketClient = newTicketClient(config, loggers.For("instance"), g.follower.view)
 	g.ticketClient.storeReachable = func() bool { return g.follower.storeReachable(storeProbeValidity) }
 	g.ticketClient.requestStoreProbe = func() { g.follower.probeStore(context.Background()) }
+	g.ticketClient.departures = g.follower
 	g.follower.instances = g.ticketClient.knownInstances
 	g.ticketClient.tables = []*tableFeed{g.follower.configuration, g.follower.upstreams}
 	store.feeds = g.ticketClient.tables
@@ -91,6 +92,7 @@
 		ticketClient: g.ticketClient,
 		view:         g.follower.view,
 		tables:       g.ticketClient.tables,
+		departures:   g.follower,
 		incarnation:  hex.EncodeToString(incarnation),
 		readPause:    storeRetryPause,
 	}
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -137,7 +137,7 @@
 	reason := ""
 	retryDelay := time.Duration(0)
 	for attempt := 0; attempt < c.route.Attempts && c.state.CanAttempt(); attempt++ {
-		result, err := h.ticketClient.acquire(ctx, h.ticketRequest(c, attempt))
+		result, err := h.acquireTicket(ctx, c, attempt)
 		if err != nil {
 			reason = "time is over"
 			retryDelay = defaultRetryAfter
@@ -157,6 +157,24 @@
 	h.failCall(ctx, w, r, c, reason, retryDelay)
 }
 
+// maxReturnedTickets is the number of tickets that a call returns before it is refused. Whoever grants them is told why, so that the
+// next one is for another upstream.
+const maxReturnedTickets = 3
+
+// acquireTicket obtains a ticket whose upstream may still be used.
+func (h *requestHandler) acquireTicket(ctx context.Context, c *call, attempt int) (ticketResult, error) {
+	for range maxReturnedTickets {
+		result, err := h.ticketClient.acquire(ctx, h.ticketRequest(c, attempt))
+		if err != nil || result.upstream == "" || !h.ticketClient.returnUnwanted(result, c.service) {
+			return result, err
+		}
+	}
+	return ticketResult{
+		reason:     "upstream wants no requests",
+		retryAfter: defaultRetryAfter,
+	}, nil
+}
+
 // advance moves the call's state on. An invalid transition is a bug and is logged.
 func (c *call) advance(h *requestHandler, states ...request.State) {
 	for _, s := range states {
--- a/internal/gateway/links.go
+++ b/internal/gateway/links.go
@@ -181,6 +181,9 @@
 			l.downSince = 0
 			l.send(l.coordinator.beatFrame(l, false))
 			l.coordinator.sendOwners(l)
+			for _, notice := range l.coordinator.departures.departureNotices() {
+				l.send(notice)
+			}
 			l.tablesSent = false
 		})
 		l.serve(ctx, f)
--- a/internal/gateway/notice_test.go
+++ b/internal/gateway/notice_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -53,3 +54,81 @@
 		k.waitServing(name)
 	}
 }
+
+// lastArrival returns the time of the last request.
+func lastArrival(arrivals []time.Time) time.Time {
+	if len(arrivals) == 0 {
+		return time.Time{}
+	}
+	return arrivals[len(arrivals)-1]
+}
+
+// TestUpstreamIsUsedAfterItSaidThatItLeaves guards against requests to an upstream that says in its answers that it leaves, while
+// its entry in the registry still says that it is ready, with a coordinator and while there is none.
+func TestUpstreamIsUsedAfterItSaidThatItLeaves(t *testing.T) {
+	for _, keyed := range []bool{true, false} {
+		for _, lease := range []bool{true, false} {
+			c := qt.New(t)
+			k := newCluster(c, 0)
+			if !lease {
+				k.rows = &noLeaseStore{
+					Store: k.store,
+				}
+			}
+			service := "plain"
+			if keyed {
+				service = "keyed"
+			}
+			if keyed && !lease {
+				continue // Keys have no owners.
+			}
+			k.configure(1, service)
+			for _, id := range []string{"u0", "u1"} {
+				k.upstream(id, service, "z1")
+			}
+			for _, name := range []string{"n0", "n1", "n2"} {
+				k.start(name)
+			}
+			for name := range k.instances {
+				k.waitServing(name)
+			}
+			leaving := k.upstreams["u0"]
+			leaving.Leave()
+			const drain = 2 * time.Second
+			// The coordinator tells all instances. Without one, each learns of it from its own answers.
+			told, needed := map[string]bool{}, 1
+			if !lease {
+				needed = len(k.instances)
+			}
+			for key := 0; len(told) < needed; key = (key + 997) % (1 << 16) {
+				for name := range k.instances {
+					if _, text, _ := k.send(name, http.MethodGet, "/read/x", key, ""); strings.HasPrefix(text, "u0 for") {
+						told[name] = true
+					}
+				}
+			}
+			said := time.Now()
+			for time.Since(said) < drain+500*time.Millisecond {
+				for name := range k.instances {
+					k.send(name, http.MethodGet, "/read/x", int(time.Now().UnixNano()%(1<<16)), "")
+				}
+				// The registry does not know yet, and writes the entry again.
+				k.register("u0", service, "z1", "ready")
+			}
+			late := lastArrival(leaving.Arrivals()).Sub(said)
+			c.Check(late < drain, qt.IsTrue, qt.Commentf("keyed %v, coordinator %v: %v after", keyed, lease, late))
+			for name := range k.instances {
+				k.waitServing(name)
+			}
+			// A new start under the same ID is used again.
+			k.put("servers", "u0", fmt.Sprintf(`{"service":%q,"addr":%q,"zone":"z1","slots":2,"state":"ready","warmup_left":"0ms","born":2}`, service, leaving.Address()))
+			returned := time.Now()
+			eventually(func() bool {
+				for name := range k.instances {
+					k.send(name, http.MethodGet, "/read/x", int(time.Now().UnixNano()%(1<<16)), "")
+				}
+				return lastArrival(leaving.Arrivals()).After(returned)
+			})
+		}
+	}
+}
--- a/internal/gateway/queue.go
+++ b/internal/gateway/queue.go
@@ -28,6 +28,7 @@
 					Id:           origin.id,
 					Upstream:     decision.Upstream,
 					Address:      decision.Address,
+					Born:         decision.Incarnation,
 					Reason:       string(decision.Reason),
 					RetryAfterMs: uint32(decision.RetryAfter.Milliseconds()),
 				},
@@ -78,9 +79,7 @@
 	case *schema.Frame_Cancel:
 		c.handleCancel(now, l, body.Cancel)
 	case *schema.Frame_Notice:
-		if s := c.services[body.Notice.GetService()]; s != nil {
-			s.pool.ApplyNotice(now, decodeNotice(body.Notice))
-		}
+		c.handleNotice(now, body.Notice)
 	}
 }
 
@@ -111,6 +110,7 @@
 	if s == nil {
 		return
 	}
+	c.noteLeaving(s, l.globalID(head.GetId()), head.GetReport())
 	s.pool.Head(now, l.globalID(head.GetId()), time.Duration(head.GetTookUs())*time.Microsecond, decodeReport(head.GetLoad(), head.GetReport()))
 	c.decide(now, s)
 }
@@ -120,10 +120,37 @@
 	if s == nil {
 		return
 	}
+	c.noteLeaving(s, id, end.GetReport())
 	s.pool.End(now, id, dispatch.Outcome(end.GetOutcome()), time.Duration(end.GetTookUs())*time.Microsecond, decodeReport(end.GetLoad(), end.GetReport()))
 	c.decide(now, s)
 }
 
+// handleNotice handles what an upstream has said to an instance before that was connected.
+func (c *coordinator) handleNotice(now time.Duration, notice *schema.UpstreamNotice) {
+	if notice.GetLeaving() {
+		c.spreadLeaving(notice.GetUpstream(), notice.GetBorn())
+		return
+	}
+	if s := c.services[notice.GetService()]; s != nil {
+		s.pool.ApplyNotice(now, decodeNotice(notice))
+	}
+}
+
+// noteLeaving takes out of use the upstream of a ticket whose answer says that it leaves.
+func (c *coordinator) noteLeaving(s *serviceState, id uint64, report *schema.UpstreamReport) {
+	if upstream, incarnation, ok := s.pool.Assigned(id); ok && report.GetLeaving() {
+		c.spreadLeaving(upstream, incarnation)
+	}
+}
+
+// spreadLeaving tells all instances that an upstream leaves, unless they have been told.
+func (c *coordinator) spreadLeaving(id string, incarnation int64) {
+	c.departures.noteLeaving(id, incarnation)
+	if c.spread.Add(c.clock.Now(), id, incarnation) {
+		c.broadcast(departureFrame(id, incarnation))
+	}
+}
+
 func (c *coordinator) handleCancel(now time.Duration, l *link, cancel *schema.TicketCancel) {
 	s, id := c.removeTicket(l, cancel.GetId())
 	if s == nil {
--- a/internal/gateway/reports.go
+++ b/internal/gateway/reports.go
@@ -15,6 +15,8 @@
 	return &dispatch.Report{
 		Load:  h.config.ParseLoad(header.Get(h.config.Headers.Load)),
 		Limit: h.config.ParseLimit(header.Get(h.config.Headers.Limit)),
+
+		Leaving: h.config.ParseLeaving(header.Get(h.config.Headers.Leaving)),
 	}
 }
 
@@ -25,11 +27,15 @@
 		return
 	}
 	now := t.clock.Now()
-	notice, changed := t.notices.Record(now, now-took, dispatch.Notice{
+	about := dispatch.Notice{
 		Service:     service,
 		Upstream:    result.upstream,
-		Incarnation: t.view().list.Upstreams[result.upstream].Incarnation,
-	}, report)
+		Incarnation: result.incarnation,
+	}
+	if report.Leaving {
+		t.departures.noteLeaving(about.Upstream, about.Incarnation)
+	}
+	notice, changed := t.notices.Record(now, now-took, about, report)
 	if !changed {
 		return
 	}
@@ -43,6 +49,21 @@
 	}).Info("upstream's notice changed")
 }
 
+// returnUnwanted returns a ticket whose upstream has said to this instance that it wants no request, and tells whoever granted it. It
+// reports false if the ticket may be used. The upstream may have said so while the ticket was on its way, or to this instance alone.
+func (t *ticketClient) returnUnwanted(result ticketResult, service string) bool {
+	if !t.departures.leaving(result.upstream, result.incarnation) {
+		return false
+	}
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	if !result.local && t.frameConn != nil {
+		t.frameConn.Send(departureFrame(result.upstream, result.incarnation))
+	}
+	t.reportEndLocked(result, service, schema.TicketOutcome_abandoned, 0, nil)
+	return true
+}
+
 // applyNotices passes on to a new local pool what upstreams have said to this instance.
 func (t *ticketClient) applyNotices(now time.Duration, pool *syncedPool, service string) {
 	for _, notice := range t.currentNotices(now) {
@@ -54,6 +75,9 @@
 
 // sendNotices tells a new coordinator what upstreams have said to this instance. It must go before the first request.
 func (t *ticketClient) sendNotices(now time.Duration) {
+	for _, frame := range t.departures.departureNotices() {
+		t.frameConn.Send(frame)
+	}
 	for _, notice := range t.currentNotices(now) {
 		t.frameConn.Send(&schema.Frame{
 			Body: &schema.Frame_Notice{
@@ -71,6 +95,18 @@
 	})
 }
 
+func departureFrame(id string, incarnation int64) *schema.Frame {
+	return &schema.Frame{
+		Body: &schema.Frame_Notice{
+			Notice: &schema.UpstreamNotice{
+				Upstream: id,
+				Born:     incarnation,
+				Leaving:  true,
+			},
+		},
+	}
+}
+
 func encodeNotice(notice dispatch.Notice) *schema.UpstreamNotice {
 	return &schema.UpstreamNotice{
 		Service:  notice.Service,
@@ -106,6 +142,7 @@
 		Limited:        report.Limit.Named,
 		Limit:          report.Limit.Rate,
 		LimitMalformed: report.Limit.Malformed,
+		Leaving:        report.Leaving,
 	}
 }
 
--- a/internal/gateway/tickets.go
+++ b/internal/gateway/tickets.go
@@ -21,13 +21,23 @@
 	Close()
 }
 
+// departureKeeper keeps the upstreams that have said in answers that they leave.
+type departureKeeper interface {
+	// noteLeaving reports whether it is news that this start of an upstream leaves.
+	noteLeaving(id string, incarnation int64) bool
+	leaving(id string, incarnation int64) bool
+	departureNotices() []*schema.Frame
+}
+
 // ticketResult is the result of a ticket request: a granted ticket or a refusal.
 type ticketResult struct {
 	id uint64
 	// upstream and address are empty in a refusal.
 	upstream, address string
-	reason            string
-	retryAfter        time.Duration
+	// incarnation is the start of the upstream that the ticket is for.
+	incarnation int64
+	reason      string
+	retryAfter  time.Duration
 	// local is true if a local pool granted the ticket, while there was no coordinator.
 	local bool
 }
@@ -41,6 +51,8 @@
 	// storeReachable reports whether the store replied recently, and requestStoreProbe starts a probe of it.
 	storeReachable    func() bool
 	requestStoreProbe func()
+	// departures keeps the upstreams that have said that they leave.
+	departures departureKeeper
 	// tables are read from the store or forwarded by the coordinator.
 	tables []*tableFeed
 	// mutex guards the fields below. monitor detects the loss of the coordinator.
@@ -222,12 +234,13 @@
 		}
 		delete(t.waiters, decision.Ticket.ID)
 		w.result <- ticketResult{
-			id:         decision.Ticket.ID,
-			upstream:   decision.Upstream,
-			address:    decision.Address,
-			reason:     string(decision.Reason),
-			retryAfter: decision.RetryAfter,
-			local:      true,
+			id:          decision.Ticket.ID,
+			upstream:    decision.Upstream,
+			address:     decision.Address,
+			incarnation: decision.Incarnation,
+			reason:      string(decision.Reason),
+			retryAfter:  decision.RetryAfter,
+			local:       true,
 		}
 	}
 }
--- a/internal/gateway/view.go
+++ b/internal/gateway/view.go
@@ -14,6 +14,7 @@
 	"cuminlift/core/replica"
 	"cuminlift/core/roster"
 	"cuminlift/core/route"
+	"cuminlift/schema"
 )
 
 // view is an immutable snapshot of the configuration and upstreams known to an instance.
@@ -49,6 +50,8 @@
 	// Until graceUntil, upstreams whose entries disappear are kept; missing holds them.
 	graceUntil time.Duration
 	missing    map[string]bool
+	// departures are the upstreams that have said in answers that they leave.
+	departures roster.Departures
 }
 
 type upstreamRow struct {
@@ -107,6 +110,7 @@
 	snapshot := f.next
 	snapshot.list.Upstreams = make(map[string]roster.Upstream, len(f.rows))
 	for id, r := range f.rows {
+		r.upstream.Draining = r.upstream.Draining || f.departures.Has(id, r.upstream.Incarnation)
 		snapshot.list.Upstreams[id] = r.upstream
 	}
 	snapshot.list.ExcludedZones = make(map[string]bool, len(f.next.list.ExcludedZones))
@@ -116,6 +120,40 @@
 	f.current.Store(&snapshot)
 }
 
+// noteLeaving takes an upstream out of use that has said in an answer that it leaves, whatever its entry says. It reports whether
+// that is news.
+func (f *follower) noteLeaving(id string, incarnation int64) bool {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	if !f.departures.Add(f.clock.Now(), id, incarnation) {
+		return false
+	}
+	f.log.WithFields(logrus.Fields{
+		"upstream": id,
+		"born":     incarnation,
+	}).Info("upstream says that it leaves")
+	f.publish()
+	return true
+}
+
+// leaving reports whether an upstream has said in an answer that it leaves.
+func (f *follower) leaving(id string, incarnation int64) bool {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	return f.departures.Has(id, incarnation)
+}
+
+// departureNotices returns a message for each upstream that has said that it leaves.
+func (f *follower) departureNotices() []*schema.Frame {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	var list []*schema.Frame
+	f.departures.List(func(id string, incarnation int64) {
+		list = append(list, departureFrame(id, incarnation))
+	})
+	return list
+}
+
 func (f *follower) view() *view {
 	return f.current.Load()
 }
--- a/internal/standin/keyholder/keyholder.go
+++ b/internal/standin/keyholder/keyholder.go
@@ -37,6 +37,8 @@
 	runs map[string]int
 	// rejections counts the requests for keys that the upstream does not hold.
 	rejections int
+	// leaving makes all answers say that the upstream leaves.
+	leaving bool
 	// limit is the text of the Server-Limit header, empty for none.
 	limit string
 	// arrivals holds the times of all requests.
@@ -94,6 +96,13 @@
 	return u.rejections
 }
 
+// Leave makes all answers say from now on that the upstream leaves.
+func (u *Upstream) Leave() {
+	u.mutex.Lock()
+	defer u.mutex.Unlock()
+	u.leaving = true
+}
+
 // SetLimit sets the limit, in requests per second, that all answers name from now on; an empty text removes it.
 func (u *Upstream) SetLimit(limit string) {
 	u.mutex.Lock()
@@ -185,6 +194,9 @@
 	w.Header().Set("Request-Id", name)
 	u.mutex.Lock()
 	u.arrivals = append(u.arrivals, time.Now())
+	if u.leaving {
+		w.Header().Set("Server-Leaving", "1")
+	}
 	if u.limit != "" {
 		w.Header().Set("Server-Limit", u.limit)
 	}
--- a/io/upstream/client.go
+++ b/io/upstream/client.go
@@ -27,6 +27,8 @@
 	Load string
 	// Limit carries the number of requests per second that the upstream takes from all instances.
 	Limit string
+	// Leaving marks the answers of an upstream that leaves.
+	Leaving string
 	// NotRun marks the response to a request that was not run.
 	NotRun string
 	// Key carries the number of the request's key.
