core/dispatch: leave an upstream alone for as long as its Retry-After says

Cause: the answer's header was not read. Change: the pause of each pair of instance and upstream goes with the report of the answer to the pool that grants tickets, which gives that instance none there; other instances' requests pass. The instance keeps it too: it tells a new coordinator, and returns a ticket that comes in spite of it. A request that can't wait for the end of the pause is refused at once. Its Retry-After is the time until some instance may send: without the pause if only this instance has one, as callers come back through another.

--- a/core/dispatch/decide.go
+++ b/core/dispatch/decide.go
@@ -85,7 +85,7 @@
 			if u == nil {
 				u = p.selectUpstream(now, t)
 			}
-			if u == nil || now+time.Duration(minRemainingShare*float64(u.typicalLatency())) >= t.Deadline {
+			if u == nil || u.pauses.remaining(now, t.Instance) > 0 || now+time.Duration(minRemainingShare*float64(u.typicalLatency())) >= t.Deadline {
 				i++
 				continue
 			}
@@ -115,7 +115,10 @@
 func (p *Pool) send(now time.Duration, t *Ticket, u *upstream) Decision {
 	p.dequeue(t)
 	u.recordSend(now, t.ID, p)
-	p.running[t.ID] = u
+	p.running[t.ID] = assignment{
+		upstream: u,
+		instance: t.Instance,
+	}
 	return Decision{
 		Ticket:   t,
 		Upstream: u.state.ID,
@@ -138,7 +141,9 @@
 			decision.RetryAfter = DefaultOwnerWait
 		case !q.unowned && p.overdue(now, t, q.owner):
 			decision.Reason = TooLate
-			decision.RetryAfter = retryAfter(p.expectedWait(now, t, q))
+			wait, work := p.expectedWait(now, t, q)
+			_, others := p.pauseOf(now, t, q)
+			decision.RetryAfter = retryAfter(max(wait, others), work)
 		default:
 			i++
 			continue
@@ -185,7 +190,7 @@
 	medianLatency := p.medianLatency(now)
 	localOnly := t.Bulk && p.waitsForLocalZone(now, t)
 	for _, u := range p.sorted {
-		if u.freeSlots(now, p) <= 0 || (localOnly && u.state.Zone != t.Zone) {
+		if u.freeSlots(now, p) <= 0 || (localOnly && u.state.Zone != t.Zone) || u.pauses.remaining(now, t.Instance) > 0 {
 			continue
 		}
 		cost := float64(u.estimateLatency(now, medianLatency))
--- a/core/dispatch/limit.go
+++ b/core/dispatch/limit.go
@@ -89,10 +89,14 @@
 	}
 }
 
-// ApplyNotice applies what an upstream has said to an instance, unless the pool has heard from it since.
-func (p *Pool) ApplyNotice(now time.Duration, notice Notice) {
+// ApplyNotice applies what an upstream has said to an instance, as far as the pool has not heard from it since.
+func (p *Pool) ApplyNotice(now time.Duration, instance string, notice Notice) {
 	u := p.upstreams[notice.Upstream]
-	if u == nil || u.state.Incarnation != notice.Incarnation || now-notice.Age < u.limiter.namedAt {
+	if u == nil || u.state.Incarnation != notice.Incarnation {
+		return
+	}
+	p.setPause(now, u, instance, notice.Pause)
+	if now-notice.Age < u.limiter.namedAt {
 		return
 	}
 	if notice.Limit != u.limiter.rate {
--- a/core/dispatch/limit_test.go
+++ b/core/dispatch/limit_test.go
@@ -58,7 +58,7 @@
 		h.sends = append(h.sends, now)
 		notice, _ := h.notices[i].Record(now, now, limitedUpstream(), named(h.limit))
 		p.End(now, d.Ticket.ID, dispatch.Answered, time.Millisecond, named(h.limit))
-		h.localPool[i].ApplyNotice(now, notice)
+		h.localPool[i].ApplyNotice(now, "", notice)
 	}
 }
 
@@ -76,7 +76,7 @@
 				coordinator.SetUpstreams(now, states(1))
 				for i := range h.notices {
 					for _, notice := range h.notices[i].List(now, isPresent) {
-						coordinator.ApplyNotice(now, notice)
+						coordinator.ApplyNotice(now, "", notice)
 					}
 				}
 			}
@@ -118,7 +118,7 @@
 				// Every instance has heard of the limit before contact.
 				for i := range instances {
 					notice, _ := h.notices[i].Record(0, 0, limitedUpstream(), named(limit))
-					h.localPool[i].ApplyNotice(0, notice)
+					h.localPool[i].ApplyNotice(0, "", notice)
 				}
 				h.play(20 * time.Second)
 				most := mostSends(h.sends, contact, window)
@@ -133,7 +133,7 @@
 	c := qt.New(t)
 	p := newPool(dispatch.Share{})
 	p.SetUpstreams(0, states(1))
-	p.ApplyNotice(0, dispatch.Notice{
+	p.ApplyNotice(0, "", dispatch.Notice{
 		Upstream:    "u00",
 		Incarnation: 1,
 		Limit:       4,
@@ -163,7 +163,7 @@
 	c := qt.New(t)
 	p := newPool(dispatch.Share{})
 	p.SetUpstreams(0, states(2))
-	p.ApplyNotice(0, dispatch.Notice{
+	p.ApplyNotice(0, "", dispatch.Notice{
 		Upstream:    "u00",
 		Incarnation: 1,
 		Limit:       1,
--- a/core/dispatch/pool.go
+++ b/core/dispatch/pool.go
@@ -39,7 +39,7 @@
 	// dirty lists the queues to process, and lastSweep is when all queues were last scanned.
 	dirty       []*queue
 	lastSweep   time.Duration
-	running     map[uint64]*upstream
+	running     map[uint64]assignment
 	budget      *budget
 	initialized bool
 	refusals    []Decision
@@ -49,10 +49,18 @@
 	overcommit float64
 	// sent and refused count decisions.
 	sent, refused uint64
+	// pausedUntil is when the last pause of an upstream ends.
+	pausedUntil time.Duration
 	// median caches the result of medianLatency, 0 for none, and medianAt is when it was computed.
 	median, medianAt time.Duration
 }
 
+// assignment is what a running ticket was granted.
+type assignment struct {
+	upstream *upstream
+	instance string
+}
+
 // NewPool returns a pool without upstreams.
 func NewPool(config Config) *Pool {
 	return &Pool{
@@ -64,7 +72,7 @@
 		},
 		tickets:   map[uint64]*Ticket{},
 		lastSweep: -sweepInterval,
-		running:   map[uint64]*upstream{},
+		running:   map[uint64]assignment{},
 		budget:    newBudget(config),
 		ownerWait: DefaultOwnerWait,
 	}
@@ -128,7 +136,7 @@
 	}
 	if newIncarnation {
 		u.blockCount, u.blockedUntil, u.failureRate, u.suspect, u.latency = 0, 0, 0, false, 0
-		u.limiter = limiter{}
+		u.limiter, u.pauses = limiter{}, pauses{}
 	}
 	if (newIncarnation && p.initialized) || returned {
 		u.coldUntil = now + max(state.ColdRemaining, p.service.ColdDuration)
@@ -160,12 +168,13 @@
 	}
 	q := p.queueFor(now, t)
 	wait, work := p.expectedWait(now, t, q)
+	own, others := p.pauseOf(now, t, q)
 	if t.Attempt > 0 && !p.budget.take(now) {
-		p.refuse(t, NoBudget, wait, work)
+		p.refuse(t, NoBudget, max(wait, others), work)
 		return
 	}
-	if reason, ok := p.admit(now, t, q, wait, work); !ok {
-		p.refuse(t, reason, wait, work)
+	if reason, ok := p.admit(now, t, q, max(wait, own), work); !ok {
+		p.refuse(t, reason, max(wait, others), work)
 		return
 	}
 	q.insert(t)
@@ -266,15 +275,16 @@
 // Head releases the slot of a ticket whose response headers have arrived, because the upstream has finished its work by
 // then. End must still be called.
 func (p *Pool) Head(now time.Duration, id uint64, took time.Duration, report *Report) {
-	u := p.running[id]
-	if u == nil || !p.releaseSlot(now, u, id, report) {
+	granted := p.running[id]
+	if granted.upstream == nil || !p.releaseSlot(now, granted, id, report) {
 		return
 	}
-	u.recordLatency(took)
+	granted.upstream.recordLatency(took)
 }
 
 // releaseSlot releases the slot of a ticket. It returns false if the slot was released before.
-func (p *Pool) releaseSlot(now time.Duration, u *upstream, id uint64, report *Report) bool {
+func (p *Pool) releaseSlot(now time.Duration, granted assignment, id uint64, report *Report) bool {
+	u := granted.upstream
 	sent, holdsSlot := u.running[id]
 	if !holdsSlot {
 		return false
@@ -282,6 +292,7 @@
 	if report != nil {
 		p.applyLoadReport(now, u, report.Load)
 		u.applyLimit(now, sent, report.Limit)
+		p.setPause(now, u, granted.instance, report.Pause)
 	}
 	delete(u.running, id)
 	p.markDirty(u.queue)
@@ -291,11 +302,12 @@
 
 // End records the outcome of a ticket and releases its slot unless Head has done so. report is nil if the upstream did not answer.
 func (p *Pool) End(now time.Duration, id uint64, outcome Outcome, took time.Duration, report *Report) {
-	u := p.running[id]
+	granted := p.running[id]
+	u := granted.upstream
 	if u == nil {
 		return
 	}
-	heldSlot := p.releaseSlot(now, u, id, report)
+	heldSlot := p.releaseSlot(now, granted, id, report)
 	delete(p.running, id)
 	switch outcome {
 	case Answered:
--- a/core/dispatch/report.go
+++ b/core/dispatch/report.go
@@ -11,6 +11,8 @@
 	Limit Limit
 	// Leaving is true if the upstream leaves and wants no new requests.
 	Leaving bool
+	// Pause is how long the upstream wants no requests from the instance that got the answer.
+	Pause time.Duration
 }
 
 // Limit is a limit as named by an upstream. The zero value means that the answer names none, so that one named before has ended.
@@ -29,8 +31,10 @@
 	Incarnation int64
 	// Limit is the limit in requests per second, 0 for none.
 	Limit float64
-	// Age is how long ago an answer last said so.
+	// Age is how long ago the limit was known.
 	Age time.Duration
+	// Pause is how long the upstream wants no more requests from the instance.
+	Pause time.Duration
 }
 
 // Notices keeps the notices of one instance. The zero value is empty. It is not safe for concurrent use.
@@ -40,8 +44,10 @@
 
 type noticeEntry struct {
 	Notice
-	// limitNamedAt is when an answer last named the limit.
-	limitNamedAt time.Duration
+	// limitAt is the time for which the limit is known: when an answer named it, or when the request was sent whose answer named none.
+	limitAt time.Duration
+	// pausedUntil is when the pause ends.
+	pausedUntil time.Duration
 }
 
 // Record records an answer, received at now, to a request that was sent at sent. about names the upstream. It returns the updated
@@ -56,19 +62,37 @@
 			Notice: about,
 		}
 	}
-	before := entry.Notice
-	if limit, known := nextLimit(entry.Limit, entry.limitNamedAt, sent, report.Limit); known {
-		entry.Limit = limit
+	limitBefore := entry.Limit
+	if limit, known := nextLimit(entry.Limit, entry.limitAt, sent, report.Limit); known {
+		entry.Limit, entry.limitAt = limit, sent
 		if report.Limit.Named {
-			entry.limitNamedAt = now
+			entry.limitAt = now
 		}
 	}
-	n.store(entry)
-	return entry.Notice, entry.Notice != before
+	entry.pausedUntil = max(entry.pausedUntil, now+report.Pause)
+	n.store(now, entry)
+	return entry.at(now), entry.Limit != limitBefore || report.Pause > 0
 }
 
-func (n *Notices) store(entry *noticeEntry) {
-	if entry.empty() {
+// Get returns the notice of a start of an upstream, which is empty if there is none.
+func (n *Notices) Get(now time.Duration, upstream string, incarnation int64) Notice {
+	entry := n.byUpstream[upstream]
+	if entry == nil || entry.Incarnation != incarnation {
+		return Notice{}
+	}
+	return entry.at(now)
+}
+
+// at returns the notice as it holds at now.
+func (e *noticeEntry) at(now time.Duration) Notice {
+	notice := e.Notice
+	notice.Pause = max(0, e.pausedUntil-now)
+	notice.Age = now - e.limitAt
+	return notice
+}
+
+func (n *Notices) store(now time.Duration, entry *noticeEntry) {
+	if entry.empty(now) {
 		delete(n.byUpstream, entry.Upstream)
 		return
 	}
@@ -78,21 +102,19 @@
 	n.byUpstream[entry.Upstream] = entry
 }
 
-func (e *noticeEntry) empty() bool {
-	return e.Limit == 0
+func (e *noticeEntry) empty(now time.Duration) bool {
+	return e.Limit == 0 && e.pausedUntil <= now
 }
 
 // List returns the notices in force at now. Those of upstreams that present does not know are dropped.
 func (n *Notices) List(now time.Duration, present func(upstream string, incarnation int64) bool) []Notice {
 	var list []Notice
 	for id, entry := range n.byUpstream {
-		if !present(id, entry.Incarnation) {
+		if entry.empty(now) || !present(id, entry.Incarnation) {
 			delete(n.byUpstream, id)
 			continue
 		}
-		notice := entry.Notice
-		notice.Age = now - entry.limitNamedAt
-		list = append(list, notice)
+		list = append(list, entry.at(now))
 	}
 	return list
 }
--- a/core/dispatch/stats.go
+++ b/core/dispatch/stats.go
@@ -64,7 +64,7 @@
 
 // Assigned returns the upstream, and the start of it, that a ticket was granted. ok is false if the ticket is not in progress.
 func (p *Pool) Assigned(id uint64) (upstream string, incarnation int64, ok bool) {
-	u := p.running[id]
+	u := p.running[id].upstream
 	if u == nil {
 		return "", 0, false
 	}
--- a/core/dispatch/ticket.go
+++ b/core/dispatch/ticket.go
@@ -16,8 +16,8 @@
 	Idempotent bool
 	// Bulk marks requests with large responses, which stay within a zone if that is not slower.
 	Bulk bool
-	// Zone is the availability zone of the instance that will send the request.
-	Zone string
+	// Instance will send the request, and Zone is its availability zone.
+	Instance, Zone string
 	// Deadline is when the request times out. Objective is the time by which it should be answered.
 	Deadline, Objective time.Duration
 	// Attempt counts from 0. Avoid is the upstream used by the previous attempt.
--- a/core/dispatch/upstream.go
+++ b/core/dispatch/upstream.go
@@ -44,8 +44,9 @@
 	// arrived, 0 for none.
 	reportedQueue uint32
 	reportedAt    time.Duration
-	// limiter holds the limit that the upstream has named.
+	// limiter holds the limit that the upstream has named, and pauses the instances from which it wants nothing for now.
 	limiter limiter
+	pauses  pauses
 }
 
 const (
--- a/internal/boot/boot.go
+++ b/internal/boot/boot.go
@@ -122,6 +122,7 @@
 		RetryAfterHeader: platform.RetryAfterHeader,
 		ParseLoad:        platform.ParseLoad,
 		ParseLimit:       platform.ParseLimit,
+		ParsePause:       platform.ParsePause,
 		ParseLeaving:     platform.ParseLeaving,
 		ProbeClient:      newHTTPClient(1),
 		Log:              out,
--- a/internal/gateway/config.go
+++ b/internal/gateway/config.go
@@ -67,6 +67,8 @@
 	ParseLoad func(text string) []uint32
 	// ParseLeaving reports whether an upstream says that it leaves.
 	ParseLeaving func(text string) bool
+	// ParsePause parses the time for which an upstream wants no requests.
+	ParsePause func(text string) time.Duration
 	// ParseLimit parses the limit that an upstream names.
 	ParseLimit func(text string) dispatch.Limit
 	// ProbeClient sends health checks to upstreams.
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -98,6 +98,7 @@
 		RetryAfterHeader: platform.RetryAfterHeader,
 		ParseLoad:        platform.ParseLoad,
 		ParseLimit:       platform.ParseLimit,
+		ParsePause:       platform.ParsePause,
 		ParseLeaving:     platform.ParseLeaving,
 		ProbeClient:      &http.Client{},
 		Log:              testLog(),
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -226,7 +226,7 @@
 		return false
 	}
 	defer response.Body.Close()
-	report := h.parseReport(response.Header)
+	report := h.parseReport(response.Status, response.Header)
 	if response.NotRun {
 		c.advance(h, request.Refused)
 		outcome := schema.TicketOutcome_shed
--- a/internal/gateway/notice_test.go
+++ b/internal/gateway/notice_test.go
@@ -132,3 +132,31 @@
 		}
 	}
 }
+
+// TestUpstreamIsSentRequestsDuringItsRetryAfter guards against requests from an instance that an upstream has told when to come back.
+func TestUpstreamIsSentRequestsDuringItsRetryAfter(t *testing.T) {
+	c := qt.New(t)
+	k := newCluster(c, 1)
+	k.configure(1, "plain")
+	u := k.upstream("p0", "plain", "z1")
+	k.waitServing("n0")
+	const pause = 3 * time.Second
+	u.SetPause("3")
+	before := len(u.Arrivals())
+	start := time.Now()
+	for time.Since(start) < pause-500*time.Millisecond {
+		status, _, retryAfter := k.send("n0", http.MethodGet, "/read/x", 0, "")
+		c.Assert(status, qt.Equals, http.StatusServiceUnavailable)
+		c.Assert(retryAfter, qt.Not(qt.Equals), "")
+		time.Sleep(5 * time.Millisecond)
+	}
+	late := 0
+	for _, at := range u.Arrivals()[before:] {
+		if at.Sub(start) > 500*time.Millisecond {
+			late++
+		}
+	}
+	c.Check(late <= 2, qt.IsTrue, qt.Commentf("%d requests while it wanted none", late))
+	u.SetPause("")
+	k.waitServing("n0")
+}
--- a/internal/gateway/queue.go
+++ b/internal/gateway/queue.go
@@ -79,7 +79,7 @@
 	case *schema.Frame_Cancel:
 		c.handleCancel(now, l, body.Cancel)
 	case *schema.Frame_Notice:
-		c.handleNotice(now, body.Notice)
+		c.handleNotice(now, l, body.Notice)
 	}
 }
 
@@ -101,7 +101,7 @@
 	if s.assigner != nil && request.GetKey() > 0 && request.GetAttempt() == 0 {
 		s.assigner.Count(request.GetKey() - 1)
 	}
-	s.pool.Submit(now, newTicket(request, id, l.zone, deadline, objective))
+	s.pool.Submit(now, newTicket(request, id, l.name, l.zone, deadline, objective))
 	c.decide(now, s)
 }
 
@@ -126,13 +126,13 @@
 }
 
 // handleNotice handles what an upstream has said to an instance before that was connected.
-func (c *coordinator) handleNotice(now time.Duration, notice *schema.UpstreamNotice) {
+func (c *coordinator) handleNotice(now time.Duration, l *link, notice *schema.UpstreamNotice) {
 	if notice.GetLeaving() {
 		c.spreadLeaving(notice.GetUpstream(), notice.GetBorn())
 		return
 	}
 	if s := c.services[notice.GetService()]; s != nil {
-		s.pool.ApplyNotice(now, decodeNotice(notice))
+		s.pool.ApplyNotice(now, l.name, decodeNotice(notice))
 	}
 }
 
--- a/internal/gateway/reports.go
+++ b/internal/gateway/reports.go
@@ -10,14 +10,18 @@
 	"cuminlift/schema"
 )
 
-// parseReport returns what an upstream says of itself in the headers of an answer.
-func (h *requestHandler) parseReport(header http.Header) *dispatch.Report {
-	return &dispatch.Report{
+// parseReport returns what an upstream says of itself in the head of an answer.
+func (h *requestHandler) parseReport(status int, header http.Header) *dispatch.Report {
+	report := &dispatch.Report{
 		Load:  h.config.ParseLoad(header.Get(h.config.Headers.Load)),
 		Limit: h.config.ParseLimit(header.Get(h.config.Headers.Limit)),
 
 		Leaving: h.config.ParseLeaving(header.Get(h.config.Headers.Leaving)),
 	}
+	if status == http.StatusServiceUnavailable {
+		report.Pause = h.config.ParsePause(header.Get(h.config.Headers.Pause))
+	}
+	return report
 }
 
 // note records what an upstream says of itself in the answer to a ticket's request that was sent took ago. report is nil if there was
@@ -40,25 +44,32 @@
 		return
 	}
 	if pool := t.localPools[service]; pool != nil {
-		pool.ApplyNotice(now, notice)
+		pool.ApplyNotice(now, t.config.Settings.Name, notice)
 	}
 	t.log.WithFields(logrus.Fields{
 		"upstream": notice.Upstream,
 		"service":  service,
 		"limit":    notice.Limit,
+		"pause":    notice.Pause,
 	}).Info("upstream's notice changed")
 }
 
 // returnUnwanted returns a ticket whose upstream has said to this instance that it wants no request, and tells whoever granted it. It
 // reports false if the ticket may be used. The upstream may have said so while the ticket was on its way, or to this instance alone.
 func (t *ticketClient) returnUnwanted(result ticketResult, service string) bool {
-	if !t.departures.leaving(result.upstream, result.incarnation) {
-		return false
-	}
+	leaving := t.departures.leaving(result.upstream, result.incarnation)
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
+	notice := t.notices.Get(t.clock.Now(), result.upstream, result.incarnation)
+	if !leaving && notice.Pause == 0 {
+		return false
+	}
+	frame := departureFrame(result.upstream, result.incarnation)
+	if !leaving {
+		frame = noticeFrame(notice)
+	}
 	if !result.local && t.frameConn != nil {
-		t.frameConn.Send(departureFrame(result.upstream, result.incarnation))
+		t.frameConn.Send(frame)
 	}
 	t.reportEndLocked(result, service, schema.TicketOutcome_abandoned, 0, nil)
 	return true
@@ -68,7 +79,7 @@
 func (t *ticketClient) applyNotices(now time.Duration, pool *syncedPool, service string) {
 	for _, notice := range t.currentNotices(now) {
 		if notice.Service == service {
-			pool.ApplyNotice(now, notice)
+			pool.ApplyNotice(now, t.config.Settings.Name, notice)
 		}
 	}
 }
@@ -79,11 +90,7 @@
 		t.frameConn.Send(frame)
 	}
 	for _, notice := range t.currentNotices(now) {
-		t.frameConn.Send(&schema.Frame{
-			Body: &schema.Frame_Notice{
-				Notice: encodeNotice(notice),
-			},
-		})
+		t.frameConn.Send(noticeFrame(notice))
 	}
 }
 
@@ -107,13 +114,18 @@
 	}
 }
 
-func encodeNotice(notice dispatch.Notice) *schema.UpstreamNotice {
-	return &schema.UpstreamNotice{
-		Service:  notice.Service,
-		Upstream: notice.Upstream,
-		Born:     notice.Incarnation,
-		Limit:    notice.Limit,
-		AgeMs:    uint32(notice.Age.Milliseconds()),
+func noticeFrame(notice dispatch.Notice) *schema.Frame {
+	return &schema.Frame{
+		Body: &schema.Frame_Notice{
+			Notice: &schema.UpstreamNotice{
+				Service:  notice.Service,
+				Upstream: notice.Upstream,
+				Born:     notice.Incarnation,
+				Limit:    notice.Limit,
+				AgeMs:    uint32(notice.Age.Milliseconds()),
+				PauseMs:  uint32(notice.Pause.Milliseconds()),
+			},
+		},
 	}
 }
 
@@ -124,6 +136,7 @@
 		Incarnation: notice.GetBorn(),
 		Limit:       notice.GetLimit(),
 		Age:         time.Duration(notice.GetAgeMs()) * time.Millisecond,
+		Pause:       time.Duration(notice.GetPauseMs()) * time.Millisecond,
 	}
 }
 
@@ -143,6 +156,7 @@
 		Limit:          report.Limit.Rate,
 		LimitMalformed: report.Limit.Malformed,
 		Leaving:        report.Leaving,
+		PauseMs:        uint32(report.Pause.Milliseconds()),
 	}
 }
 
@@ -166,5 +180,6 @@
 			Rate:      report.GetLimit(),
 			Malformed: report.GetLimitMalformed(),
 		},
+		Pause: time.Duration(report.GetPauseMs()) * time.Millisecond,
 	}
 }
--- a/internal/gateway/tickets.go
+++ b/internal/gateway/tickets.go
@@ -152,7 +152,7 @@
 		return
 	}
 	pool := t.localPool(now, w.request.GetService())
-	pool.Submit(now, newTicket(w.request, w.request.GetId(), t.config.Settings.Zone, w.deadline, w.objective))
+	pool.Submit(now, newTicket(w.request, w.request.GetId(), t.config.Settings.Name, t.config.Settings.Zone, w.deadline, w.objective))
 	t.decide(now, pool)
 	t.wakeUp()
 }
@@ -164,13 +164,14 @@
 	}
 }
 
-func newTicket(request *schema.TicketRequest, id uint64, zone string, deadline, objective time.Duration) *dispatch.Ticket {
+func newTicket(request *schema.TicketRequest, id uint64, instance, zone string, deadline, objective time.Duration) *dispatch.Ticket {
 	return &dispatch.Ticket{
 		ID:         id,
 		Key:        request.GetKey(),
 		Priority:   int(request.GetPriority()),
 		Idempotent: request.GetIdempotent(),
 		Bulk:       request.GetBulk(),
+		Instance:   instance,
 		Zone:       zone,
 		Deadline:   deadline,
 		Objective:  objective,
--- a/internal/standin/keyholder/keyholder.go
+++ b/internal/standin/keyholder/keyholder.go
@@ -39,6 +39,8 @@
 	rejections int
 	// leaving makes all answers say that the upstream leaves.
 	leaving bool
+	// pause is the text of the Retry-After header with which all requests are rejected; empty for none.
+	pause string
 	// limit is the text of the Server-Limit header, empty for none.
 	limit string
 	// arrivals holds the times of all requests.
@@ -103,6 +105,13 @@
 	u.leaving = true
 }
 
+// SetPause makes the upstream reject all requests from now on, as not run, with this text in Retry-After; an empty text ends that.
+func (u *Upstream) SetPause(pause string) {
+	u.mutex.Lock()
+	defer u.mutex.Unlock()
+	u.pause = pause
+}
+
 // SetLimit sets the limit, in requests per second, that all answers name from now on; an empty text removes it.
 func (u *Upstream) SetLimit(limit string) {
 	u.mutex.Lock()
@@ -200,7 +209,14 @@
 	if u.limit != "" {
 		w.Header().Set("Server-Limit", u.limit)
 	}
+	pause := u.pause
 	u.mutex.Unlock()
+	if pause != "" {
+		w.Header().Set("Retry-After", pause)
+		w.Header().Set("Not-Executed", "1")
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
 	if r.Header.Get("Expect-Instance") != u.config.ID {
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
--- a/io/upstream/client.go
+++ b/io/upstream/client.go
@@ -29,6 +29,8 @@
 	Limit string
 	// Leaving marks the answers of an upstream that leaves.
 	Leaving string
+	// Pause carries, in an answer with status 503, the time for which the upstream wants no requests from this instance.
+	Pause string
 	// NotRun marks the response to a request that was not run.
 	NotRun string
 	// Key carries the number of the request's key.
