core/dispatch: tests that each of the two looks at pauses is needed

Two tests more: without the first, TestRequestGoesRoundAPausedUpstream fails, without the second TestOwnersQueueSkipsPausedInstances. With both they pass.

--- a/core/dispatch/pause_test.go
+++ b/core/dispatch/pause_test.go
@@ -142,3 +142,58 @@
 	c.Assert(decisions, qt.HasLen, 1)
 	c.Check(decisions[0].Upstream, qt.Equals, "u00")
 }
+
+// TestRequestGoesRoundAPausedUpstream covers a service without keys, of which one upstream wants nothing from the instance.
+func TestRequestGoesRoundAPausedUpstream(t *testing.T) {
+	c := qt.New(t)
+	for _, paused := range []string{"u00", "u01"} {
+		p := newPool(dispatch.Share{})
+		p.SetUpstreams(0, states(2))
+		p.ApplyNotice(0, "a", dispatch.Notice{
+			Upstream:    paused,
+			Incarnation: 1,
+			Pause:       time.Second,
+		})
+		for id := range uint64(2) {
+			decisions := decideFor(p, 0, id+1, "a")
+			c.Assert(decisions, qt.HasLen, 1)
+			c.Check(decisions[0].Upstream, qt.Not(qt.Equals), paused)
+			c.Check(decisions[0].Upstream, qt.Not(qt.Equals), "")
+		}
+	}
+}
+
+// onlyOwner makes one upstream own all keys.
+type onlyOwner string
+
+func (o onlyOwner) Owner(time.Duration, uint32) (string, bool) { return string(o), true }
+
+// TestOwnersQueueSkipsPausedInstances covers a key whose owner wants nothing from one instance. Requests of others behind its request
+// go first.
+func TestOwnersQueueSkipsPausedInstances(t *testing.T) {
+	c := qt.New(t)
+	p := dispatch.NewPool(dispatch.Config{
+		Owners:      onlyOwner("u00"),
+		RetryWindow: 10 * time.Second,
+	})
+	p.SetUpstreams(0, states(2))
+	p.ApplyNotice(0, "a", dispatch.Notice{
+		Upstream:    "u00",
+		Incarnation: 1,
+		Pause:       300 * time.Millisecond,
+	})
+	for id, instance := range []string{"a", "b"} {
+		request := ticket(uint64(id+1), 0)
+		request.Key = 7
+		request.Instance = instance
+		p.Submit(0, request)
+	}
+	decisions := p.Decide(0)
+	c.Assert(decisions, qt.HasLen, 1)
+	c.Check(decisions[0].Ticket.Instance, qt.Equals, "b")
+	c.Check(decisions[0].Upstream, qt.Equals, "u00")
+	decisions = p.Decide(310 * time.Millisecond)
+	c.Assert(decisions, qt.HasLen, 1)
+	c.Check(decisions[0].Ticket.Instance, qt.Equals, "a")
+	c.Check(decisions[0].Upstream, qt.Equals, "u00")
+}
