io/upstream, gateway: answers of upstreams that have no end

Change: while a head is awaited at most 256 KB are read, and 16 informational answers; a discarded answer has at most 1 MB. A close takes only what has arrived. The rest of a long answer must be written by the request's deadline.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -83,6 +83,7 @@
 		ticketClient:   g.ticketClient,
 		upstreamClient: upstream.NewClient(config.Headers),
 		counters:       g.counters,
+		buffers:        newBodyBuffers(config.Settings.MemoryBytes),
 		splitter:       route.NewSplitter(),
 	}
 	g.elector = &elector{
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -27,6 +27,7 @@
 	ticketClient   *ticketClient
 	upstreamClient *upstream.Client
 	counters       *counters
+	buffers        *bodyBuffers
 	// stopping is true once shutdown has begun.
 	stopping atomic.Bool
 
@@ -53,9 +54,6 @@
 	defaultRetryAfter = 200 * time.Millisecond
 	// defaultMaxBodyBytes bounds a request body if the configuration sets no limit.
 	defaultMaxBodyBytes = 64 << 20
-	// maxBufferedBody is how many bytes of a response are read before the first one goes to the caller, so that a
-	// response that breaks off early can still be replaced by one of another upstream.
-	maxBufferedBody = 256 << 10
 	// misdirectedBackoff is the delay after an upstream said that it does not hold the key: a handover is in progress.
 	misdirectedBackoff = 30 * time.Millisecond
 )
@@ -269,7 +267,9 @@
 	if !response.BodyBuffered {
 		h.ticketClient.reportHead(result, c.service, time.Since(sentAt), report)
 	}
-	buffered, complete, err := bufferBody(response)
+	reserved := h.buffers.reserve(response.Length)
+	defer h.buffers.release(reserved)
+	buffered, complete, err := readBody(response, reserved)
 	took := time.Since(sentAt)
 	signed := response.Header.Get(h.config.Headers.Signature) != ""
 	success := response.Status >= 200 && response.Status < 300
@@ -301,19 +301,6 @@
 	return true
 }
 
-// bufferBody reads the beginning of the body; complete is true if that is the whole body.
-func bufferBody(response *upstream.Response) (buffered []byte, complete bool, err error) {
-	if response.Length >= 0 && response.Length <= maxBufferedBody {
-		buffered = make([]byte, response.Length)
-		if _, err = io.ReadFull(response.Body, buffered); err != nil {
-			return nil, false, err
-		}
-		return buffered, true, nil
-	}
-	buffered, err = io.ReadAll(io.LimitReader(response.Body, maxBufferedBody))
-	return buffered, err == nil && len(buffered) < maxBufferedBody, err
-}
-
 // writeResponse writes the response to the caller. If the response breaks off, it aborts the connection, so that the caller
 // does not take the response for complete.
 func (h *requestHandler) writeResponse(w http.ResponseWriter, c *call, response *upstream.Response, buffered []byte, complete bool) {
@@ -336,10 +323,19 @@
 	if _, err := w.Write(buffered); err != nil || complete {
 		return // The caller has disconnected, or has received everything.
 	}
+	// A caller that reads too slowly must not keep the rest of the response, which may have no end, beyond the request's time.
+	controller := http.NewResponseController(w)
+	if err := controller.SetWriteDeadline(c.deadline); err != nil {
+		h.log.WithField("request", c.requestID).WithError(err).Warn("limiting the time of an answer failed")
+	}
 	if _, err := io.Copy(w, response.Body); err != nil {
 		h.log.WithField("request", c.requestID).WithError(err).Warn("answer broke off")
 		panic(http.ErrAbortHandler)
 	}
+	// The connection stays open for further requests.
+	if err := controller.SetWriteDeadline(time.Time{}); err != nil {
+		h.log.WithField("request", c.requestID).WithError(err).Warn("lifting the limit on the time of an answer failed")
+	}
 }
 
 func bodyAllowed(status int) bool {
--- a/io/upstream/client.go
+++ b/io/upstream/client.go
@@ -1,7 +1,6 @@
 package upstream
 
 import (
-	"bufio"
 	"bytes"
 	"context"
 	"errors"
@@ -173,13 +172,20 @@
 	return b.Bytes()
 }
 
-// maxMismatches bounds the responses to earlier requests that are discarded on one connection.
-const maxMismatches = 4
+const (
+	// maxMismatches bounds the responses to earlier requests that are discarded on one connection, and maxMismatchBytes the size of
+	// the body of each.
+	maxMismatches    = 4
+	maxMismatchBytes = 1 << 20
+	// maxInformational bounds the informational responses before the final one, and maxHeadBytes the size of all their heads.
+	maxInformational = 16
+	maxHeadBytes     = 256 << 10
+)
 
 // readResponse returns the response that carries the request's ID, and discards responses that carry another one.
 func (cl *Client) readResponse(c *connection, request Request) (*http.Response, error) {
 	for range maxMismatches {
-		response, err := readFinalResponse(c.reader, request.Method)
+		response, err := c.readFinalResponse(request.Method)
 		if err != nil {
 			return nil, err
 		}
@@ -191,17 +197,23 @@
 		if id == "" || response.ContentLength < 0 && len(response.TransferEncoding) == 0 {
 			return nil, errors.New("response carries no request ID")
 		}
-		if _, err := io.Copy(io.Discard, response.Body); err != nil {
+		n, err := io.Copy(io.Discard, io.LimitReader(response.Body, maxMismatchBytes))
+		if err != nil {
 			return nil, err
 		}
+		if n == maxMismatchBytes {
+			return nil, errors.New("response to another request is too long")
+		}
 	}
 	return nil, errors.New("too many responses to other requests")
 }
 
 // readFinalResponse skips informational (1xx) responses.
-func readFinalResponse(reader *bufio.Reader, method string) (*http.Response, error) {
-	for {
-		response, err := http.ReadResponse(reader, &http.Request{
+func (c *connection) readFinalResponse(method string) (*http.Response, error) {
+	c.limit.limited, c.limit.remaining = true, maxHeadBytes
+	defer func() { c.limit.limited = false }()
+	for range maxInformational {
+		response, err := http.ReadResponse(c.reader, &http.Request{
 			Method: method,
 		})
 		if err != nil {
@@ -211,6 +223,7 @@
 			return response, nil
 		}
 	}
+	return nil, errors.New("too many informational responses")
 }
 
 // notRun reports whether the response says that the upstream did not run the request.
@@ -226,6 +239,7 @@
 		written:     written,
 		pool:        cl.pool,
 		address:     request.Address,
+		length:      response.ContentLength,
 		reusable:    !response.Close && !c.desynchronized,
 		idleTimeout: parseKeepAlive(response.Header.Get("Keep-Alive")),
 	}
@@ -259,21 +273,24 @@
 // responseBody is the body of a response. Closing it returns the connection to the pool if the complete response, and
 // nothing after it, was received.
 type responseBody struct {
-	body        io.ReadCloser
-	connection  *connection
-	stop        func() bool
-	written     <-chan error
-	pool        *connectionPool
-	address     string
-	reusable    bool
-	idleTimeout time.Duration
-	complete    bool
-	closed      bool
+	body       io.ReadCloser
+	connection *connection
+	stop       func() bool
+	written    <-chan error
+	pool       *connectionPool
+	address    string
+	reusable   bool
+	// length is the length of the body, -1 if it is not known, and read is the number of bytes read.
+	length, read int64
+	idleTimeout  time.Duration
+	complete     bool
+	closed       bool
 }
 
 // Read implements io.Reader. An error other than io.EOF means that the response is incomplete.
 func (b *responseBody) Read(data []byte) (int, error) {
 	n, err := b.body.Read(data)
+	b.read += int64(n)
 	if errors.Is(err, io.EOF) {
 		b.complete = true
 	}
@@ -287,10 +304,10 @@
 	}
 	b.closed = true
 	intact := b.stop()
-	if !b.complete {
-		// The caller may not have read an empty body at all.
-		n, err := b.body.Read(make([]byte, 1))
-		b.complete = n == 0 && errors.Is(err, io.EOF)
+	if !b.complete && b.length >= 0 && int64(b.connection.reader.Buffered()) >= b.length-b.read {
+		// The caller may not have read all of it. An upstream that is still sending is not waited for.
+		_, err := io.Copy(io.Discard, b.body)
+		b.complete = err == nil
 	}
 	if intact && b.reusable && b.complete && b.connection.reader.Buffered() == 0 && b.fullyWritten() {
 		b.pool.put(b.address, b.connection, b.idleTimeout)
--- a/io/upstream/connection.go
+++ b/io/upstream/connection.go
@@ -3,7 +3,9 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"fmt"
+	"io"
 	"net"
 	"sync"
 	"sync/atomic"
@@ -38,11 +40,35 @@
 	conn           net.Conn
 	raw            syscall.RawConn
 	reader         *bufio.Reader
+	limit          *readLimit
 	idleSince      time.Time
 	idleUntil      time.Time
 	desynchronized bool
 }
 
+// readLimit bounds the bytes read while an answer's head is awaited, because parsing a head keeps all of it in memory.
+type readLimit struct {
+	reader io.Reader
+	// limited is true while remaining bounds the bytes that may be read.
+	limited   bool
+	remaining int
+}
+
+var errHeadTooLong = errors.New("the head of the response has no end")
+
+// Read implements io.Reader.
+func (l *readLimit) Read(data []byte) (int, error) {
+	if !l.limited {
+		return l.reader.Read(data)
+	}
+	if l.remaining <= 0 {
+		return 0, errHeadTooLong
+	}
+	n, err := l.reader.Read(data[:min(len(data), l.remaining)])
+	l.remaining -= n
+	return n, err
+}
+
 // abort resets the connection and discards its unsent data.
 func (c *connection) abort() {
 	c.conn.Close() // SO_LINGER is 0, so closing resets the connection.
@@ -194,9 +220,13 @@
 		conn.Close()
 		return nil, err
 	}
+	limit := &readLimit{
+		reader: conn,
+	}
 	return &connection{
 		conn:   conn,
 		raw:    raw,
-		reader: bufio.NewReaderSize(conn, readBufferSize),
+		reader: bufio.NewReaderSize(limit, readBufferSize),
+		limit:  limit,
 	}, nil
 }
