core/keyspace: a restarted upstream never gets keys under the fence that it had

What upstreams would see (OWNER): a later life of an upstream takes a key with the fence of the former.

--- a/core/keyspace/calls.go
+++ b/core/keyspace/calls.go
@@ -57,7 +57,11 @@
 	}
 	s.priors = kept
 	u, known := k.upstreams[s.holder.id]
-	if len(kept) > 0 || now < k.quietUntil || !known || u.Incarnation != s.holder.incarnation || s.callPending || s.gone || k.needsHigherFence[s.id] || !k.due(now, s) {
+	if len(kept) > 0 || now < k.quietUntil || !known || u.Incarnation != s.holder.incarnation || s.callPending || s.gone || s.needsHigherFence || !k.due(now, s) {
+		return
+	}
+	if s.sent != 0 && now-s.answeredAt > restartSilence {
+		s.needsHigherFence = true // No grant could be sent for long, for example because the holder was not registered.
 		return
 	}
 	s.callPending = true
@@ -205,7 +209,7 @@
 		s.handover = ""
 	case StaleFence:
 		s.validUntil = 0
-		k.needsHigherFence[s.id] = true
+		s.needsHigherFence = true
 	case Gone:
 		s.gone = true
 	case NotAnswered, NotSent, Reset, Refused:
@@ -214,7 +218,7 @@
 		}
 		s.failures++
 		if result == Reset || result == Refused || now-s.answeredAt > restartSilence {
-			k.needsHigherFence[s.id] = true
+			s.needsHigherFence = true
 		}
 	}
 }
--- a/core/keyspace/claim.go
+++ b/core/keyspace/claim.go
@@ -45,6 +45,8 @@
 	answeredAt time.Duration
 	// gone is true once a different upstream has answered at the holder's address.
 	gone bool
+	// needsHigherFence is true while the span must not be granted again under its fence, because its holder may have restarted.
+	needsHigherFence bool
 	// reassigned is when the span was assigned to its holder.
 	reassigned time.Duration
 }
--- a/core/keyspace/keyspace.go
+++ b/core/keyspace/keyspace.go
@@ -75,8 +75,6 @@
 	// lastMerge is when ranges were last merged, and lastConsolidation when ranges were last moved in order to be
 	// merged.
 	lastMerge, lastConsolidation time.Duration
-	// needsHigherFence holds the IDs of spans that must be granted again with a higher fence.
-	needsHigherFence map[uint64]bool
 	// lostAt is when the keys of a lost holder were last assigned to others.
 	lostAt map[lostHolder]time.Duration
 	// firstSeen is when upstreams were first seen without an assignment. seenUpstreams is their number, and lastJoin is
@@ -108,15 +106,14 @@
 // the previous coordinator.
 func NewManager(config Config, now time.Duration, term uint64, recorded *schema.Assignment) *Manager {
 	k := &Manager{
-		config:           config,
-		term:             term,
-		nextFence:        max(1, recorded.GetNextFence()),
-		upstreams:        map[string]Upstream{},
-		departed:         map[string]Upstream{},
-		rates:            newRates(config.Keys),
-		needsHigherFence: map[uint64]bool{},
-		lostAt:           map[lostHolder]time.Duration{},
-		writtenEra:       recorded.GetEra(),
+		config:     config,
+		term:       term,
+		nextFence:  max(1, recorded.GetNextFence()),
+		upstreams:  map[string]Upstream{},
+		departed:   map[string]Upstream{},
+		rates:      newRates(config.Keys),
+		lostAt:     map[lostHolder]time.Duration{},
+		writtenEra: recorded.GetEra(),
 	}
 	unknownUntil := now + config.CallTimeout + k.maxGrantDuration()
 	k.restore(recorded, unknownUntil)
@@ -127,7 +124,7 @@
 	}
 	for _, s := range k.spans {
 		// The holder may have restarted since its last grant, so it is granted the keys again only with a higher fence.
-		k.needsHigherFence[s.id] = true
+		s.needsHigherFence = true
 	}
 	return k
 }
--- a/core/keyspace/plan.go
+++ b/core/keyspace/plan.go
@@ -212,7 +212,7 @@
 				incarnation: s.holder.incarnation,
 			}] = now
 		}
-		healthy := known && u.Usable && u.Incarnation == s.holder.incarnation && !lost && !k.needsHigherFence[s.id]
+		healthy := known && u.Usable && u.Incarnation == s.holder.incarnation && !lost && !s.needsHigherFence
 		if healthy {
 			continue
 		}
--- a/core/keyspace/proposal.go
+++ b/core/keyspace/proposal.go
@@ -88,6 +88,7 @@
 		incarnation: m.incarnation,
 		fence:       fence,
 	}
+	n.needsHigherFence = false
 	if s.holder.id == m.upstream {
 		// The same upstream keeps the keys with a higher fence, so no holder has to give them up. Only one of two
 		// incarnations under the same ID is running, and the new one may have received grants meant for the old one.
@@ -158,7 +159,7 @@
 }
 
 func canMerge(a, b *span) bool {
-	same := a.holder == b.holder && len(a.priors) == 0 && len(b.priors) == 0 && a.handover == b.handover
+	same := a.holder == b.holder && a.needsHigherFence == b.needsHigherFence && len(a.priors) == 0 && len(b.priors) == 0 && a.handover == b.handover
 	return same && a.callPending == b.callPending && a.sent == b.sent
 }
 
@@ -176,14 +177,6 @@
 		return
 	}
 	k.spans, k.nextFence = k.apply(now, p.moves)
-	// Spans affected by a move have new IDs.
-	kept := map[uint64]bool{}
-	for _, s := range k.spans {
-		if k.needsHigherFence[s.id] {
-			kept[s.id] = true
-		}
-	}
-	k.needsHigherFence = kept
 }
 
 // NotRecorded reports that the last assignment returned in Actions.Record is not in the store and never will be.
