gateway: follow a store that comes back from an older copy

Change: every call passes watchedStore, which notices a new era, from an answer, a heartbeat or its reply, and passes over answers of an earlier one. Tables are read whole again, and forwarded with their era. For four seconds a copy is compared with what was known: entries unknown before wait until they are written again, missing ones stay, zones stay out, upstreams that were leaving leave. The coordinator writes its lease and assignments again (core/authority, core/keyspace), and instances their rows. A coordinator resigns in favour of an instance that reaches the store only if its own calls go on failing for 1.2 s more: before, each outage that all instances had cost a change of hands as soon as the first of them was answered. A history that is lost is read again after a pause, not at once. Traced: an instance that has read later than the coordinator keeps reading until the coordinator's poll returns, up to 2 s.

--- a/core/authority/authority.go
+++ b/core/authority/authority.go
@@ -33,7 +33,9 @@
 type member struct {
 	// lastAcknowledged is when the newest acknowledged heartbeat was sent, 0 if there is none.
 	lastAcknowledged time.Duration
-	storeReached     bool
+	// storeReached is true while the store responds to the member, since reachedSince.
+	storeReached bool
+	reachedSince time.Duration
 }
 
 // NewLeadership returns the leadership acquired by a write of the lease that was sent at sent.
@@ -78,6 +80,9 @@
 func (l *Leadership) Acknowledged(name string, sent time.Duration, storeReached bool) {
 	if m := l.members[name]; m != nil && sent >= m.lastAcknowledged {
 		m.lastAcknowledged = sent
+		if storeReached && !m.storeReached {
+			m.reachedSince = sent
+		}
 		m.storeReached = storeReached
 	}
 }
@@ -119,14 +124,18 @@
 // coordinator resigns. It is longer than one slow answer.
 const resignAfter = 700 * time.Millisecond
 
-// ShouldResign reports whether another instance is better placed to coordinate: the store fails for this instance but
+// retryBeforeResigning is how long a member must reach the store before the coordinator resigns. After an outage of the store, the
+// coordinator's own calls that were under way must have had the time to fail and to be repeated.
+const retryBeforeResigning = 1200 * time.Millisecond
+
+// ShouldResign reports whether another instance is better placed to coordinate: the store goes on failing for this instance but
 // works for a member.
 func (l *Leadership) ShouldResign(now time.Duration) bool {
 	if l.failingSince == 0 || now-l.failingSince < resignAfter {
 		return false
 	}
 	for _, m := range l.members {
-		if m.storeReached && now-m.lastAcknowledged < LeaseDuration {
+		if m.storeReached && now-m.reachedSince >= retryBeforeResigning && now-m.lastAcknowledged < LeaseDuration {
 			return true
 		}
 	}
--- a/core/replica/replica.go
+++ b/core/replica/replica.go
@@ -7,8 +7,8 @@
 type Table struct {
 	rows   map[string]cuminlift.Row
 	loaded bool
-	// syncedVersion is the version up to which all changes are known, also while loaded is false.
-	syncedVersion uint64
+	// syncedVersion is the version up to which all changes are known, also while loaded is false. It was given out in era.
+	syncedVersion, era uint64
 	// removals are the rows removed after removalsSince, ordered by version.
 	removals      []cuminlift.Row
 	removalsSince uint64
@@ -22,9 +22,15 @@
 // applied, because it is older than what is known or leaves a gap. A page of changes must hold all changes after since.
 func (t *Table) Apply(page cuminlift.RowPage, snapshot bool, since uint64) (news cuminlift.RowPage, ok bool) {
 	if !t.CanApply(page, snapshot, since) {
+		if page.Era > t.era {
+			t.loaded = false // Changes are missing before those of the new era.
+		}
 		return cuminlift.RowPage{}, false
 	}
-	news.Version = page.Version
+	if page.Era > t.era {
+		t.era, t.syncedVersion = page.Era, 0
+	}
+	news.Version, news.Era = page.Version, page.Era
 	if snapshot {
 		t.rows = make(map[string]cuminlift.Row, len(page.Rows))
 		t.loaded = true
@@ -70,14 +76,19 @@
 	return t.syncedVersion
 }
 
-// Since returns the changes after version, or all rows with snapshot set if the removals since then are no longer
+// Era returns the era of the store from which the rows were read.
+func (t *Table) Era() uint64 {
+	return t.era
+}
+
+// Since returns the changes after version of an era, or all rows with snapshot set if the removals since then are no longer
 // known. ok is false if the table is not loaded.
-func (t *Table) Since(version uint64) (page cuminlift.RowPage, snapshot, ok bool) {
+func (t *Table) Since(era, version uint64) (page cuminlift.RowPage, snapshot, ok bool) {
 	if !t.loaded {
 		return cuminlift.RowPage{}, false, false
 	}
-	page.Version = t.syncedVersion
-	snapshot = version < t.removalsSince
+	page.Version, page.Era = t.syncedVersion, t.era
+	snapshot = version < t.removalsSince || era != t.era
 	for _, row := range t.rows {
 		if snapshot || row.Version > version {
 			page.Rows = append(page.Rows, row)
@@ -95,8 +106,12 @@
 }
 
 // CanApply reports whether applying a page loses and omits no change. A snapshot must not be older than what is known. A page
-// of changes holds those after since, up to which all changes must be known.
+// of changes holds those after since, up to which all changes must be known. Versions of different eras can't be compared: a
+// later era begins with a snapshot, and pages of an earlier one are late.
 func (t *Table) CanApply(page cuminlift.RowPage, snapshot bool, since uint64) bool {
+	if page.Era != t.era {
+		return page.Era > t.era && snapshot
+	}
 	if snapshot {
 		return page.Version >= t.syncedVersion
 	}
--- a/internal/gateway/assignment.go
+++ b/internal/gateway/assignment.go
@@ -85,18 +85,23 @@
 		c.log.WithField("service", s.name).WithError(err).Warn("reading the assignment failed")
 		return
 	}
+	if page.Era != c.leaseEra {
+		return // The lease must be written again first.
+	}
 	assignment, rowVersion, err := decodeAssignment(page.Rows, c.config.KeyCount)
 	if err != nil {
 		c.log.WithField("service", s.name).WithError(err).Error("decoding the assignment failed")
 		return
 	}
-	s.rowVersion = rowVersion
+	s.rowVersion, s.rowEra = rowVersion, page.Era
 	s.rows = len(page.Rows)
 	s.assigner = keyspace.NewManager(keyspace.Config{
 		Keys:          c.config.KeyCount,
 		Hold:          min(keyspace.DefaultHold, c.config.Settings.MaxGrantDuration),
 		RenewInterval: keyspace.DefaultRenewInterval,
 		CallTimeout:   keyspace.DefaultCallTimeout,
+		Era:           page.Era,
+		RowVersion:    rowVersion,
 	}, now, c.term, assignment)
 	c.log.WithFields(logrus.Fields{
 		"service":     s.name,
@@ -114,7 +119,8 @@
 		s.assigner.NotRecorded()
 		return
 	}
-	rowVersion := s.rowVersion
+	s.writing = true
+	rowVersion, rowEra := s.rowVersion, s.rowEra
 	surplus := surplusRows(s.name, len(rows), s.rows)
 	s.pendingRows = len(rows)
 	c.log.WithFields(logrus.Fields{
@@ -127,6 +133,7 @@
 		ctx, cancel := context.WithTimeout(c.ctx, assignmentWriteTimeout)
 		defer cancel()
 		written, err := c.config.Store.Commit(ctx, cuminlift.RowTransaction{
+			Era: rowEra,
 			Require: []cuminlift.Row{{
 				Table:   assignmentTable,
 				Part:    s.name,
@@ -144,8 +151,12 @@
 // delayed write takes effect only while the row still has the required version.
 func (c *coordinator) handleWriteResult(now time.Duration, s *serviceState, assignment *schema.Assignment, rowVersion uint64, err error) {
 	var refused *cuminlift.StoreRefusedError
+	var eraError *cuminlift.EraError
 	rows, conflict := conflictRows(err)
+	s.writing = false
 	switch {
+	case errors.As(err, &eraError):
+		// The proposed moves stay with the assigner until the assignment is written again.
 	case err == nil:
 		c.assignmentWritten(now, s, rowVersion)
 	case errors.As(err, &refused):
@@ -154,6 +165,7 @@
 		c.resolveConflict(now, s, rows)
 	default:
 		c.log.WithField("service", s.name).WithError(err).Warn("outcome of the assignment write is unknown, repeating it")
+		s.writing = true
 		time.AfterFunc(storeRetryPause, func() {
 			// Repeating the write with the same precondition resolves both cases.
 			c.post(func(time.Duration) { c.writeAssignment(s, assignment) })
--- a/internal/gateway/coordinator.go
+++ b/internal/gateway/coordinator.go
@@ -28,9 +28,10 @@
 type coordinator struct {
 	config Config
 	clock  cuminlift.Clock
-	log    *logrus.Entry
-	view   func() *view
-	term   uint64
+	// baseLog lacks the term, which log has.
+	baseLog, log *logrus.Entry
+	view         func() *view
+	term         uint64
 	// incarnation distinguishes this start of the instance from others.
 	incarnation string
 
@@ -41,8 +42,13 @@
 	pages pageQueue
 
 	leadership *authority.Leadership
-	// leaseVersion is the version of the lease row as last written or read by this coordinator.
+	// store tells the era. leaseVersion is the version of the lease row as last written or read by this coordinator, and leaseEra
+	// the era of the store in which it was given out.
+	store *watchedStore
+	// register writes the row of the coordinator's own instance unless it is up to date.
+	register       func(ctx context.Context) error
 	leaseVersion   uint64
+	leaseEra       uint64
 	leaseBeat      uint64
 	renewing       bool
 	lastRenewal    time.Duration
@@ -67,10 +73,11 @@
 	name     string
 	pool     *syncedPool
 	assigner *keyspace.Manager
-	// loading is true while the assignment is being read, and rowVersion is the version of its first row.
-	loading    bool
-	keyed      bool
-	rowVersion uint64
+	// loading is true while the assignment is being read, and writing while it is being written. rowVersion is the version of its
+	// first row, and rowEra the era of the store in which it was given out.
+	loading, writing   bool
+	keyed              bool
+	rowVersion, rowEra uint64
 	// rows is the number of rows of the stored assignment, and pendingRows that of the one being written.
 	rows, pendingRows int
 	// holdersView and holdersSetAt are the view and the time of the last update of the assigner's upstreams.
@@ -122,6 +129,7 @@
 	return &coordinator{
 		config:        config,
 		clock:         config.Clock,
+		baseLog:       log,
 		log:           log.WithField("term", term),
 		view:          currentView,
 		term:          term,
@@ -243,6 +251,7 @@
 				Instances:    uint32(len(c.links)),
 				StoreFails:   c.storeFails(),
 				LeaseVersion: c.leaseVersion,
+				Era:          c.leaseEra,
 
 				LargestCpuPermille: c.maxCPUPermille(),
 				Place:              to.index,
@@ -294,7 +303,11 @@
 
 // tick runs time-driven work.
 func (c *coordinator) tick(now time.Duration) {
-	c.renew(now)
+	if c.store.currentEra() == c.leaseEra {
+		c.renew(now)
+	} else {
+		c.rewriteLease(now)
+	}
 	c.forwardPages()
 	c.resendTables()
 	c.pruneInstances(now)
--- a/internal/gateway/coordinator_conn.go
+++ b/internal/gateway/coordinator_conn.go
@@ -101,7 +101,8 @@
 		// An instance that is acquiring the lease must not acknowledge another coordinator.
 		return false
 	}
-	t.monitor.HeartbeatReceived(now, beat.GetLeaseVersion(), beat.GetTerm())
+	t.monitor.HeartbeatReceived(now, beat.GetEra(), beat.GetLeaseVersion(), beat.GetTerm())
+	t.store.learnEra(beat.GetEra())
 	t.instanceCount = int(beat.GetInstances())
 	t.index = int(beat.GetPlace())
 	t.maxCPUPermille = beat.GetLargestCpuPermille()
@@ -113,14 +114,18 @@
 	if t.frameConn != conn {
 		t.attach(conn, beat)
 	}
+	t.term = beat.GetTerm()
 	reply := &schema.BeatReply{
+		Era:          t.store.currentEra(),
 		Sequence:     beat.GetSequence(),
 		StoreReached: t.storeReachable(),
 	}
 	for _, feed := range t.tables {
+		version, era := feed.version()
 		reply.Tables = append(reply.Tables, &schema.TableVersion{
 			Table:   feed.table,
-			Version: feed.version(),
+			Version: version,
+			Era:     era,
 		})
 	}
 	conn.Send(&schema.Frame{
@@ -192,7 +197,7 @@
 			"table":       feed.table,
 			"coordinator": t.coordinatorName,
 			"forwarded":   feed.forwarded(),
-			"version":     feed.version(),
+			"version":     rows.GetVersion(),
 		}).Info("source of a table changed")
 	}
 }
--- a/internal/gateway/election.go
+++ b/internal/gateway/election.go
@@ -24,12 +24,16 @@
 	// tables are forwarded by the coordinator.
 	tables      []*tableFeed
 	departures  departureKeeper
+	store       *watchedStore
 	incarnation string
 	// lastRead is when the lease was last read, and readPause the minimum time until the next read.
 	lastRead, readPause time.Duration
-	// rowVersion is the version of the instance's own row, without which it may not take the lease, and row its value.
-	rowVersion uint64
-	row        []byte
+	// rowVersion is the version of the instance's own row, without which it may not take the lease, rowEra the era of the store in
+	// which it was given out, and row its value.
+	rowVersion, rowEra uint64
+	row                []byte
+	// leaseEra is the era of the store in which the lease was last read.
+	leaseEra uint64
 	// lastRegistrationCheck is when the own row was last looked for because there was no word from a coordinator.
 	lastRegistrationCheck time.Duration
 }
@@ -49,6 +53,11 @@
 func (e *elector) run(ctx context.Context) error {
 	e.registerInstance(ctx)
 	for ctx.Err() == nil {
+		if e.store.currentEra() != e.rowEra {
+			// The row may be lost. All instances look for theirs at the same time.
+			sleep(ctx, jitter(replica.ReadPause(e.ticketClient.knownInstances())))
+			e.checkRegistration(ctx)
+		}
 		if version, term, acquire := e.checkLease(ctx); acquire {
 			e.acquire(ctx, version, term)
 		}
@@ -98,28 +107,34 @@
 
 // writeInstanceRow writes the instance's row unless the stored one is up to date.
 func (e *elector) writeInstanceRow(ctx context.Context) error {
+	version, era, err := e.putInstanceRow(ctx)
+	if err != nil {
+		return err
+	}
+	e.rowVersion, e.rowEra = version, era
+	return nil
+}
+
+// putInstanceRow does so for any goroutine. It returns the version of the row and its era.
+func (e *elector) putInstanceRow(ctx context.Context) (version, era uint64, err error) {
 	callCtx, cancel := context.WithTimeout(ctx, storeReadTimeout)
 	defer cancel()
 	page, err := e.config.Store.Rows(callCtx, instanceTable, "")
 	if err != nil {
-		return err
+		return 0, 0, err
 	}
 	if version, upToDate := e.observeInstances(page.Rows, e.row); upToDate {
-		e.rowVersion = version
-		return nil
+		return version, page.Era, nil
 	}
-	version, err := e.config.Store.Commit(callCtx, cuminlift.RowTransaction{
+	version, err = e.config.Store.Commit(callCtx, cuminlift.RowTransaction{
+		Era: page.Era,
 		Put: []cuminlift.Row{{
 			Table: instanceTable,
 			Key:   e.config.Settings.Name,
 			Value: e.row,
 		}},
 	})
-	if err != nil {
-		return err
-	}
-	e.rowVersion = version
-	return nil
+	return version, page.Era, err
 }
 
 // observeInstances counts the registered instances before a coordinator reports them, and returns the version of the own row
@@ -177,7 +192,8 @@
 		return 0, 0, false // The table feeds log that the store is lost.
 	}
 	e.readPause = storeRetryPause
-	term, ok := e.recordLease(page.Rows)
+	e.leaseEra = page.Era
+	term, ok := e.recordLease(page.Rows, page.Era)
 	if !ok {
 		return 0, 0, false
 	}
@@ -209,7 +225,7 @@
 }
 
 // recordLease passes the lease among rows of the store to the monitor and returns its term. ok is false if it can't be decoded.
-func (e *elector) recordLease(rows []cuminlift.Row) (term uint64, ok bool) {
+func (e *elector) recordLease(rows []cuminlift.Row, era uint64) (term uint64, ok bool) {
 	lease := &schema.LeaseRow{}
 	version := uint64(0)
 	for _, row := range rows {
@@ -225,15 +241,22 @@
 	t := e.ticketClient
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
+	t.monitor.EraChanged(era)
 	t.monitor.LeaseRead(e.clock.Now(), version, lease.GetTerm())
 	return lease.GetTerm(), true
 }
 
 // acquire writes the lease and, if that succeeds, runs the coordinator until its authority ends.
 func (e *elector) acquire(ctx context.Context, version, term uint64) {
+	if e.rowEra != e.leaseEra {
+		e.checkRegistration(ctx)
+		return
+	}
 	sentAt := e.clock.Now()
+	era, next := e.leaseEra, authority.NextTerm(term, e.leaseEra, version)
 	callCtx, cancel := context.WithTimeout(ctx, leaseWriteTimeout)
 	written, err := e.config.Store.Commit(callCtx, cuminlift.RowTransaction{
+		Era: era,
 		Require: []cuminlift.Row{{
 			Table:   leaseTable,
 			Key:     leaseKey,
@@ -243,7 +266,7 @@
 			Key:     e.config.Settings.Name,
 			Version: e.rowVersion,
 		}},
-		Put: []cuminlift.Row{leaseRow(e.config.Settings.Name, e.incarnation, term+1, 0)},
+		Put: []cuminlift.Row{leaseRow(e.config.Settings.Name, e.incarnation, next, 0)},
 	})
 	cancel()
 	e.ticketClient.mutex.Lock()
@@ -252,7 +275,7 @@
 	if rows, conflict := conflictRows(err); conflict {
 		// What the monitor knows still holds, such as a resignation whose last renewal came in between.
 		if containsLease(rows) {
-			e.recordLease(rows)
+			e.recordLease(rows, era)
 		}
 		e.checkRegistration(ctx)
 		return
@@ -263,7 +286,13 @@
 		return
 	}
 	e.ticketClient.resumeStoreReads(nil)
-	c := newCoordinator(ctx, e.config, e.log, e.view, e.incarnation, term+1, written, sentAt)
+	c := newCoordinator(ctx, e.config, e.log, e.view, e.incarnation, next, written, sentAt)
+	c.leaseEra = era
+	c.store = e.store
+	c.register = func(ctx context.Context) error {
+		_, _, err := e.putInstanceRow(ctx)
+		return err
+	}
 	c.tables = e.tables
 	c.departures = e.departures
 	c.run()
@@ -279,4 +308,5 @@
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
 	t.monitor = authority.NewMonitor(e.clock.Now())
+	t.monitor.EraChanged(e.store.currentEra())
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -58,21 +58,25 @@
 	if _, err := rand.Read(incarnation); err != nil {
 		return nil, fmt.Errorf("generating the incarnation: %w", err)
 	}
+	counters := newCounters()
 	store := &watchedStore{
-		store: config.Store,
-		clock: config.Clock,
+		store:    config.Store,
+		clock:    config.Clock,
+		log:      loggers.For("configuration"),
+		counters: counters,
 	}
 	config.Store = store
 	g := &Gateway{
 		config:   config,
 		log:      loggers.For("daemon"),
-		counters: newCounters(),
+		counters: counters,
 	}
 	g.follower = newFollower(config, loggers.For("configuration"))
 	g.ticketClient = newTicketClient(config, loggers.For("instance"), g.follower.view)
 	g.ticketClient.storeReachable = func() bool { return g.follower.storeReachable(storeProbeValidity) }
 	g.ticketClient.requestStoreProbe = func() { g.follower.probeStore(context.Background()) }
 	g.ticketClient.departures = g.follower
+	g.ticketClient.store = store
 	g.follower.instances = g.ticketClient.knownInstances
 	g.ticketClient.tables = []*tableFeed{g.follower.configuration, g.follower.upstreams}
 	store.feeds = g.ticketClient.tables
@@ -94,6 +98,7 @@
 		view:         g.follower.view,
 		tables:       g.ticketClient.tables,
 		departures:   g.follower,
+		store:        store,
 		incarnation:  hex.EncodeToString(incarnation),
 		readPause:    storeRetryPause,
 	}
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -135,6 +135,16 @@
 	k.c.Assert(err, qt.IsNil)
 }
 
+func (k *cluster) remove(table, key string) {
+	_, err := k.store.Commit(context.Background(), cuminlift.RowTransaction{
+		Remove: []cuminlift.Row{{
+			Table: table,
+			Key:   key,
+		}},
+	})
+	k.c.Assert(err, qt.IsNil)
+}
+
 func (k *cluster) configure(version int, service string) {
 	k.put("op", "config", fmt.Sprintf(`{"version":%d,"limits":{"max_body_bytes":100},
  "listeners":[{"host":"a.example","rules":[
--- a/internal/gateway/keys.go
+++ b/internal/gateway/keys.go
@@ -31,7 +31,10 @@
 		s.assigner.SetUpstreams(c.keyHolders(now, s, v.list))
 	}
 	actions := s.assigner.Advance(now)
-	if actions.Record != nil {
+	switch {
+	case s.rowEra != c.store.currentEra():
+		c.rewriteAssignment(s)
+	case actions.Record != nil:
 		c.writeAssignment(s, actions.Record)
 	}
 	for _, call := range actions.Grants {
--- a/internal/gateway/lease.go
+++ b/internal/gateway/lease.go
@@ -21,11 +21,12 @@
 	c.lastRenewal = now
 	c.leaseBeat++
 	row := leaseRow(c.config.Settings.Name, c.incarnation, c.term, c.leaseBeat)
-	version := c.leaseVersion
+	version, era := c.leaseVersion, c.leaseEra
 	go func() {
 		ctx, cancel := context.WithTimeout(c.ctx, leaseWriteTimeout)
 		defer cancel()
 		written, err := c.config.Store.Commit(ctx, cuminlift.RowTransaction{
+			Era: era,
 			Require: []cuminlift.Row{{
 				Table:   leaseTable,
 				Key:     leaseKey,
@@ -56,6 +57,10 @@
 
 func (c *coordinator) handleRenewal(now, sentAt time.Duration, version uint64, err error) {
 	c.renewing = false
+	var eraError *cuminlift.EraError
+	if errors.As(err, &eraError) {
+		return // The lease is written again at the next tick.
+	}
 	if err == nil {
 		if failingSince, failing := c.leadership.StoreFailing(); failing {
 			c.wakeFeeds(failingSince)
--- a/internal/gateway/links.go
+++ b/internal/gateway/links.go
@@ -34,13 +34,18 @@
 	// current is nil while disconnected. Only the coordinator's goroutine accesses it.
 	current frameConn
 	// tableVersions are the versions of the tables that the instance has, and tablesSent is true once it was sent what it lacks.
-	tableVersions map[string]uint64
+	tableVersions map[string]tableVersion
 	tablesSent    bool
 	// ticketServices holds the service of each open ticket, by the instance's ID of the ticket.
 	ticketServices map[uint64]*serviceState
 	cancel         context.CancelFunc
 }
 
+// tableVersion is a version and the era of the store in which it was given out.
+type tableVersion struct {
+	era, version uint64
+}
+
 // globalID turns an instance's ticket ID into one that is unique among all instances.
 func (l *link) globalID(id uint64) uint64 {
 	return l.number<<40 | id&(1<<40-1)
@@ -68,10 +73,14 @@
 		// Only the coordinator reads this table.
 		instances: func() int { return 1 },
 	}
-	rows := map[string]registeredInstance{}
+	var mutex sync.Mutex
+	rows, unconfirmed := map[string]registeredInstance{}, map[string]bool{}
 	apply := func(list []cuminlift.Row) {
+		mutex.Lock()
+		defer mutex.Unlock()
 		for _, row := range list {
 			delete(rows, row.Key)
+			delete(unconfirmed, row.Key)
 			instance := &schema.InstanceRow{}
 			if row.Removed || proto.Unmarshal(row.Value, instance) != nil || instance.GetName() == "" {
 				continue
@@ -90,8 +99,25 @@
 	// follow returns only when the context ends.
 	_ = f.follow(c.ctx, newTableFeed(&tableFeed{
 		table: instanceTable,
-		replaceRows: func(list []cuminlift.Row) {
-			clear(rows)
+		replaceRows: func(list []cuminlift.Row, newEra bool) {
+			mutex.Lock()
+			if newEra {
+				// Instances whose rows are lost register again. Until then they may still hold the lease or take it.
+				for name := range rows {
+					unconfirmed[name] = true
+				}
+				time.AfterFunc(eraGrace, func() {
+					mutex.Lock()
+					for name := range unconfirmed {
+						delete(rows, name)
+					}
+					mutex.Unlock()
+					apply(nil)
+				})
+			} else {
+				clear(rows)
+			}
+			mutex.Unlock()
 			apply(list)
 		},
 		applyChanges: apply,
@@ -152,7 +178,7 @@
 		downSince:      now,
 		number:         c.nextLinkNumber,
 		coordinator:    c,
-		tableVersions:  map[string]uint64{},
+		tableVersions:  map[string]tableVersion{},
 		ticketServices: map[uint64]*serviceState{},
 		cancel:         cancel,
 	}
@@ -281,7 +307,9 @@
 		return
 	}
 	c.lastPrune = now
-	var transaction cuminlift.RowTransaction
+	transaction := cuminlift.RowTransaction{
+		Era: c.leaseEra,
+	}
 	for name, l := range c.links {
 		if l.downSince == 0 || now-l.downSince < pruneAfter || len(transaction.Remove) == maxPruned {
 			continue
@@ -365,7 +393,8 @@
 	}
 	l.tablesSent = true
 	for _, feed := range c.tables {
-		if frame, ok := feed.frameSince(l.tableVersions[feed.table]); ok {
+		known := l.tableVersions[feed.table]
+		if frame, ok := feed.frameSince(known.era, known.version); ok {
 			l.send(frame)
 		} else {
 			l.tablesSent = false
--- a/internal/gateway/poll.go
+++ b/internal/gateway/poll.go
@@ -16,8 +16,10 @@
 // tableFeed follows a table, either by reading the store or by rows that the coordinator forwards.
 type tableFeed struct {
 	table string
-	// replaceRows handles all rows of the table, applyChanges only changed ones.
-	replaceRows, applyChanges func([]cuminlift.Row)
+	// replaceRows handles all rows of the table; newEra is true if they come from an older copy of the store. applyChanges handles
+	// changed ones.
+	replaceRows  func(rows []cuminlift.Row, newEra bool)
+	applyChanges func([]cuminlift.Row)
 	// onRecovered is called when the store replies again after failing for some time.
 	onRecovered func(ctx context.Context, failed time.Duration)
 	// pause is the time between reads. A burst of changes then takes one call.
@@ -35,6 +37,8 @@
 	listener func(page cuminlift.RowPage, whole bool, since uint64)
 	// failingSince is when the store began to fail, 0 while it works or is not read.
 	failingSince time.Duration
+	// applied is true once a page has been applied.
+	applied bool
 	// forwardedVersion is the version up to which all changes were passed to the listener.
 	forwardedVersion uint64
 	// woken has an element if the pause before the next read is to end at once.
@@ -72,6 +76,8 @@
 		if errors.As(err, &compacted) {
 			f.log.WithField("after", compacted.After).Info("history is no longer available, reading the whole table")
 			feed.forget()
+			// Many instances lose the history at the same time.
+			feed.wait(ctx, max(changeBatchInterval, jitter(f.readPause(feed))))
 			continue
 		}
 		if err != nil {
@@ -96,6 +102,7 @@
 			f.log.WithFields(logrus.Fields{
 				"table":   feed.table,
 				"version": page.Version,
+				"era":     page.Era,
 			}).Info("a late answer of the store is passed over")
 			feed.wait(ctx, pause)
 			continue
@@ -210,15 +217,17 @@
 }
 
 func (t *tableFeed) applyPageLocked(page cuminlift.RowPage, whole bool, since uint64) bool {
+	eraBefore := t.known.Era()
 	news, ok := t.known.Apply(page, whole, since)
 	if !ok {
 		return false
 	}
 	if whole {
-		t.replaceRows(news.Rows)
+		t.replaceRows(news.Rows, t.applied && page.Era > eraBefore)
 	} else if len(news.Rows) > 0 {
 		t.applyChanges(news.Rows)
 	}
+	t.applied = true
 	if t.listener != nil && (whole || len(news.Rows) > 0) {
 		t.listener(news, whole, t.forwardedVersion)
 		t.forwardedVersion = news.Version
@@ -232,6 +241,19 @@
 	t.known.Invalidate()
 }
 
+// reload starts a new read of the whole table at once, unless the rows are forwarded.
+func (t *tableFeed) reload() {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	if t.source != nil {
+		return
+	}
+	t.known.Invalidate()
+	if t.cancelPoll != nil {
+		t.cancelPoll()
+	}
+}
+
 func (t *tableFeed) forwarded() bool {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
@@ -243,6 +265,7 @@
 func (t *tableFeed) handleForwarded(from frameConn, rows *schema.TableRows) (changed bool) {
 	page := cuminlift.RowPage{
 		Version: rows.GetVersion(),
+		Era:     rows.GetEra(),
 	}
 	for _, row := range rows.GetRows() {
 		page.Rows = append(page.Rows, cuminlift.Row{
@@ -293,20 +316,20 @@
 	t.forwardedVersion = t.known.SyncedVersion()
 }
 
-// version returns the version up to which the table is known.
-func (t *tableFeed) version() uint64 {
+// version returns the version up to which the table is known, and its era.
+func (t *tableFeed) version() (version, era uint64) {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
-	return t.known.SyncedVersion()
+	return t.known.SyncedVersion(), t.known.Era()
 }
 
-// frameSince returns the message that brings an instance up to date that knows the table up to version. ok is false before
-// the first read, and while the rows are outdated: the store fails, or the instance knows newer ones.
-func (t *tableFeed) frameSince(version uint64) (frame *schema.Frame, ok bool) {
+// frameSince returns the message that brings an instance up to date that knows the table up to version of an era. ok is false
+// before the first read, and while the rows are outdated: the store fails, or the instance knows newer ones.
+func (t *tableFeed) frameSince(era, version uint64) (frame *schema.Frame, ok bool) {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
-	page, whole, ok := t.known.Since(version)
-	if !ok || t.failingSince != 0 || version > page.Version {
+	page, whole, ok := t.known.Since(era, version)
+	if !ok || t.failingSince != 0 || era > page.Era || (era == page.Era && version > page.Version) {
 		return nil, false
 	}
 	frame = rowsFrame(t.table, page, whole, version)
@@ -321,6 +344,7 @@
 		Version: page.Version,
 		Whole:   whole,
 		Since:   since,
+		Era:     page.Era,
 	}
 	for _, row := range page.Rows {
 		message.Rows = append(message.Rows, &schema.TableRow{
--- a/internal/gateway/poll_test.go
+++ b/internal/gateway/poll_test.go
@@ -46,6 +46,14 @@
 		for name := range k.instances {
 			k.waitServing(name)
 		}
+		// The coordinator may take over the reads of an instance that has read later than itself only after its next read.
+		for handedOver := false; !handedOver; {
+			before := store.reads.Load()
+			version++
+			k.configure(version, "keyed")
+			time.Sleep(300 * time.Millisecond)
+			handedOver = store.reads.Load()-before <= 2
+		}
 		before := store.reads.Load()
 		for range 10 {
 			version++
--- a/internal/gateway/queue.go
+++ b/internal/gateway/queue.go
@@ -50,8 +50,12 @@
 // handleBeatReply handles an instance's acknowledgement of a heartbeat.
 func (c *coordinator) handleBeatReply(l *link, reply *schema.BeatReply) {
 	for _, t := range reply.GetTables() {
-		l.tableVersions[t.GetTable()] = t.GetVersion()
+		l.tableVersions[t.GetTable()] = tableVersion{
+			era:     t.GetEra(),
+			version: t.GetVersion(),
+		}
 	}
+	c.store.learnEra(reply.GetEra())
 	c.sendTables(l)
 	c.leadership.Acknowledged(l.name, time.Duration(reply.GetSequence()), reply.GetStoreReached())
 }
--- a/internal/gateway/tickets.go
+++ b/internal/gateway/tickets.go
@@ -51,6 +51,8 @@
 	// storeReachable reports whether the store replied recently, and requestStoreProbe starts a probe of it.
 	storeReachable    func() bool
 	requestStoreProbe func()
+	// store tells the era.
+	store *watchedStore
 	// departures keeps the upstreams that have said that they leave.
 	departures departureKeeper
 	// tables are read from the store or forwarded by the coordinator.
--- a/internal/gateway/view.go
+++ b/internal/gateway/view.go
@@ -50,6 +50,10 @@
 	// Until graceUntil, upstreams whose entries disappear are kept; missing holds them.
 	graceUntil time.Duration
 	missing    map[string]bool
+	// held are the rows of an older copy of the store that may be out of date, and keptZones the zones that it doesn't exclude and that
+	// were excluded before. Both are decided at graceUntil, or when they are written again.
+	held      map[string]cuminlift.Row
+	keptZones map[string]bool
 	// departures are the upstreams that have said in answers that they leave.
 	departures roster.Departures
 }
@@ -79,6 +83,11 @@
 	// registrationGrace is how long after the store's recovery missing entries are kept: upstreams whose entries expired
 	// while the store was down register again within two seconds.
 	registrationGrace = 2300 * time.Millisecond
+	// eraGrace is how long after the store has come back from an older copy what it says is compared with what was known before.
+	// Upstreams and operators write again meanwhile, and entries of upstreams that have ended expire.
+	eraGrace = 4 * time.Second
+	// clockTolerance is how much earlier than the clock a timer may fire.
+	clockTolerance = 5 * time.Millisecond
 	// minOutage is the shortest outage of the store in which entries can expire: less than three of the shortest heartbeats.
 	minOutage = time.Second
 )
@@ -91,6 +100,8 @@
 		clock:     config.Clock,
 		rows:      map[string]upstreamRow{},
 		missing:   map[string]bool{},
+		held:      map[string]cuminlift.Row{},
+		keptZones: map[string]bool{},
 		instances: func() int { return 1 },
 		next: view{
 			list: roster.Snapshot{
@@ -207,11 +218,15 @@
 func (f *follower) configurationFeed() *tableFeed {
 	return newTableFeed(&tableFeed{
 		table: f.registry.ConfigurationTable(),
-		replaceRows: func(rows []cuminlift.Row) {
+		replaceRows: func(rows []cuminlift.Row, newEra bool) {
 			f.update(func() {
+				before := f.next.list.ExcludedZones
 				f.next.list.ExcludedZones = map[string]bool{}
 				f.applyOperatorRows(rows)
 				f.next.configured = true
+				if newEra {
+					f.keepZones(before)
+				}
 			})
 		},
 		applyChanges: func(rows []cuminlift.Row) {
@@ -250,7 +265,19 @@
 	}
 }
 
+// keepZones keeps zones excluded that an older copy of the store doesn't exclude: it may lack the order.
+func (f *follower) keepZones(before map[string]bool) {
+	for zone := range before {
+		if !f.next.list.ExcludedZones[zone] {
+			f.next.list.ExcludedZones[zone] = true
+			f.keptZones[zone] = true
+		}
+	}
+	f.startGrace(eraGrace)
+}
+
 func (f *follower) applyZone(zone string, row cuminlift.Row) {
+	delete(f.keptZones, zone)
 	if row.Removed {
 		delete(f.next.list.ExcludedZones, zone)
 	} else {
@@ -267,36 +294,80 @@
 func (f *follower) upstreamFeed() *tableFeed {
 	return newTableFeed(&tableFeed{
 		table: f.registry.UpstreamTable(),
-		replaceRows: func(rows []cuminlift.Row) {
-			f.update(func() { f.replaceUpstreams(rows) })
+		replaceRows: func(rows []cuminlift.Row, newEra bool) {
+			f.update(func() {
+				if newEra {
+					rows = f.holdOutdated(rows)
+				}
+				f.replaceUpstreams(rows)
+			})
 		},
 		applyChanges: func(rows []cuminlift.Row) {
 			f.update(func() { f.applyUpstreams(rows) })
 		},
-		onRecovered: func(ctx context.Context, failed time.Duration) {
+		onRecovered: func(_ context.Context, failed time.Duration) {
 			if failed > minOutage {
-				f.startRegistrationGrace(ctx)
+				f.update(func() { f.startGrace(registrationGrace) })
 			}
 		},
 		pause: changeBatchInterval,
 	})
 }
 
-// startRegistrationGrace keeps missing entries until live upstreams have had time to register again.
-func (f *follower) startRegistrationGrace(ctx context.Context) {
-	f.mutex.Lock()
-	f.graceUntil = f.clock.Now() + registrationGrace
-	f.mutex.Unlock()
-	time.AfterFunc(registrationGrace, func() {
-		if ctx.Err() != nil {
-			return
+// startGrace keeps missing entries until live upstreams have had time to register again. The caller holds the mutex.
+func (f *follower) startGrace(grace time.Duration) {
+	f.graceUntil = max(f.graceUntil, f.clock.Now()+grace)
+	time.AfterFunc(grace+clockTolerance, func() { f.update(f.endGrace) })
+}
+
+// endGrace decides on what was kept, unless a later grace period has begun.
+func (f *follower) endGrace() {
+	if f.clock.Now() < f.graceUntil {
+		return
+	}
+	for id := range f.missing {
+		f.removeUpstream(id)
+	}
+	for zone := range f.keptZones {
+		delete(f.next.list.ExcludedZones, zone)
+		f.log.WithField("zone", zone).Info("availability zone is no longer excluded: its order was lost and not written again")
+	}
+	var confirmed []cuminlift.Row
+	for _, row := range f.held {
+		confirmed = append(confirmed, row)
+	}
+	clear(f.keptZones)
+	clear(f.held)
+	f.applyUpstreams(confirmed)
+}
+
+// holdOutdated takes the rows of an older copy of the store and returns those to apply at once. An upstream that was gone before stays
+// so for now, and one that was leaving leaves, whatever the copy says.
+func (f *follower) holdOutdated(rows []cuminlift.Row) []cuminlift.Row {
+	now := f.clock.Now()
+	for id, known := range f.rows {
+		if known.upstream.Draining {
+			f.departures.Add(now, id, known.upstream.Incarnation)
 		}
-		f.update(func() {
-			for id := range f.missing {
-				f.removeUpstream(id)
-			}
-		})
-	})
+		known.version = 0 // Versions of different eras can't be compared.
+		f.rows[id] = known
+	}
+	var current []cuminlift.Row
+	for _, row := range rows {
+		known, wasKnown := f.rows[row.Key]
+		u, err := f.registry.Upstream(row)
+		if err == nil && (!wasKnown || u.Incarnation < known.upstream.Incarnation) {
+			f.held[row.Key] = row
+			continue
+		}
+		current = append(current, row)
+	}
+	f.log.WithFields(logrus.Fields{
+		"rows": len(rows),
+		"held": len(f.held),
+	}).Info("upstreams of an older copy of the store")
+	f.startGrace(eraGrace)
+	return current
 }
 
 func (f *follower) replaceUpstreams(rows []cuminlift.Row) {
@@ -305,7 +376,7 @@
 		present[row.Key] = true
 	}
 	for id := range f.rows {
-		if !present[id] {
+		if _, held := f.held[id]; !present[id] && !held {
 			f.handleMissing(id)
 		}
 	}
@@ -324,9 +395,10 @@
 
 func (f *follower) applyUpstreams(rows []cuminlift.Row) {
 	for _, row := range rows {
-		if known := f.rows[row.Key]; known.version >= row.Version {
+		if known, wasKnown := f.rows[row.Key]; wasKnown && known.version >= row.Version {
 			continue
 		}
+		delete(f.held, row.Key)
 		if row.Removed {
 			f.handleMissing(row.Key)
 			continue
