gateway: split three files, and one function reads assignments

The two places that read the rows of an assignment are one function. No change of behaviour; the package's tests pass.

--- a/internal/gateway/assignment.go
+++ b/internal/gateway/assignment.go
@@ -67,7 +67,14 @@
 
 // loadAssignment reads a service's assignment and creates its assigner.
 func (c *coordinator) loadAssignment(s *serviceState) {
-	if s.loading || s.assigner != nil {
+	if s.assigner == nil {
+		c.readAssignment(s, c.handleAssignment)
+	}
+}
+
+// readAssignment reads the rows of a service's assignment and passes them to handle, unless they are being read.
+func (c *coordinator) readAssignment(s *serviceState, handle func(now time.Duration, s *serviceState, page cuminlift.RowPage, err error)) {
+	if s.loading {
 		return
 	}
 	s.loading = true
@@ -75,12 +82,14 @@
 		ctx, cancel := context.WithTimeout(c.ctx, storeReadTimeout)
 		defer cancel()
 		page, err := c.config.Store.Rows(ctx, assignmentTable, s.name)
-		c.post(func(now time.Duration) { c.handleAssignment(now, s, page, err) })
+		c.post(func(now time.Duration) {
+			s.loading = false
+			handle(now, s, page, err)
+		})
 	}()
 }
 
 func (c *coordinator) handleAssignment(now time.Duration, s *serviceState, page cuminlift.RowPage, err error) {
-	s.loading = false
 	if err != nil {
 		c.log.WithField("service", s.name).WithError(err).Warn("reading the assignment failed")
 		return
--- a/internal/gateway/era.go
+++ b/internal/gateway/era.go
@@ -82,21 +82,14 @@
 
 // rewriteAssignment writes an assignment again after the store has come back from an older copy. Until then no keys are reassigned.
 func (c *coordinator) rewriteAssignment(s *serviceState) {
-	if s.loading || s.writing || c.store.currentEra() != c.leaseEra {
+	if s.writing || c.store.currentEra() != c.leaseEra {
 		return
 	}
-	s.loading = true
-	go func() {
-		ctx, cancel := context.WithTimeout(c.ctx, storeReadTimeout)
-		defer cancel()
-		page, err := c.config.Store.Rows(ctx, assignmentTable, s.name)
-		c.post(func(now time.Duration) { c.handleAssignmentCopy(now, s, page, err) })
-	}()
+	c.readAssignment(s, c.handleAssignmentCopy)
 }
 
 // handleAssignmentCopy replaces the assignment of an older copy of the store.
 func (c *coordinator) handleAssignmentCopy(now time.Duration, s *serviceState, page cuminlift.RowPage, err error) {
-	s.loading = false
 	if err != nil || page.Era != c.leaseEra {
 		c.log.WithField("service", s.name).WithError(err).Warn("reading the assignment to write it again failed")
 		return
--- a/internal/gateway/view.go
+++ b/internal/gateway/view.go
@@ -14,7 +14,6 @@
 	"cuminlift/core/replica"
 	"cuminlift/core/roster"
 	"cuminlift/core/route"
-	"cuminlift/schema"
 )
 
 // view is an immutable snapshot of the configuration and upstreams known to an instance.
@@ -131,40 +130,6 @@
 	f.current.Store(&snapshot)
 }
 
-// noteLeaving takes an upstream out of use that has said in an answer that it leaves, whatever its entry says. It reports whether
-// that is news.
-func (f *follower) noteLeaving(id string, incarnation int64) bool {
-	f.mutex.Lock()
-	defer f.mutex.Unlock()
-	if !f.departures.Add(f.clock.Now(), id, incarnation) {
-		return false
-	}
-	f.log.WithFields(logrus.Fields{
-		"upstream": id,
-		"born":     incarnation,
-	}).Info("upstream says that it leaves")
-	f.publish()
-	return true
-}
-
-// leaving reports whether an upstream has said in an answer that it leaves.
-func (f *follower) leaving(id string, incarnation int64) bool {
-	f.mutex.Lock()
-	defer f.mutex.Unlock()
-	return f.departures.Has(id, incarnation)
-}
-
-// departureNotices returns a message for each upstream that has said that it leaves.
-func (f *follower) departureNotices() []*schema.Frame {
-	f.mutex.Lock()
-	defer f.mutex.Unlock()
-	var list []*schema.Frame
-	f.departures.List(func(id string, incarnation int64) {
-		list = append(list, departureFrame(id, incarnation))
-	})
-	return list
-}
-
 func (f *follower) view() *view {
 	return f.current.Load()
 }
@@ -265,17 +230,6 @@
 	}
 }
 
-// keepZones keeps zones excluded that an older copy of the store doesn't exclude: it may lack the order.
-func (f *follower) keepZones(before map[string]bool) {
-	for zone := range before {
-		if !f.next.list.ExcludedZones[zone] {
-			f.next.list.ExcludedZones[zone] = true
-			f.keptZones[zone] = true
-		}
-	}
-	f.startGrace(eraGrace)
-}
-
 func (f *follower) applyZone(zone string, row cuminlift.Row) {
 	delete(f.keptZones, zone)
 	if row.Removed {
@@ -314,62 +268,6 @@
 	})
 }
 
-// startGrace keeps missing entries until live upstreams have had time to register again. The caller holds the mutex.
-func (f *follower) startGrace(grace time.Duration) {
-	f.graceUntil = max(f.graceUntil, f.clock.Now()+grace)
-	time.AfterFunc(grace+clockTolerance, func() { f.update(f.endGrace) })
-}
-
-// endGrace decides on what was kept, unless a later grace period has begun.
-func (f *follower) endGrace() {
-	if f.clock.Now() < f.graceUntil {
-		return
-	}
-	for id := range f.missing {
-		f.removeUpstream(id)
-	}
-	for zone := range f.keptZones {
-		delete(f.next.list.ExcludedZones, zone)
-		f.log.WithField("zone", zone).Info("availability zone is no longer excluded: its order was lost and not written again")
-	}
-	var confirmed []cuminlift.Row
-	for _, row := range f.held {
-		confirmed = append(confirmed, row)
-	}
-	clear(f.keptZones)
-	clear(f.held)
-	f.applyUpstreams(confirmed)
-}
-
-// holdOutdated takes the rows of an older copy of the store and returns those to apply at once. An upstream that was gone before stays
-// so for now, and one that was leaving leaves, whatever the copy says.
-func (f *follower) holdOutdated(rows []cuminlift.Row) []cuminlift.Row {
-	now := f.clock.Now()
-	for id, known := range f.rows {
-		if known.upstream.Draining {
-			f.departures.Add(now, id, known.upstream.Incarnation)
-		}
-		known.version = 0 // Versions of different eras can't be compared.
-		f.rows[id] = known
-	}
-	var current []cuminlift.Row
-	for _, row := range rows {
-		known, wasKnown := f.rows[row.Key]
-		u, err := f.registry.Upstream(row)
-		if err == nil && (!wasKnown || u.Incarnation < known.upstream.Incarnation) {
-			f.held[row.Key] = row
-			continue
-		}
-		current = append(current, row)
-	}
-	f.log.WithFields(logrus.Fields{
-		"rows": len(rows),
-		"held": len(f.held),
-	}).Info("upstreams of an older copy of the store")
-	f.startGrace(eraGrace)
-	return current
-}
-
 func (f *follower) replaceUpstreams(rows []cuminlift.Row) {
 	present := map[string]bool{}
 	for _, row := range rows {
