--- a/store.go
+++ b/store.go
@@ -59,7 +59,7 @@
 	return fmt.Sprintf("%d rows changed since they were read: read them again and retry with a new decision", len(e.Rows))
 }
 
-// EraError reports that the store has come back from an older copy and rose its era. Changes since the copy are lost, and versions are
+// EraError reports that the store has come back from an older copy and raised its era. Changes since the copy are lost, and versions are
 // given out again. A transaction may have been applied: a version that it required may exist again.
 type EraError struct {
 	Want, Have uint64
