gateway: one log entry for a coordinator, whatever its term

The entry was replaced when the lease was written again, while other goroutines of the coordinator log with it. The line that tells of the rewriting names the new term instead. The two tests of a store that comes back older pass with the race detector.

--- a/internal/gateway/coordinator.go
+++ b/internal/gateway/coordinator.go
@@ -28,10 +28,10 @@
 type coordinator struct {
 	config Config
 	clock  cuminlift.Clock
-	// baseLog lacks the term, which log has.
-	baseLog, log *logrus.Entry
-	view         func() *view
-	term         uint64
+	// log names the term in which the coordinator started. term is a later one once the lease has been written again.
+	log  *logrus.Entry
+	view func() *view
+	term uint64
 	// incarnation distinguishes this start of the instance from others.
 	incarnation string
 
@@ -129,7 +129,6 @@
 	return &coordinator{
 		config:        config,
 		clock:         config.Clock,
-		baseLog:       log,
 		log:           log.WithField("term", term),
 		view:          currentView,
 		term:          term,
--- a/internal/gateway/era.go
+++ b/internal/gateway/era.go
@@ -65,15 +65,15 @@
 				return
 			}
 			c.leaseEra, c.term = page.Era, term
-			c.log = c.baseLog.WithField("term", term)
 			c.log.WithFields(logrus.Fields{
 				"era":         page.Era,
+				"new-term":    term,
 				"copy-term":   lease.GetTerm(),
 				"copy-holder": lease.GetName(),
 			}).Info("lease written again")
 			go func() {
 				if err := c.register(c.ctx); err != nil {
-					c.baseLog.WithError(err).Warn("registering again failed: the instance does so once another is the coordinator")
+					c.log.WithError(err).Warn("registering again failed: the instance does so once another is the coordinator")
 				}
 			}()
 		})
