gateway: log which request an upstream ended under

After a broken connection the instance now looks whether anything still listens at the upstream's address, and logs that with two fingerprints of the request: of its content, and of its content and its caller's address. Both are the same on all instances. Nothing is decided by them yet.

--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -45,6 +45,7 @@
 	receivedAt time.Time
 	deadline   time.Time
 	state      request.Request
+	identity   request.Identity
 	avoid      string
 }
 
@@ -106,6 +107,7 @@
 		return nil, -1
 	}
 	c.body = body
+	c.identity = request.NewIdentity(stripPort(r.RemoteAddr), r.Method, r.Host, r.URL.RequestURI(), body)
 	c.deadline = receivedAt.Add(matched.Timeout)
 	if text := r.Header.Get(h.config.Headers.Deadline); text != "" {
 		ms, err := strconv.ParseInt(text, 10, 64)
@@ -260,6 +262,24 @@
 	}
 	h.ticketClient.reportEnd(result, c.service, outcome, time.Since(sentAt), nil)
 	h.logFailedAttempt(c, result, sentAt, err.Error(), 0)
+	if outcome == schema.TicketOutcome_lost {
+		h.checkCrash(ctx, c, result)
+	}
+}
+
+// checkCrash reports whether the upstream of an attempt whose connection broke has ended. One that is alive may reset connections,
+// for example while it is full.
+func (h *requestHandler) checkCrash(ctx context.Context, c *call, result ticketResult) bool {
+	crashed := h.upstreamClient.Refuses(ctx, result.address)
+	h.log.WithFields(logrus.Fields{
+		"request":  c.requestID,
+		"content":  strconv.FormatUint(c.identity.Content, 16),
+		"caller":   strconv.FormatUint(c.identity.Caller, 16),
+		"upstream": result.upstream,
+		"born":     result.incarnation,
+		"crashed":  crashed,
+	}).Info("connection broke under a request")
+	return crashed
 }
 
 // handleResponse forwards a response to the caller, or reports false to leave the call to another attempt.
@@ -278,6 +298,9 @@
 		c.advance(h, request.Lost)
 		h.ticketClient.reportEnd(result, c.service, schema.TicketOutcome_lost, took, report)
 		h.logFailedAttempt(c, result, sentAt, "response incomplete or unsigned", response.Status)
+		if err != nil && ctx.Err() == nil {
+			h.checkCrash(ctx, c, result)
+		}
 		return false
 	case response.Status >= 500:
 		h.ticketClient.reportEnd(result, c.service, schema.TicketOutcome_erred, took, report)
@@ -357,6 +380,7 @@
 	}
 	h.log.WithFields(logrus.Fields{
 		"request":  c.requestID,
+		"content":  strconv.FormatUint(c.identity.Content, 16),
 		"route":    c.route.Name,
 		"service":  c.service,
 		"key":      int64(c.key) - 1,
--- a/io/upstream/client.go
+++ b/io/upstream/client.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"syscall"
 	"time"
 )
 
@@ -114,6 +115,22 @@
 	return cl.pool.dials.Load()
 }
 
+// crashCheckTimeout bounds the check whether an upstream has ended. A machine that is alive refuses a connection within a round trip.
+const crashCheckTimeout = 100 * time.Millisecond
+
+// Refuses reports whether no process listens at address. An open connection is kept for later requests.
+func (cl *Client) Refuses(ctx context.Context, address string) bool {
+	ctx, cancel := context.WithTimeout(ctx, crashCheckTimeout)
+	defer cancel()
+	cl.pool.dials.Add(1)
+	c, err := dial(ctx, address)
+	if err != nil {
+		return errors.Is(err, syscall.ECONNREFUSED)
+	}
+	cl.pool.put(address, c, 0)
+	return false
+}
+
 // Do sends request and returns once the head of the response is received. An error is a *NotSentError or an
 // *UnknownOutcomeError. The end of ctx closes the connection, upon which most upstreams abandon the request.
 func (cl *Client) Do(ctx context.Context, request Request) (*Response, error) {
