--- a/internal/standin/keyholder/keyholder.go
+++ b/internal/standin/keyholder/keyholder.go
@@ -25,12 +25,16 @@
 	Keyed bool
 	// ServiceTime is the time that a request runs.
 	ServiceTime time.Duration
+	// CrashPath is the path of requests that end the upstream once they have run for ServiceTime, empty for none.
+	CrashPath string
 }
 
 // Upstream is a running test upstream.
 type Upstream struct {
 	config Config
 	server *httptest.Server
+	// crashed is true once the upstream has crashed.
+	crashed atomic.Bool
 	mutex  sync.Mutex
 	leases map[uint32]lease
 	// runs counts the executions of each request by its Request-Id header.
@@ -80,6 +84,17 @@
 	u.server.Close()
 }
 
+// Crash closes the listener and all connections at once.
+func (u *Upstream) Crash() {
+	u.crashed.Store(true)
+	u.server.Config.Close()
+}
+
+// Crashed reports whether the upstream has crashed.
+func (u *Upstream) Crashed() bool {
+	return u.crashed.Load()
+}
+
 // RunCounts returns how often each request was run, by its Request-Id header.
 func (u *Upstream) RunCounts() map[string]int {
 	u.mutex.Lock()
@@ -236,6 +251,10 @@
 	u.runs[name]++
 	u.mutex.Unlock()
 	time.Sleep(u.config.ServiceTime)
+	if u.config.CrashPath != "" && r.URL.Path == u.config.CrashPath {
+		u.Crash()
+		return
+	}
 	w.Header().Set("Response-Signature", u.config.ID)
 	fmt.Fprintf(w, "%s for %s", u.config.ID, name)
 }
