gateway: the queue statistics say how many upstreams are taken for unreachable

Instances without paths to upstreams refuse nearly all requests as too-late, and so do instances that have their paths. The log can't tell whether upstreams are taken for unreachable on the word of the former or are out of capacity. The statistics now count them.

--- a/core/dispatch/stats.go
+++ b/core/dispatch/stats.go
@@ -8,8 +8,8 @@
 // Stats describes the state of a pool.
 type Stats struct {
 	// Waiting and Running count requests. Usable, Cold, Blocked, Full and Limited count upstreams; an upstream is full when all
-	// of its slots are in use, and limited while it names a limit.
-	Waiting, Running, Usable, Cold, Blocked, Full, Limited int
+	// of its slots are in use, limited while it names a limit, and unreachable from a failed connection to its next answer.
+	Waiting, Running, Usable, Cold, Blocked, Full, Limited, Unreachable int
 	// MedianLatency is the median of the upstreams' average latencies.
 	MedianLatency time.Duration
 	// Overcommit is the number of requests sent to an upstream beyond its slots, as a fraction of the slots.
@@ -45,6 +45,9 @@
 		if u.limiter.rate > 0 {
 			stats.Limited++
 		}
+		if u.suspect {
+			stats.Unreachable++
+		}
 	}
 	return stats
 }
--- a/internal/gateway/coordinator.go
+++ b/internal/gateway/coordinator.go
@@ -341,19 +341,20 @@
 	for _, s := range c.services {
 		stats := s.pool.Stats(now)
 		c.log.WithFields(logrus.Fields{
-			"service": s.name,
-			"waiting": stats.Waiting,
-			"running": stats.Running,
-			"usable":  stats.Usable,
-			"full":    stats.Full,
-			"limited": stats.Limited,
-			"cold":    stats.Cold,
-			"blocked": stats.Blocked,
-			"usual":   stats.MedianLatency,
-			"lead":    stats.Overcommit,
-			"sent":    stats.Sent,
-			"refused": stats.Refused,
-			"events":  len(c.ticketEvents),
+			"service":     s.name,
+			"waiting":     stats.Waiting,
+			"running":     stats.Running,
+			"usable":      stats.Usable,
+			"full":        stats.Full,
+			"limited":     stats.Limited,
+			"cold":        stats.Cold,
+			"blocked":     stats.Blocked,
+			"unreachable": stats.Unreachable,
+			"usual":       stats.MedianLatency,
+			"lead":        stats.Overcommit,
+			"sent":        stats.Sent,
+			"refused":     stats.Refused,
+			"events":      len(c.ticketEvents),
 		}).Info("queue statistics")
 	}
 }
