gateway: a test that fails: callers of instances without paths to upstreams (KNOWN-RED)

Two of three instances, the coordinator among them, are partitioned from all upstreams in three ways. For it the upstream client takes the function that opens connections, as the key client already does. Red by design until the fix.

--- a/internal/gateway/config.go
+++ b/internal/gateway/config.go
@@ -71,6 +71,8 @@
 	ParsePause func(text string) time.Duration
 	// ParseLimit parses the limit that an upstream names.
 	ParseLimit func(text string) dispatch.Limit
+	// DialUpstream opens connections for callers' requests, nil for the default.
+	DialUpstream upstream.DialFunc
 	// ProbeClient sends health checks to upstreams.
 	ProbeClient *http.Client
 	// Log receives log lines. Its Write must not block.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -85,7 +85,7 @@
 		log:            loggers.For("caller"),
 		view:           g.follower.view,
 		ticketClient:   g.ticketClient,
-		upstreamClient: upstream.NewClient(config.Headers),
+		upstreamClient: newUpstreamClient(config),
 		counters:       g.counters,
 		buffers:        newBodyBuffers(config.Settings.MemoryBytes),
 		splitter:       route.NewSplitter(),
@@ -105,6 +105,13 @@
 	return g, nil
 }
 
+func newUpstreamClient(config Config) *upstream.Client {
+	if config.DialUpstream == nil {
+		return upstream.NewClient(config.Headers)
+	}
+	return upstream.NewClientWithDial(config.Headers, config.DialUpstream)
+}
+
 // Run serves until ctx ends, then shuts down gracefully within the settings' ShutdownTimeout.
 func (g *Gateway) Run(ctx context.Context) error {
 	debug.SetGCPercent(gcPercent)
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -31,6 +31,7 @@
 	rows         cuminlift.RowStore
 	instances    map[string]*instance
 	upstreams    map[string]*keyholder.Upstream
+	paths        map[string]*paths
 	requestCount int
 }
 
@@ -46,6 +47,7 @@
 		store:     rowstore.New(),
 		instances: map[string]*instance{},
 		upstreams: map[string]*keyholder.Upstream{},
+		paths:     map[string]*paths{},
 	}
 	k.rows = k.store
 	for i := range instances {
@@ -86,11 +88,15 @@
 		RetryWindow:      10 * time.Second,
 		RetrySlack:       58,
 	}
+	if k.paths[name] == nil {
+		k.paths[name] = &paths{}
+	}
 	g, err := gateway.New(gateway.Config{
 		Settings:         settings,
 		Store:            k.rows,
 		Registry:         platform.RowRegistry{},
-		KeyClient:        platform.NewKeyClient(&http.Client{}),
+		KeyClient:        platform.NewKeyClient(k.paths[name].client()),
+		DialUpstream:     k.paths[name].dial,
 		Clock:            clock.NewBootClock(),
 		Headers:          platform.Headers(),
 		KeyCount:         platform.KeyCount,
@@ -100,7 +106,7 @@
 		ParseLimit:       platform.ParseLimit,
 		ParsePause:       platform.ParsePause,
 		ParseLeaving:     platform.ParseLeaving,
-		ProbeClient:      &http.Client{},
+		ProbeClient:      k.paths[name].client(),
 		Log:              testLog(),
 	})
 	k.c.Assert(err, qt.IsNil)
--- /dev/null
+++ b/internal/gateway/paths_test.go
@@ -0,0 +1,212 @@
+package gateway_test
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"cuminlift/io/upstream"
+	"cuminlift/platform"
+)
+
+// paths are the network paths of one instance to the upstreams, which can be partitioned.
+type paths struct {
+	mutex sync.Mutex
+	kind  partition
+	conns []*pathConn
+}
+
+// partition is the kind of a partition.
+type partition int
+
+const (
+	intact partition = iota
+	// silent: nothing arrives any more, and new connections time out.
+	silent
+	// reset: open connections are reset, new ones refused.
+	reset
+	// old: open connections live on, new ones are refused.
+	old
+)
+
+// pathConn is a connection that a partition may cut.
+type pathConn struct {
+	*net.TCPConn
+	paths *paths
+}
+
+func (p *paths) current() partition {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	return p.kind
+}
+
+func (p *paths) set(kind partition) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	p.kind = kind
+	if kind == reset {
+		for _, conn := range p.conns {
+			conn.Close()
+		}
+	}
+	p.conns = nil
+}
+
+func (p *paths) dial(ctx context.Context, network, address string) (net.Conn, error) {
+	switch p.current() {
+	case silent:
+		timeout := time.NewTimer(300 * time.Millisecond)
+		defer timeout.Stop()
+		select {
+		case <-ctx.Done():
+		case <-timeout.C:
+		}
+		return nil, &net.OpError{
+			Op:  "dial",
+			Err: os.ErrDeadlineExceeded,
+		}
+	case reset, old:
+		return nil, &net.OpError{
+			Op:  "dial",
+			Err: os.NewSyscallError("connect", syscall.ECONNREFUSED),
+		}
+	case intact:
+	}
+	conn, err := upstream.DialWithReset(300*time.Millisecond)(ctx, network, address)
+	if err != nil {
+		return nil, err
+	}
+	cut := &pathConn{
+		TCPConn: conn.(*net.TCPConn),
+		paths:   p,
+	}
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	p.conns = append(p.conns, cut)
+	return cut, nil
+}
+
+func (p *paths) client() *http.Client {
+	return &http.Client{
+		Transport: &http.Transport{
+			DialContext: p.dial,
+		},
+	}
+}
+
+// Read discards what arrives during a silent partition.
+func (c *pathConn) Read(data []byte) (int, error) {
+	for {
+		n, err := c.TCPConn.Read(data)
+		if err != nil || c.paths.current() != silent {
+			return n, err
+		}
+	}
+}
+
+// Write discards what is sent during a silent partition.
+func (c *pathConn) Write(data []byte) (int, error) {
+	if c.paths.current() == silent {
+		return len(data), nil
+	}
+	return c.TCPConn.Write(data)
+}
+
+// firstAttempts sends requests through all instances at once, for a time that ends at until, and returns how many were sent through
+// those that are cut and the others after from, and how many of these were served.
+func (k *cluster) firstAttempts(cut map[string]bool, from, until time.Duration) (sent, served map[bool]int) {
+	sent, served = map[bool]int{}, map[bool]int{}
+	start := time.Now()
+	var mutex sync.Mutex
+	var group sync.WaitGroup
+	for name := range k.instances {
+		for caller := range 4 {
+			group.Add(1)
+			go func() {
+				defer group.Done()
+				for i := 0; time.Since(start) < until; i++ {
+					path, method := "/read/x", http.MethodGet
+					if caller == 0 {
+						path, method = "/order/x", http.MethodPost
+					}
+					sentAt := time.Since(start)
+					key := (i*7919 + caller*1001) % platform.KeyCount
+					status, _, _ := k.sendWithID(name, method, path, key, "", fmt.Sprint(name, "-", caller, "-", i))
+					mutex.Lock()
+					if sentAt >= from {
+						sent[cut[name]]++
+					}
+					if sentAt >= from && status == http.StatusOK {
+						served[cut[name]]++
+					}
+					mutex.Unlock()
+					time.Sleep(20 * time.Millisecond)
+				}
+			}()
+		}
+	}
+	group.Wait()
+	return sent, served
+}
+
+// Instances partitioned from all upstreams fail their callers, and make those of the others fail, while callers, the store and the
+// other instances reach them (RECOVER).
+func TestCallersOfInstancesWithoutPathsAreServed(t *testing.T) {
+	const contact, measured = 3 * time.Second, 4 * time.Second
+	for name, kind := range map[string]partition{
+		"silent": silent,
+		"reset":  reset,
+		"old":    old,
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			k := newCluster(c, 3)
+			k.configure(1, "keyed")
+			for i := range 6 {
+				k.upstream(fmt.Sprint("k", i), "keyed", "z1")
+				k.upstream(fmt.Sprint("p", i), "plain", "z1")
+			}
+			for name := range k.instances {
+				k.waitServing(name)
+			}
+			// The coordinator and another one, two of three, lose their paths.
+			coordinator := k.coordinator()
+			cut := map[string]bool{
+				coordinator: true,
+			}
+			for name := range k.instances {
+				if len(cut) < 2 {
+					cut[name] = true
+				}
+			}
+			for name := range cut {
+				k.paths[name].set(kind)
+			}
+			sent, served := k.firstAttempts(cut, contact, contact+measured)
+			failed := sent[true] + sent[false] - served[true] - served[false]
+			comment := qt.Commentf("without paths %d of %d, others %d of %d", served[true], sent[true], served[false], sent[false])
+			c.Check(3*served[true]*sent[false] >= 2*served[false]*sent[true], qt.IsTrue, comment)
+			c.Check(failed <= 10+(sent[true]+sent[false])/50, qt.IsTrue, comment)
+			for name := range cut {
+				k.paths[name].set(intact)
+			}
+			for name := range k.instances {
+				k.waitServing(name)
+			}
+			for _, u := range k.upstreams {
+				for request, runs := range u.RunCounts() {
+					c.Check(runs, qt.Equals, 1, qt.Commentf("%s", request))
+				}
+			}
+		})
+	}
+}
--- a/io/upstream/client.go
+++ b/io/upstream/client.go
@@ -104,9 +104,14 @@
 
 // NewClient returns a Client. It connects on first use.
 func NewClient(headers Headers) *Client {
+	return NewClientWithDial(headers, DialWithReset(connectTimeout))
+}
+
+// NewClientWithDial returns a Client that connects by dial.
+func NewClientWithDial(headers Headers, dial DialFunc) *Client {
 	return &Client{
 		headers: headers,
-		pool:    newConnectionPool(),
+		pool:    newConnectionPool(dial),
 	}
 }
 
@@ -122,8 +127,7 @@
 func (cl *Client) Refuses(ctx context.Context, address string) bool {
 	ctx, cancel := context.WithTimeout(ctx, crashCheckTimeout)
 	defer cancel()
-	cl.pool.dials.Add(1)
-	c, err := dial(ctx, address)
+	c, err := cl.pool.connect(ctx, address)
 	if err != nil {
 		return errors.Is(err, syscall.ECONNREFUSED)
 	}
--- a/io/upstream/connection.go
+++ b/io/upstream/connection.go
@@ -104,13 +104,15 @@
 
 // connectionPool holds idle connections by address.
 type connectionPool struct {
+	dial  DialFunc
 	mutex sync.Mutex
 	idle  map[string][]*connection
 	dials atomic.Int64
 }
 
-func newConnectionPool() *connectionPool {
+func newConnectionPool(dial DialFunc) *connectionPool {
 	return &connectionPool{
+		dial: dial,
 		idle: map[string][]*connection{},
 	}
 }
@@ -129,8 +131,7 @@
 		}
 		c.abort()
 	}
-	p.dials.Add(1)
-	return dial(ctx, address)
+	return p.connect(ctx, address)
 }
 
 // pop removes and returns the most recently used idle connection, or nil.
@@ -186,9 +187,12 @@
 	}
 }
 
+// DialFunc opens a connection, which must have a file descriptor. Closing it must reset it.
+type DialFunc func(ctx context.Context, network, address string) (net.Conn, error)
+
 // DialWithReset returns a dial function whose connections are reset when they are closed, so that unsent data is
 // discarded.
-func DialWithReset(timeout time.Duration) func(ctx context.Context, network, address string) (net.Conn, error) {
+func DialWithReset(timeout time.Duration) DialFunc {
 	dialer := Dialer(timeout)
 	return func(ctx context.Context, _, address string) (net.Conn, error) {
 		conn, err := dialer.DialContext(ctx, "tcp4", address)
@@ -208,14 +212,19 @@
 	}
 }
 
-var dialUpstream = DialWithReset(connectTimeout)
-
-func dial(ctx context.Context, address string) (*connection, error) {
-	conn, err := dialUpstream(ctx, "tcp4", address)
+// connect opens a connection to address.
+func (p *connectionPool) connect(ctx context.Context, address string) (*connection, error) {
+	p.dials.Add(1)
+	conn, err := p.dial(ctx, "tcp4", address)
 	if err != nil {
 		return nil, err
 	}
-	raw, err := conn.(*net.TCPConn).SyscallConn()
+	descriptor, ok := conn.(syscall.Conn)
+	if !ok {
+		conn.Close()
+		return nil, fmt.Errorf("connection to %s has no file descriptor", address)
+	}
+	raw, err := descriptor.SyscallConn()
 	if err != nil {
 		conn.Close()
 		return nil, err
