gateway: send requests through another instance where the own path to upstreams is lost

Cause: what one instance can't do was taken for what nobody can do. An instance without a path had no other way for its requests; its word that an upstream is unreachable blocked and cooled it for all; its hanging attempts held the slots; attempts that were never sent used up attempts and retry budget; a coordinator without paths kept its authority while the grants of keys ran out.

Why this works: core/paths tells a lost path (several upstreams fail in turn, none is reached) from an upstream that has ended (one fails), and an instance then sends its requests through one that reaches most upstreams, which the coordinator has named before. The relay sends only to a start of an upstream that its own registry has as usable and that has not told it to pause or leave, and says whether an attempt without an answer was sent. A report of an unreachable upstream counts for all only if the upstream has answered nobody meanwhile. A coordinator resigns if upstreams that it doesn't reach answer others and a member reaches clearly more; instances that have lost most paths come last in the order of takeover. Requests without an answer for 0.5 s have their path probed.

--- a/core/authority/authority.go
+++ b/core/authority/authority.go
@@ -24,6 +24,8 @@
 	renewedAt time.Duration
 	// failingSince is when the store started to fail, 0 while it works.
 	failingSince time.Duration
+	// pathsLostSince is when the coordinator lost its paths to upstreams that hold keys, 0 while it has them.
+	pathsLostSince time.Duration
 	// members are the other registered instances.
 	members map[string]*member
 	// resigned is permanent once set.
@@ -36,6 +38,8 @@
 	// storeReached is true while the store responds to the member, since reachedSince.
 	storeReached bool
 	reachedSince time.Duration
+	// reachesUpstreams is true if the member has the paths that the coordinator has lost.
+	reachesUpstreams bool
 }
 
 // NewLeadership returns the leadership acquired by a write of the lease that was sent at sent.
@@ -87,6 +91,23 @@
 	}
 }
 
+// PathsLost records whether the coordinator has lost its paths to upstreams that hold keys.
+func (l *Leadership) PathsLost(now time.Duration, lost bool) {
+	switch {
+	case !lost:
+		l.pathsLostSince = 0
+	case l.pathsLostSince == 0:
+		l.pathsLostSince = now
+	}
+}
+
+// MemberPaths records whether a member has the paths that the coordinator has lost.
+func (l *Leadership) MemberPaths(name string, reachesUpstreams bool) {
+	if m := l.members[name]; m != nil {
+		m.reachesUpstreams = reachesUpstreams
+	}
+}
+
 // Resign ends the leadership permanently.
 func (l *Leadership) Resign() {
 	l.resigned = true
@@ -128,9 +149,20 @@
 // coordinator's own calls that were under way must have had the time to fail and to be repeated.
 const retryBeforeResigning = 1200 * time.Millisecond
 
+// resignWithoutPathsAfter is how long the paths to upstreams must be lost for the coordinator to resign. Grants last several times as
+// long.
+const resignWithoutPathsAfter = 200 * time.Millisecond
+
 // ShouldResign reports whether another instance is better placed to coordinate: the store goes on failing for this instance but
-// works for a member.
+// works for a member, or a member reaches upstreams that this instance can't grant keys to. Without the store none could follow.
 func (l *Leadership) ShouldResign(now time.Duration) bool {
+	if l.failingSince == 0 && l.pathsLostSince != 0 && now-l.pathsLostSince >= resignWithoutPathsAfter {
+		for _, m := range l.members {
+			if m.reachesUpstreams && now-m.lastAcknowledged < LeaseDuration {
+				return true
+			}
+		}
+	}
 	if l.failingSince == 0 || now-l.failingSince < resignAfter {
 		return false
 	}
--- a/core/authority/authority_test.go
+++ b/core/authority/authority_test.go
@@ -568,3 +568,33 @@
 		})
 	}
 }
+
+// A coordinator without paths to upstreams lets the grants of their keys run out (RECOVER).
+func TestCoordinatorWithoutPathsResignsOnlyIfAnotherHasThem(t *testing.T) {
+	const ms = time.Millisecond
+	c := qt.New(t)
+	l := authority.NewLeadership(0)
+	l.SetMembers([]string{"n1", "n2"})
+	l.Acknowledged("n1", 900*ms, false)
+	l.Acknowledged("n2", 900*ms, false)
+	l.PathsLost(1000*ms, true)
+	c.Check(l.ShouldResign(1300*ms), qt.IsFalse)
+	l.MemberPaths("n2", true)
+	c.Check(l.ShouldResign(1100*ms), qt.IsFalse)
+	c.Check(l.ShouldResign(1200*ms), qt.IsTrue)
+	// Without the store none could follow.
+	l.RenewalFailed(1200 * ms)
+	c.Check(l.ShouldResign(1300*ms), qt.IsFalse)
+	l.Renewed(1300 * ms)
+	c.Check(l.ShouldResign(1300*ms), qt.IsTrue)
+	// A member that has not answered for long is no successor.
+	c.Check(l.ShouldResign(900*ms+authority.LeaseDuration), qt.IsFalse)
+	l.Acknowledged("n2", 2000*ms, false)
+	l.PathsLost(2000*ms, false)
+	c.Check(l.ShouldResign(2100*ms), qt.IsFalse)
+	// Whoever has paths comes first, however small.
+	for _, name := range []string{"a", "b", "c", "d", "e", "f"} {
+		without := authority.RankWithoutPaths(authority.Rank(name, 800, 800))
+		c.Check(without > authority.Rank("small-"+name, 100, 800), qt.IsTrue)
+	}
+}
--- a/core/authority/rank.go
+++ b/core/authority/rank.go
@@ -31,6 +31,14 @@
 	return rank
 }
 
+// withoutPathsDelay is added to the rank of an instance that can't reach upstreams. Those that can come first, also the small ones.
+const withoutPathsDelay = smallInstanceDelay + rankCount
+
+// RankWithoutPaths returns the rank of an instance that has lost its paths to upstreams.
+func RankWithoutPaths(rank int) int {
+	return rank + withoutPathsDelay
+}
+
 // First reports whether an instance of that rank is among those that try before the small ones.
 func First(rank int) bool {
 	return rank < rankCount
--- a/core/dispatch/pool.go
+++ b/core/dispatch/pool.go
@@ -185,7 +185,7 @@
 	q := p.queueFor(now, t)
 	wait, work := p.expectedWait(now, t, q)
 	own, others := p.pauseOf(now, t, q)
-	if t.Attempt > 0 && !p.budget.take(now) {
+	if t.Attempt > 0 && !t.Unsent && !p.budget.take(now) {
 		p.refuse(t, NoBudget, max(wait, others), work)
 		return
 	}
@@ -335,11 +335,11 @@
 			u.recordLatency(took)
 		}
 		u.recordOutcome(false)
-		u.recordAnswer(now, p)
+		u.recordAnswer(now, granted.sent, p)
 		p.config.Suspects.Answered(granted.identity, u.state.ID, granted.incarnation, granted.sent)
 	case Erred:
 		u.recordOutcome(true)
-		u.recordAnswer(now, p)
+		u.recordAnswer(now, granted.sent, p)
 		p.config.Suspects.Answered(granted.identity, u.state.ID, granted.incarnation, granted.sent)
 	case Shed:
 		u.recordOutcome(true)
@@ -347,9 +347,16 @@
 			u.backOff(now, 0)
 		}
 	case Unreachable, Crashed:
-		u.recordOutcome(true)
-		u.suspect = true
-		u.backOff(now, unreachableBlock)
+		triedAt := now - took
+		if outcome == Crashed {
+			triedAt = now // It was found to refuse connections after the attempt.
+		}
+		// If it has answered others meanwhile, only the path from this instance is lost.
+		if u.lastAnswered <= triedAt {
+			u.recordOutcome(true)
+			u.suspect, u.suspectedAt = true, triedAt
+			u.backOff(now, unreachableBlock)
+		}
 	case Lost:
 		u.recordOutcome(true)
 	case Misdirected:
@@ -358,11 +365,16 @@
 	}
 }
 
-// recordAnswer records that the upstream is alive.
-func (u *upstream) recordAnswer(now time.Duration, p *Pool) {
+// recordAnswer records that the upstream is alive and has answered a request that was sent at sent.
+func (u *upstream) recordAnswer(now, sent time.Duration, p *Pool) {
 	u.blockCount = 0
 	u.lastAnswered = now
-	if u.suspect {
+	switch {
+	case u.suspect && sent < u.suspectedAt:
+		// The same start of it was at work all the while, so that only the path from another instance is lost.
+		u.suspect = false
+		u.blockedUntil = 0
+	case u.suspect:
 		u.suspect = false
 		u.coldUntil = max(u.coldUntil, now+p.service.ColdDuration)
 	}
@@ -397,7 +409,7 @@
 // MarkReachable records that an upstream to which connections failed is reachable again.
 func (p *Pool) MarkReachable(now time.Duration, id string) {
 	if u := p.upstreams[id]; u != nil {
-		u.recordAnswer(now, p)
+		u.recordAnswer(now, now, p)
 		u.blockedUntil = 0
 	}
 }
--- a/core/dispatch/stats.go
+++ b/core/dispatch/stats.go
@@ -86,6 +86,14 @@
 	return u != nil && u.suspect
 }
 
+// LastAnswered returns when an upstream last answered, 0 for never.
+func (p *Pool) LastAnswered(id string) time.Duration {
+	if u := p.upstreams[id]; u != nil {
+		return u.lastAnswered
+	}
+	return 0
+}
+
 // responsiveWindow is how long an answer counts as evidence that an upstream is alive.
 const responsiveWindow = 700 * time.Millisecond
 
--- a/core/dispatch/ticket.go
+++ b/core/dispatch/ticket.go
@@ -27,6 +27,8 @@
 	// Attempt counts from 0. Avoid is the upstream used by the previous attempt.
 	Attempt int
 	Avoid   string
+	// Unsent is true if no earlier attempt was sent, so that this one takes nothing of the retry budget.
+	Unsent bool
 	// Identity is the same for each repeat of the request.
 	Identity request.Identity
 	// arrived is when the ticket was submitted.
--- a/core/dispatch/upstream.go
+++ b/core/dispatch/upstream.go
@@ -35,8 +35,9 @@
 	blockedUntil time.Duration
 	blockCount   int
 	// suspect is true from a failed connection until the next answer. The upstream may have restarted in between, and
-	// be cold.
-	suspect bool
+	// be cold. suspectedAt is when that connection was tried.
+	suspect     bool
+	suspectedAt time.Duration
 	// slowness is the last reported latency in percent of normal, and slownessAt is when the report arrived.
 	slowness   uint32
 	slownessAt time.Duration
--- /dev/null
+++ b/core/paths/paths_test.go
@@ -0,0 +1,140 @@
+package paths_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"cuminlift/core/paths"
+)
+
+const ms = time.Millisecond
+
+// One upstream that has ended must not send all requests through other instances.
+func TestOneFailedUpstreamIsNoLostPath(t *testing.T) {
+	c := qt.New(t)
+	var m paths.Monitor
+	for i := range 5 {
+		m.Failed(time.Duration(i)*ms, time.Duration(i)*ms, "s", "u0")
+	}
+	c.Check(m.Lost("s"), qt.IsFalse)
+	c.Check(m.Avoid("s", "u0"), qt.IsTrue)
+	c.Check(m.Avoid("s", "u1"), qt.IsFalse)
+	m.Failed(10*ms, 10*ms, "s", "u1")
+	c.Check(m.Lost("s"), qt.IsTrue)
+	c.Check(m.Avoid("s", "u2"), qt.IsTrue)
+	c.Check(m.Avoid("other", "u2"), qt.IsFalse)
+	m.Reached(20*ms, "s", "u2")
+	c.Check(m.Lost("s"), qt.IsFalse)
+	c.Check(m.Avoid("s", "u0"), qt.IsTrue)
+	m.Reached(30*ms, "s", "u0")
+	c.Check(m.Avoid("s", "u0"), qt.IsFalse)
+}
+
+// Attempts that began before the path was back fail after it.
+func TestLateFailuresAreNoLostPath(t *testing.T) {
+	c := qt.New(t)
+	var m paths.Monitor
+	m.Reached(100*ms, "s", "u9")
+	for i := range 5 {
+		m.Failed(200*ms, 50*ms, "s", fmt.Sprint("u", i))
+	}
+	c.Check(m.Lost("s"), qt.IsFalse)
+}
+
+// An instance whose coordinator's keys lapse because it reaches one upstream of many (a partition of most of them).
+func TestOthersReachWhatThisInstanceDoesNot(t *testing.T) {
+	c := qt.New(t)
+	var m paths.Monitor
+	answered := map[string]time.Duration{}
+	lastAnswered := func(id string) time.Duration { return answered[id] }
+	for i := range 3 {
+		id := fmt.Sprint("u", i)
+		answered[id] = 95 * ms // The last answer before it ended, or was partitioned.
+		m.Failed(100*ms, 90*ms, "s", id)
+	}
+	m.Reached(110*ms, "s", "u9")
+	c.Check(m.OthersReach("s", lastAnswered), qt.IsFalse)
+	answered["u0"], answered["u1"] = 190*ms, 190*ms // Reported late.
+	c.Check(m.OthersReach("s", lastAnswered), qt.IsFalse)
+	answered["u0"] = 300 * ms
+	c.Check(m.OthersReach("s", lastAnswered), qt.IsFalse)
+	answered["u1"] = 300 * ms
+	c.Check(m.OthersReach("s", lastAnswered), qt.IsTrue)
+	c.Check(m.MostlyLost("s", 9), qt.IsFalse)
+	c.Check(m.MostlyLost("s", 4), qt.IsTrue)
+	c.Check(m.FailedCount(), qt.Equals, 3)
+	c.Check(paths.Reaches(1, 3), qt.IsTrue)
+	c.Check(paths.Reaches(2, 3), qt.IsFalse)
+}
+
+// Upstreams that end or are taken out must not be probed for ever.
+func TestProbesAreSpacedAndForgotten(t *testing.T) {
+	c := qt.New(t)
+	var m paths.Monitor
+	known := func(string, string) bool { return true }
+	for i := range 10 {
+		m.Failed(0, 0, "s", fmt.Sprint("u", i))
+	}
+	c.Check(m.DueProbes(400*ms, known), qt.HasLen, 0)
+	c.Check(m.DueProbes(500*ms, known), qt.HasLen, 3)
+	probed := map[string]bool{}
+	for now := 510 * ms; now < 900*ms; now += 100 * ms {
+		for _, p := range m.DueProbes(now, known) {
+			c.Check(probed[p.Upstream], qt.IsFalse, qt.Commentf("%s is probed twice within 0.5 s", p.Upstream))
+			probed[p.Upstream] = true
+		}
+	}
+	m.DueProbes(time.Second, func(string, string) bool { return false })
+	c.Check(m.FailedCount(), qt.Equals, 0)
+	c.Check(m.Lost("s"), qt.IsFalse)
+}
+
+// A slow answer alone is no reason to open more connections.
+func TestStalledRequestIsProbedOnlyIfNothingIsAnswered(t *testing.T) {
+	c := qt.New(t)
+	var m paths.Monitor
+	m.Reached(100*ms, "s", "u0")
+	c.Check(m.Stalled(600*ms, 50*ms, "s"), qt.IsFalse)
+	c.Check(m.Stalled(700*ms, 200*ms, "s"), qt.IsTrue)
+	c.Check(m.Stalled(800*ms, 300*ms, "s"), qt.IsFalse)
+	m.Failed(1000*ms, 700*ms, "s", "u0")
+	c.Check(m.Stalled(1010*ms, 500*ms, "s"), qt.IsTrue)
+}
+
+func TestRelaysAreNearAndUsedInTurn(t *testing.T) {
+	c := qt.New(t)
+	var all []paths.Relay
+	for i := range 9 {
+		all = append(all, paths.Relay{
+			Name: fmt.Sprint("n", i),
+			Zone: fmt.Sprint("z", i%3),
+		})
+	}
+	chosen := paths.ChooseRelays(all, "n3", "z0", 3, 4)
+	c.Assert(chosen, qt.HasLen, 4)
+	c.Check(chosen[0].Zone+chosen[1].Zone, qt.Equals, "z0z0")
+	for _, r := range chosen {
+		c.Check(r.Name, qt.Not(qt.Equals), "n3")
+	}
+	var r paths.Relays
+	_, ok := r.Next(0)
+	c.Check(ok, qt.IsFalse)
+	r.Set(chosen[:2])
+	first, _ := r.Next(0)
+	second, _ := r.Next(0)
+	c.Check(first.Name, qt.Not(qt.Equals), second.Name)
+	r.Failed(0, first.Name)
+	for range 3 {
+		next, ok := r.Next(ms)
+		c.Check(ok, qt.IsTrue)
+		c.Check(next.Name, qt.Equals, second.Name)
+	}
+	r.Failed(0, second.Name)
+	_, ok = r.Next(ms)
+	c.Check(ok, qt.IsFalse)
+	_, ok = r.Next(time.Second)
+	c.Check(ok, qt.IsTrue)
+}
--- a/internal/gateway/config.go
+++ b/internal/gateway/config.go
@@ -22,6 +22,8 @@
 	// FrontAddress serves callers, ReadyAddress the platform's readiness checks, PeerAddress connections of the
 	// coordinator, and MetricsAddress metrics; MetricsAddress may be empty.
 	FrontAddress, ReadyAddress, PeerAddress, MetricsAddress string
+	// RelayAddress serves requests that other instances can't send to upstreams themselves; it may be empty.
+	RelayAddress string
 	// StoreAddress is the address of the platform's store.
 	StoreAddress string
 	// MemoryBytes is the memory limit of the process, 0 for none.
--- a/internal/gateway/coordinator.go
+++ b/internal/gateway/coordinator.go
@@ -11,6 +11,7 @@
 	"cuminlift/core/authority"
 	"cuminlift/core/dispatch"
 	"cuminlift/core/keyspace"
+	"cuminlift/core/paths"
 	"cuminlift/core/roster"
 	"cuminlift/schema"
 )
@@ -61,6 +62,11 @@
 	// spread holds the upstreams of which all instances have been told that they leave.
 	departures departureKeeper
 	spread     roster.Departures
+	// paths are those of this instance.
+	paths *pathMonitor
+	// relaysDueAt is when instances may next be told of relays, and lastRelays are those that they were told of.
+	relaysDueAt time.Duration
+	lastRelays  []paths.Relay
 	// suspects are shared by the pools of all services.
 	suspects  *dispatch.Suspects
 	cancel    context.CancelFunc
@@ -313,6 +319,8 @@
 	c.forwardPages()
 	c.resendTables()
 	c.announceSuspicions(now)
+	c.announceRelays(now)
+	c.comparePaths(now)
 	c.pruneInstances(now)
 	v := c.view()
 	if v.table == nil || !v.listed {
--- a/internal/gateway/coordinator_conn.go
+++ b/internal/gateway/coordinator_conn.go
@@ -77,6 +77,10 @@
 		if body.Notice.GetLeaving() {
 			t.departures.noteLeaving(body.Notice.GetUpstream(), body.Notice.GetBorn())
 		}
+	case *schema.Frame_Relays:
+		if conn == t.frameConn {
+			t.relays.Set(decodeRelays(body.Relays))
+		}
 	case *schema.Frame_Suspicions:
 		if conn == t.frameConn {
 			t.suspects.Replace(decodeSuspicions(t.clock.Now(), body.Suspicions))
@@ -123,6 +127,8 @@
 		Era:          t.store.currentEra(),
 		Sequence:     beat.GetSequence(),
 		StoreReached: t.storeReachable(),
+
+		FailedUpstreams: uint32(t.failedUpstreams()),
 	}
 	for _, feed := range t.tables {
 		version, era := feed.version()
--- a/internal/gateway/election.go
+++ b/internal/gateway/election.go
@@ -24,6 +24,7 @@
 	// tables are forwarded by the coordinator.
 	tables      []*tableFeed
 	departures  departureKeeper
+	paths       *pathMonitor
 	store       *watchedStore
 	incarnation string
 	// lastRead is when the lease was last read, and readPause the minimum time until the next read.
@@ -74,6 +75,8 @@
 		Zone:    e.config.Settings.Zone,
 
 		CpuPermille: permille(e.config.Settings.CPUShare),
+
+		RelayAddress: e.config.Settings.RelayAddress,
 	}
 	value, err := proto.Marshal(row)
 	if err != nil {
@@ -172,8 +175,12 @@
 func (e *elector) checkLease(ctx context.Context) (version, term uint64, acquire bool) {
 	t := e.ticketClient
 	now := e.clock.Now()
+	holdersLost := e.paths.holdersLost()
 	t.mutex.Lock()
 	rank := authority.Rank(e.config.Settings.Name, permille(e.config.Settings.CPUShare), t.maxCPUPermille)
+	if holdersLost {
+		rank = authority.RankWithoutPaths(rank)
+	}
 	suspects := t.monitor.ShouldReadLease(now, rank)
 	due := now >= t.monitor.NextLeaseRead(rank) && now-e.lastRead > e.readPause
 	t.mutex.Unlock()
@@ -295,6 +302,7 @@
 	}
 	c.tables = e.tables
 	c.departures = e.departures
+	c.paths = e.paths
 	c.run()
 }
 
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -28,6 +28,7 @@
 	ticketClient   *ticketClient
 	requestHandler *requestHandler
 	elector        *elector
+	paths          *pathMonitor
 	counters       *counters
 }
 
@@ -80,12 +81,23 @@
 	g.follower.instances = g.ticketClient.knownInstances
 	g.ticketClient.tables = []*tableFeed{g.follower.configuration, g.follower.upstreams}
 	store.feeds = g.ticketClient.tables
+	client := newUpstreamClient(config)
+	g.paths = &pathMonitor{
+		clock:  config.Clock,
+		log:    loggers.For("instance"),
+		view:   g.follower.view,
+		client: client,
+		lost:   map[string]bool{},
+	}
+	g.ticketClient.failedUpstreams = g.paths.failedCount
 	g.requestHandler = &requestHandler{
 		config:         config,
 		log:            loggers.For("caller"),
 		view:           g.follower.view,
 		ticketClient:   g.ticketClient,
-		upstreamClient: newUpstreamClient(config),
+		upstreamClient: client,
+		relayClient:    upstream.NewClient(config.Headers),
+		paths:          g.paths,
 		counters:       g.counters,
 		buffers:        newBodyBuffers(config.Settings.MemoryBytes),
 		splitter:       route.NewSplitter(),
@@ -98,6 +110,7 @@
 		view:         g.follower.view,
 		tables:       g.ticketClient.tables,
 		departures:   g.follower,
+		paths:        g.paths,
 		store:        store,
 		incarnation:  hex.EncodeToString(incarnation),
 		readPause:    storeRetryPause,
@@ -130,6 +143,12 @@
 	if err != nil {
 		return fmt.Errorf("listening for readiness checks: %w", err)
 	}
+	var relayListener net.Listener
+	if address := g.config.Settings.RelayAddress; address != "" {
+		if relayListener, err = net.Listen("tcp4", address); err != nil {
+			return fmt.Errorf("listening for requests of other instances: %w", err)
+		}
+	}
 	g.log.Info("instance starts")
 	callerServer := &http.Server{
 		Handler:           g.requestHandler,
@@ -140,6 +159,11 @@
 		Handler:           g.readinessHandler(),
 		ReadHeaderTimeout: headerTimeout,
 	}
+	relayServer := &http.Server{
+		Handler:           http.HandlerFunc(g.requestHandler.serveRelay),
+		ReadHeaderTimeout: headerTimeout,
+		IdleTimeout:       idleTimeout,
+	}
 	groupCtx, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
 	group, groupCtx := errgroup.WithContext(groupCtx)
@@ -147,15 +171,19 @@
 	group.Go(func() error { return g.follower.follow(groupCtx, g.follower.upstreams) })
 	group.Go(func() error { return g.ticketClient.acceptPeers(groupCtx, peerListener) })
 	group.Go(func() error { return g.ticketClient.run(groupCtx) })
+	group.Go(func() error { return g.paths.run(groupCtx) })
 	// The elector gets ctx itself, so that a coordinator hands over as soon as shutdown begins.
 	group.Go(func() error { return g.elector.run(ctx) })
 	group.Go(func() error { return ignoreServerClosed(callerServer.Serve(frontListener)) })
 	group.Go(func() error { return ignoreServerClosed(readinessServer.Serve(readyListener)) })
+	if relayListener != nil {
+		group.Go(func() error { return ignoreServerClosed(relayServer.Serve(relayListener)) })
+	}
 	g.serveMetrics(groupCtx, group)
 	group.Go(func() error {
 		select {
 		case <-ctx.Done():
-			g.shutdown(callerServer, readinessServer)
+			g.shutdown(callerServer, relayServer, readinessServer)
 		case <-groupCtx.Done():
 		}
 		cancel()
@@ -174,7 +202,7 @@
 }
 
 // shutdown reports not ready, keeps serving until new connections go elsewhere, and lets requests in progress finish.
-func (g *Gateway) shutdown(callerServer, readinessServer *http.Server) {
+func (g *Gateway) shutdown(callerServer, relayServer, readinessServer *http.Server) {
 	start := time.Now()
 	g.log.Info("instance is stopping")
 	g.requestHandler.stopping.Store(true)
@@ -185,6 +213,9 @@
 	if err := callerServer.Shutdown(ctx); err != nil {
 		g.log.WithError(err).Warn("shutdown timeout exceeded, aborting open requests")
 	}
+	if err := relayServer.Shutdown(ctx); err != nil {
+		g.log.WithError(err).Warn("shutdown timeout exceeded, aborting requests of other instances")
+	}
 	if err := readinessServer.Close(); err != nil {
 		g.log.WithError(err).Warn("closing the readiness server failed")
 	}
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -80,6 +80,7 @@
 		FrontAddress:     freeAddress(k.c),
 		ReadyAddress:     freeAddress(k.c),
 		PeerAddress:      freeAddress(k.c),
+		RelayAddress:     freeAddress(k.c),
 		MetricsAddress:   address,
 		StoreAddress:     "unused",
 		MaxGrantDuration: 10 * time.Second,
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -26,8 +26,11 @@
 	view           func() *view
 	ticketClient   *ticketClient
 	upstreamClient *upstream.Client
-	counters       *counters
-	buffers        *bodyBuffers
+	// relayClient sends requests to other instances that pass them on.
+	relayClient *upstream.Client
+	paths       *pathMonitor
+	counters    *counters
+	buffers     *bodyBuffers
 	// stopping is true once shutdown has begun.
 	stopping atomic.Bool
 
@@ -47,6 +50,10 @@
 	state      request.Request
 	identity   request.Identity
 	avoid      string
+	// arrivals counts the attempts that may have reached an upstream.
+	arrivals int
+	// pathFailed is true once an upstream could not be reached from this instance.
+	pathFailed bool
 }
 
 const (
@@ -136,7 +143,7 @@
 	defer cancel()
 	reason := ""
 	retryDelay := time.Duration(0)
-	for attempt := 0; attempt < c.route.Attempts && c.state.CanAttempt(); attempt++ {
+	for attempt := 0; attempt < c.route.Attempts+maxUnsentAttempts && c.arrivals < c.route.Attempts && c.state.CanAttempt(); attempt++ {
 		result, err := h.acquireTicket(ctx, c, attempt)
 		if err != nil {
 			reason = "time is over"
@@ -148,7 +155,7 @@
 			break
 		}
 		c.advance(h, request.Queued, request.Sent)
-		if h.attempt(ctx, w, r, c, result, attempt) {
+		if h.attempt(ctx, w, r, c, result) {
 			return
 		}
 		reason = "upstreams failed"
@@ -157,6 +164,10 @@
 	h.failCall(ctx, w, r, c, reason, retryDelay)
 }
 
+// maxUnsentAttempts is the number of attempts of a call, beyond those that its route allows, that may end without anything sent to an
+// upstream.
+const maxUnsentAttempts = 3
+
 // maxReturnedTickets is the number of tickets that a call returns before it is refused. Whoever grants them is told why, so that the
 // next one is for another upstream.
 const maxReturnedTickets = 3
@@ -196,13 +207,14 @@
 		ObjectiveMs: uint32(max(0, c.receivedAt.Add(c.route.Objective).Sub(now).Milliseconds())),
 		Attempt:     uint32(attempt),
 		Avoid:       c.avoid,
+		Unsent:      c.arrivals == 0,
 		Content:     c.identity.Content,
 		Caller:      c.identity.Caller,
 	}
 }
 
 // attempt sends the call to one upstream. It reports true once the caller has received a final response.
-func (h *requestHandler) attempt(ctx context.Context, w http.ResponseWriter, r *http.Request, c *call, result ticketResult, attempt int) bool {
+func (h *requestHandler) attempt(ctx context.Context, w http.ResponseWriter, r *http.Request, c *call, result ticketResult) bool {
 	sentAt := time.Now()
 	// A request that must not be repeated continues after its caller disconnects.
 	if !c.state.Idempotent {
@@ -210,23 +222,13 @@
 		ctx, cancel = context.WithDeadline(context.WithoutCancel(ctx), c.deadline)
 		defer cancel()
 	}
-	response, err := h.upstreamClient.Do(ctx, upstream.Request{
-		Address:    result.address,
-		Upstream:   result.upstream,
-		Method:     r.Method,
-		Target:     r.URL.RequestURI(),
-		Host:       r.Host,
-		Header:     r.Header,
-		Body:       c.body,
-		RequestID:  c.requestID,
-		Timeout:    time.Until(c.deadline),
-		AtMostOnce: !c.state.Idempotent,
-	})
+	response, relay, err := h.send(ctx, r, c, result)
 	c.avoid = result.upstream
 	if err != nil {
 		h.failAttempt(ctx, c, result, err, sentAt)
 		return false
 	}
+	c.arrivals++
 	defer response.Body.Close()
 	report := h.parseReport(response.Status, response.Header)
 	if response.NotRun {
@@ -243,24 +245,23 @@
 		}
 		return false
 	}
-	return h.handleResponse(ctx, w, c, result, response, sentAt, report, attempt)
+	return h.handleResponse(ctx, w, c, result, response, sentAt, report, relay)
 }
 
 func (h *requestHandler) failAttempt(ctx context.Context, c *call, result ticketResult, err error, sentAt time.Time) {
-	outcome := schema.TicketOutcome_lost
-	var notSent *upstream.NotSentError
+	state := failedState(err)
+	c.advance(h, state)
+	if state == request.Lost {
+		c.arrivals++
+	}
+	var relayed *relayError
+	outcome := schema.TicketOutcome_unreachable
 	switch {
-	case errors.As(err, &notSent):
-		c.advance(h, request.Refused)
-		outcome = schema.TicketOutcome_unreachable
-		if ctx.Err() != nil {
-			outcome = schema.TicketOutcome_abandoned
-		}
 	case ctx.Err() != nil:
-		c.advance(h, request.Lost)
 		outcome = schema.TicketOutcome_abandoned
-	default:
-		c.advance(h, request.Lost)
+	case errors.As(err, &relayed):
+		outcome = relayed.Outcome
+	case state == request.Lost:
 		outcome = h.brokenOutcome(ctx, c, result)
 	}
 	h.ticketClient.reportEnd(result, c.service, outcome, time.Since(sentAt), nil)
@@ -270,8 +271,16 @@
 // brokenOutcome returns the outcome of an attempt whose connection broke, which tells whether the upstream has ended. One that is
 // alive may reset connections, for example while it is full.
 func (h *requestHandler) brokenOutcome(ctx context.Context, c *call, result ticketResult) schema.TicketOutcome {
+	checkedAt := time.Now()
+	listening := h.upstreamClient.Check(ctx, result.address, crashCheckTimeout)
+	if listening == upstream.Listens {
+		h.paths.reached(c.service, result.upstream)
+	} else if ctx.Err() == nil {
+		h.paths.failed(c.service, result.upstream, time.Since(checkedAt))
+	}
 	outcome := schema.TicketOutcome_lost
-	crashed := h.upstreamClient.Refuses(ctx, result.address)
+	// If several upstreams refuse connections in turn, it is the path that is lost.
+	crashed := listening == upstream.Refused && !h.paths.lostPaths(c.service)
 	if crashed {
 		outcome = schema.TicketOutcome_crashed
 	}
@@ -286,8 +295,9 @@
 	return outcome
 }
 
-// handleResponse forwards a response to the caller, or reports false to leave the call to another attempt.
-func (h *requestHandler) handleResponse(ctx context.Context, w http.ResponseWriter, c *call, result ticketResult, response *upstream.Response, sentAt time.Time, report *dispatch.Report, attempt int) bool {
+// handleResponse forwards a response to the caller, or reports false to leave the call to another attempt. relay names the instance
+// through which it came, empty for none.
+func (h *requestHandler) handleResponse(ctx context.Context, w http.ResponseWriter, c *call, result ticketResult, response *upstream.Response, sentAt time.Time, report *dispatch.Report, relay string) bool {
 	if !response.BodyBuffered {
 		h.ticketClient.reportHead(result, c.service, time.Since(sentAt), report)
 	}
@@ -301,7 +311,7 @@
 	case err != nil || (success && !signed):
 		c.advance(h, request.Lost)
 		outcome := schema.TicketOutcome_lost
-		if err != nil && ctx.Err() == nil {
+		if err != nil && ctx.Err() == nil && relay == "" {
 			outcome = h.brokenOutcome(ctx, c, result)
 		}
 		h.ticketClient.reportEnd(result, c.service, outcome, took, report)
@@ -310,7 +320,7 @@
 	case response.Status >= 500:
 		h.ticketClient.reportEnd(result, c.service, schema.TicketOutcome_erred, took, report)
 		h.logFailedAttempt(c, result, sentAt, "upstream responded with an error", response.Status)
-		if c.state.Idempotent && attempt+1 < c.route.Attempts && time.Until(c.deadline) > took && response.Status != http.StatusGatewayTimeout {
+		if c.state.Idempotent && c.arrivals < c.route.Attempts && time.Until(c.deadline) > took && response.Status != http.StatusGatewayTimeout {
 			c.advance(h, request.Lost)
 			return false
 		}
--- a/internal/gateway/instances.go
+++ b/internal/gateway/instances.go
@@ -94,6 +94,7 @@
 		old := c.links[instance.GetName()]
 		if old != nil && old.address == instance.GetAddress() {
 			old.rowVersion = instance.version
+			old.relayAddress = instance.GetRelayAddress()
 			continue
 		}
 		if old != nil {
--- a/internal/gateway/keys.go
+++ b/internal/gateway/keys.go
@@ -88,6 +88,15 @@
 		sentAt := c.clock.Now()
 		err := c.config.KeyClient.Grant(ctx, call.Address, call.Grant)
 		result := grantResult(err)
+		switch result {
+		case keyspace.NotSent, keyspace.Refused, keyspace.NotAnswered:
+			if c.ctx.Err() == nil {
+				c.paths.failed(s.name, call.Upstream, c.clock.Now()-sentAt)
+			}
+		case keyspace.Granted, keyspace.StaleFence:
+			c.paths.reached(s.name, call.Upstream)
+		case keyspace.Gone, keyspace.Reset:
+		}
 		c.post(func(now time.Duration) {
 			s.assigner.Granted(now, sentAt, call, result)
 			if err != nil {
--- a/internal/gateway/links.go
+++ b/internal/gateway/links.go
@@ -16,7 +16,11 @@
 // link is the coordinator's connection to one instance. It reconnects when the connection is lost.
 type link struct {
 	name, zone, address string
-	cpuPermille         uint32
+	// relayAddress is empty if the instance sends no requests for others. failedUpstreams is the number of those that
+	// it does not reach.
+	relayAddress    string
+	failedUpstreams int
+	cpuPermille     uint32
 	// rowVersion is the version of the instance's row. downSince is when the connection was lost or first tried, 0 while connected.
 	rowVersion uint64
 	downSince  time.Duration
@@ -66,6 +70,7 @@
 		name:           instance.GetName(),
 		zone:           instance.GetZone(),
 		address:        instance.GetAddress(),
+		relayAddress:   instance.GetRelayAddress(),
 		cpuPermille:    instance.GetCpuPermille(),
 		rowVersion:     instance.version,
 		downSince:      now,
@@ -104,6 +109,7 @@
 				l.send(notice)
 			}
 			l.send(suspicionsFrame(now, l.coordinator.suspects.List(now)))
+			l.send(relaysFrame(l.coordinator.lastRelays, l))
 			l.tablesSent = false
 		})
 		l.serve(ctx, f)
--- a/internal/gateway/queue.go
+++ b/internal/gateway/queue.go
@@ -55,6 +55,7 @@
 			version: t.GetVersion(),
 		}
 	}
+	l.failedUpstreams = int(reply.GetFailedUpstreams())
 	c.store.learnEra(reply.GetEra())
 	c.sendTables(l)
 	c.leadership.Acknowledged(l.name, time.Duration(reply.GetSequence()), reply.GetStoreReached())
--- /dev/null
+++ b/internal/gateway/relays.go
@@ -0,0 +1,124 @@
+package gateway
+
+import (
+	"math"
+	"slices"
+	"strings"
+	"time"
+
+	"cuminlift/core/paths"
+	"cuminlift/schema"
+)
+
+const (
+	// relaysInterval is the shortest interval between lists of relays to all instances.
+	relaysInterval = 200 * time.Millisecond
+	// maxRelays bounds the relays that an instance is told of.
+	maxRelays = 8
+)
+
+// nextRelay returns an instance that may send a request for this one.
+func (t *ticketClient) nextRelay() (relay paths.Relay, ok bool) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	return t.relays.Next(t.clock.Now())
+}
+
+// relayFailed records that a relay did not pass a request on.
+func (t *ticketClient) relayFailed(name string) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	t.relays.Failed(t.clock.Now(), name)
+}
+
+// announceRelays tells all instances which others reach most upstreams, if that has changed.
+func (c *coordinator) announceRelays(now time.Duration) {
+	if now < c.relaysDueAt {
+		return
+	}
+	c.relaysDueAt = now + relaysInterval
+	candidates := c.relayCandidates()
+	if slices.Equal(candidates, c.lastRelays) {
+		return
+	}
+	c.lastRelays = candidates
+	for _, l := range c.links {
+		l.send(relaysFrame(candidates, l))
+	}
+}
+
+// relayCandidates returns the instances that reach most upstreams, in the order of their names.
+func (c *coordinator) relayCandidates() []paths.Relay {
+	fewest := math.MaxInt
+	for _, l := range c.links {
+		if l.current != nil {
+			fewest = min(fewest, l.failedUpstreams)
+		}
+	}
+	var candidates []paths.Relay
+	for _, l := range c.links {
+		if l.current != nil && l.relayAddress != "" && !paths.Reaches(fewest, l.failedUpstreams) {
+			candidates = append(candidates, paths.Relay{
+				Name:    l.name,
+				Zone:    l.zone,
+				Address: l.relayAddress,
+			})
+		}
+	}
+	slices.SortFunc(candidates, func(a, b paths.Relay) int { return strings.Compare(a.Name, b.Name) })
+	return candidates
+}
+
+func relaysFrame(candidates []paths.Relay, to *link) *schema.Frame {
+	message := &schema.Relays{}
+	for _, r := range paths.ChooseRelays(candidates, to.name, to.zone, int(to.index), maxRelays) {
+		message.Relays = append(message.Relays, &schema.Relay{
+			Name:    r.Name,
+			Zone:    r.Zone,
+			Address: r.Address,
+		})
+	}
+	return &schema.Frame{
+		Body: &schema.Frame_Relays{
+			Relays: message,
+		},
+	}
+}
+
+func decodeRelays(message *schema.Relays) []paths.Relay {
+	var list []paths.Relay
+	for _, r := range message.GetRelays() {
+		list = append(list, paths.Relay{
+			Name:    r.GetName(),
+			Zone:    r.GetZone(),
+			Address: r.GetAddress(),
+		})
+	}
+	return list
+}
+
+// comparePaths tells the leadership whether this instance lacks paths to upstreams that hold keys, and which others have them.
+func (c *coordinator) comparePaths(now time.Duration) {
+	own := c.paths.failedCount()
+	lost := own > 0 && c.lacksPaths()
+	c.leadership.PathsLost(now, lost)
+	if !lost {
+		return
+	}
+	for _, l := range c.links {
+		c.leadership.MemberPaths(l.name, l.current != nil && paths.Reaches(l.failedUpstreams, own))
+	}
+}
+
+// lacksPaths reports whether other instances reach upstreams that hold keys and that this one can't grant them to.
+func (c *coordinator) lacksPaths() bool {
+	if c.paths.holdersLost() {
+		return true
+	}
+	for _, s := range c.services {
+		if s.keyed && c.paths.othersReach(s.name, s.pool.LastAnswered) {
+			return true
+		}
+	}
+	return false
+}
--- a/internal/gateway/reports.go
+++ b/internal/gateway/reports.go
@@ -76,6 +76,23 @@
 	return true
 }
 
+// unwanted reports whether an upstream has said to this instance that it wants no requests.
+func (t *ticketClient) unwanted(upstream string, incarnation int64) bool {
+	if t.departures.leaving(upstream, incarnation) {
+		return true
+	}
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	return t.notices.Get(t.clock.Now(), upstream, incarnation).Pause > 0
+}
+
+// noteRelayed records what an upstream says of itself in the answer to a request that this instance has sent for another one.
+func (t *ticketClient) noteRelayed(result ticketResult, service string, took time.Duration, report *dispatch.Report) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	t.note(result, service, took, report)
+}
+
 // applyNotices passes on to a new local pool what upstreams have said to this instance.
 func (t *ticketClient) applyNotices(now time.Duration, pool *syncedPool, service string) {
 	for _, notice := range t.currentNotices(now) {
--- a/internal/gateway/tickets.go
+++ b/internal/gateway/tickets.go
@@ -11,6 +11,7 @@
 	"cuminlift/core/authority"
 	"cuminlift/core/dispatch"
 	"cuminlift/core/keyspace"
+	"cuminlift/core/paths"
 	"cuminlift/core/request"
 	"cuminlift/schema"
 )
@@ -81,7 +82,11 @@
 	notices dispatch.Notices
 	// suspects are used by the local pools, and told to new coordinators.
 	suspects *dispatch.Suspects
-	wake     chan struct{}
+	// relays are the instances that may send requests for this one.
+	relays paths.Relays
+	// failedUpstreams returns the number of upstreams that this instance does not reach.
+	failedUpstreams func() int
+	wake            chan struct{}
 }
 
 type waiter struct {
@@ -185,6 +190,7 @@
 		Objective:  objective,
 		Attempt:    int(request.GetAttempt()),
 		Avoid:      request.GetAvoid(),
+		Unsent:     request.GetUnsent(),
 		Identity:   identityOf(request),
 	}
 }
--- a/io/upstream/client.go
+++ b/io/upstream/client.go
@@ -120,19 +120,31 @@
 	return cl.pool.dials.Load()
 }
 
-// crashCheckTimeout bounds the check whether an upstream has ended. A machine that is alive refuses a connection within a round trip.
-const crashCheckTimeout = 100 * time.Millisecond
+// Listening is what an attempt to connect tells of an upstream.
+type Listening int
 
-// Refuses reports whether no process listens at address. An open connection is kept for later requests.
-func (cl *Client) Refuses(ctx context.Context, address string) bool {
-	ctx, cancel := context.WithTimeout(ctx, crashCheckTimeout)
+const (
+	// Unknown: nothing answered in time.
+	Unknown Listening = iota
+	// Refused: the connection was refused, as if no process listened.
+	Refused
+	// Listens: the connection was accepted.
+	Listens
+)
+
+// Check connects to address within timeout. An open connection is kept for later requests.
+func (cl *Client) Check(ctx context.Context, address string, timeout time.Duration) Listening {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	c, err := cl.pool.connect(ctx, address)
-	if err != nil {
-		return errors.Is(err, syscall.ECONNREFUSED)
+	switch {
+	case err == nil:
+		cl.pool.put(address, c, 0)
+		return Listens
+	case errors.Is(err, syscall.ECONNREFUSED):
+		return Refused
 	}
-	cl.pool.put(address, c, 0)
-	return false
+	return Unknown
 }
 
 // Do sends request and returns once the head of the response is received. An error is a *NotSentError or an
