io/upstream: one lost keep-alive probe no longer ends a connection

Callers whose request is at work for over a second behind a link that loses packets could lose it: the connection was given up after a single lost probe, though two are configured. It is 2.5 s now, so that both must be lost.

The same dialer serves the store, other instances and the key client.

--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -150,7 +150,6 @@
 		return
 	}
 	c := &call{
-		route:     nil,
 		service:   u.Service,
 		requestID: r.Header.Get(h.config.Headers.Request),
 		body:      body,
--- a/io/upstream/connection.go
+++ b/io/upstream/connection.go
@@ -19,8 +19,9 @@
 	// connectTimeout bounds the time to connect. It is far above a round trip, and short enough to try another upstream
 	// before the request's deadline.
 	connectTimeout = 300 * time.Millisecond
-	// unackedTimeout is how long sent data or keep-alive probes may stay unacknowledged before the connection fails.
-	unackedTimeout = 1500 * time.Millisecond
+	// unackedTimeout is how long sent data or keep-alive probes may stay unacknowledged before the connection fails. Once it is set, the
+	// system ignores the number of probes, so that it must be longer than the time until the second one.
+	unackedTimeout = 2500 * time.Millisecond
 	// defaultIdleTimeout is the idle timeout of connections whose upstream announces none. idleMargin is subtracted from an
 	// announced timeout, to allow for the transit time of the next request.
 	defaultIdleTimeout = 8 * time.Second
