gateway: one way to build an attempt, relay lists every 0.5 s, and a needless guard goes

From the read of the change: the request to an upstream was written out twice; lists of relays went out up to five times a second whenever the number of unreachable upstreams of any instance changed (with 295 instances, 118 KB each time), and instances pass over failed relays by themselves; no test failed without the check that an instance which has lost its paths reports no crashes: a break needs an open connection, so that one request brings one such crash, and the next answer of the upstream takes it back. Tests of paths, crashes and relays pass.

--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -279,8 +279,7 @@
 		h.paths.failed(c.service, result.upstream, time.Since(checkedAt))
 	}
 	outcome := schema.TicketOutcome_lost
-	// If several upstreams refuse connections in turn, it is the path that is lost.
-	crashed := listening == upstream.Refused && !h.paths.lostPaths(c.service)
+	crashed := listening == upstream.Refused
 	if crashed {
 		outcome = schema.TicketOutcome_crashed
 	}
--- a/internal/gateway/paths.go
+++ b/internal/gateway/paths.go
@@ -72,12 +72,6 @@
 	return p.monitor.Avoid(service, upstream)
 }
 
-func (p *pathMonitor) lostPaths(service string) bool {
-	p.mutex.Lock()
-	defer p.mutex.Unlock()
-	return p.monitor.Lost(service)
-}
-
 // failedCount returns the number of upstreams that this instance does not reach.
 func (p *pathMonitor) failedCount() int {
 	p.mutex.Lock()
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -49,9 +49,9 @@
 // Unwrap returns the cause, which may be nil.
 func (e *relayError) Unwrap() error { return e.Cause }
 
-// send sends the call to the upstream of its ticket, through another instance if there is no path.
-func (h *requestHandler) send(ctx context.Context, r *http.Request, c *call, result ticketResult) (response *upstream.Response, relay string, err error) {
-	attempt := upstream.Request{
+// newAttempt returns the attempt of a call at the upstream of its ticket.
+func newAttempt(r *http.Request, c *call, result ticketResult) upstream.Request {
+	return upstream.Request{
 		Address:    result.address,
 		Upstream:   result.upstream,
 		Method:     r.Method,
@@ -63,6 +63,11 @@
 		Timeout:    time.Until(c.deadline),
 		AtMostOnce: !c.state.Idempotent,
 	}
+}
+
+// send sends the call to the upstream of its ticket, through another instance if there is no path.
+func (h *requestHandler) send(ctx context.Context, r *http.Request, c *call, result ticketResult) (response *upstream.Response, relay string, err error) {
+	attempt := newAttempt(r, c, result)
 	if c.pathFailed || h.paths.avoid(c.service, result.upstream) {
 		if other, ok := h.ticketClient.nextRelay(); ok {
 			response, err = h.sendThrough(ctx, attempt, result, other)
@@ -174,18 +179,7 @@
 // relayAttempt makes one attempt for another instance, and passes on what it learns.
 func (h *requestHandler) relayAttempt(ctx context.Context, w http.ResponseWriter, r *http.Request, c *call, result ticketResult) {
 	sentAt := time.Now()
-	response, err := h.upstreamClient.Do(ctx, upstream.Request{
-		Address:    result.address,
-		Upstream:   result.upstream,
-		Method:     r.Method,
-		Target:     r.URL.RequestURI(),
-		Host:       r.Host,
-		Header:     r.Header,
-		Body:       c.body,
-		RequestID:  c.requestID,
-		Timeout:    time.Until(c.deadline),
-		AtMostOnce: !c.state.Idempotent,
-	})
+	response, err := h.upstreamClient.Do(ctx, newAttempt(r, c, result))
 	if err != nil {
 		h.refuseRelay(w, r, h.relayOutcome(ctx, c, result, err, sentAt))
 		return
--- a/internal/gateway/relays.go
+++ b/internal/gateway/relays.go
@@ -11,8 +11,8 @@
 )
 
 const (
-	// relaysInterval is the shortest interval between lists of relays to all instances.
-	relaysInterval = 200 * time.Millisecond
+	// relaysInterval is the shortest interval between lists of relays to all instances. Instances pass over relays that fail meanwhile.
+	relaysInterval = 500 * time.Millisecond
 	// maxRelays bounds the relays that an instance is told of.
 	maxRelays = 8
 )
