gateway: an upstream can't say in a relay's words that a request was not sent

Found in the read of the change: a relay passes an upstream's headers on, so that an upstream which has run a request could answer with the relay's own header and have it sent again, an order too. The relay now drops that header. TestUpstreamCannotSpeakForARelay failed before (outcome "unreachable") and passes.

--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -185,6 +185,7 @@
 		return
 	}
 	defer response.Body.Close()
+	response.Header.Del(relayOutcomeHeader) // Only this instance may say that nothing was sent.
 	h.paths.reached(c.service, result.upstream)
 	h.ticketClient.noteRelayed(result, c.service, time.Since(sentAt), h.parseReport(response.Status, response.Header))
 	reserved := h.buffers.reserve(response.Length)
--- a/internal/gateway/relay_test.go
+++ b/internal/gateway/relay_test.go
@@ -113,3 +113,28 @@
 		}
 	}
 }
+
+// An upstream that has run a request says in the relay's words that it was not sent, so that it is sent again.
+func TestUpstreamCannotSpeakForARelay(t *testing.T) {
+	c := qt.New(t)
+	k := newCluster(c, 1)
+	k.configure(1, "plain")
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("Request-Id", r.Header.Get("Request-Id"))
+		w.Header().Set("Response-Signature", "s")
+		w.Header().Set("Cuminlift-Relay-Outcome", "unreachable")
+		_, _ = io.WriteString(w, "ran")
+	}))
+	c.Cleanup(server.Close)
+	k.put("servers", "u", fmt.Sprintf(`{"service":"plain","addr":%q,"zone":"z1","slots":2,"state":"ready","warmup_left":"0ms","born":1}`,
+		server.Listener.Addr().String()))
+	eventually(func() bool {
+		_, outcome, body, err := k.relay("n0", "u", "1", "2000")
+		if err != nil || outcome == "abandoned" {
+			return false // Not listening yet, or the upstream is not known yet.
+		}
+		c.Check(outcome, qt.Equals, "")
+		c.Check(body, qt.Equals, "ran")
+		return true
+	})
+}
