gateway: two tests that stalled or failed beside heavy load

Traced by a dump of the goroutines and by reading: the first waited for an answer with the upstream's name although a rejection (421 while a grant lapses) or an answer that is late for its caller also says that the upstream leaves, after which no other comes; the second looked whether answers are under way only after its measurement, by when the route's 2 s may be over. Now any arrival at the upstream counts as having been told, which starts the measured time as early or earlier, and the answers under way are looked at during the measurement. Bounds are unchanged. Both pass twice with the race detector beside another whole run; the heavy load itself was not repeated. Before: the first test ran for ten minutes.

--- a/internal/gateway/endless_test.go
+++ b/internal/gateway/endless_test.go
@@ -93,14 +93,15 @@
 		}
 		open = append(open, conn)
 	}
-	highest := uint64(0)
+	highest, mostSending := uint64(0), int64(0)
 	for start := time.Now(); time.Since(start) < 1500*time.Millisecond; time.Sleep(100 * time.Millisecond) {
 		runtime.GC()
 		runtime.ReadMemStats(&during)
 		highest = max(highest, during.HeapAlloc)
+		mostSending = max(mostSending, sending.Load())
 	}
 	c.Check(highest < before.HeapAlloc+most, qt.IsTrue, qt.Commentf("%d MB more", (highest-before.HeapAlloc)>>20))
-	c.Check(sending.Load() > 0, qt.IsTrue)
+	c.Check(mostSending > 0, qt.IsTrue)
 	// The answers end with the route's time, although no caller reads or leaves.
 	for start := time.Now(); answering() > 0 || sending.Load() > 0; time.Sleep(50 * time.Millisecond) {
 		if time.Since(start) > 20*time.Second {
--- a/internal/gateway/notice_test.go
+++ b/internal/gateway/notice_test.go
@@ -3,7 +3,6 @@
 import (
 	"fmt"
 	"net/http"
-	"strings"
 	"testing"
 	"time"
 
@@ -102,7 +101,9 @@
 			}
 			for key := 0; len(told) < needed; key = (key + 997) % (1 << 16) {
 				for name := range k.instances {
-					if _, text, _ := k.send(name, http.MethodGet, "/read/x", key, ""); strings.HasPrefix(text, "u0 for") {
+					// Any answer says so, also a rejection or one that is late for the caller.
+					before := len(leaving.Arrivals())
+					if k.send(name, http.MethodGet, "/read/x", key, ""); len(leaving.Arrivals()) > before {
 						told[name] = true
 					}
 				}
