gateway: test that older state is in use after a second read of an older copy (red)

Traced: entries of the copy are held back only while the first whole read of the new era is applied. A second whole read of the same era (history is gone, or a second reload after another call told of the era) is applied as if it were news. The test makes the second read happen each time and fails each time.

--- a/internal/gateway/era_test.go
+++ b/internal/gateway/era_test.go
@@ -1,6 +1,7 @@
 package gateway_test
 
 import (
+	"context"
 	"fmt"
 	"net/http"
 	"strings"
@@ -9,6 +10,8 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"cuminlift"
+	"cuminlift/internal/standin/rowstore"
 	"cuminlift/platform"
 )
 
@@ -25,8 +28,42 @@
 // TestOlderStateIsUsedAfterTheStoreCameBackOlder guards against an upstream that has left, a zone that is taken out and a
 // configuration that is replaced, all in use again because the store has come back from a copy of before.
 func TestOlderStateIsUsedAfterTheStoreCameBackOlder(t *testing.T) {
-	c := qt.New(t)
-	k := newCluster(c, 3)
+	playOlderCopy(qt.New(t), &forgetfulStore{}, 3)
+}
+
+// TestOlderStateIsUsedAfterSecondReadOfAnOlderCopy guards against the same when an instance reads the whole tables of the copy more than
+// once, here because the store has no history. The store's copy may lose an entry between two reads.
+func TestOlderStateIsUsedAfterSecondReadOfAnOlderCopy(t *testing.T) {
+	playOlderCopy(qt.New(t), &forgetfulStore{
+		forgetsFrom: 1,
+	}, 1)
+}
+
+// forgetfulStore has no history from the era forgetsFrom on, 0 for never.
+type forgetfulStore struct {
+	*rowstore.Store
+	forgetsFrom uint64
+}
+
+// Changes implements cuminlift.RowStore.
+func (s *forgetfulStore) Changes(ctx context.Context, table string, after uint64, wait time.Duration) (cuminlift.RowPage, error) {
+	page, err := s.Store.Changes(ctx, table, after, wait)
+	if err == nil && s.forgetsFrom != 0 && page.Era >= s.forgetsFrom {
+		return cuminlift.RowPage{}, &cuminlift.CompactedError{
+			After: after,
+		}
+	}
+	return page, err
+}
+
+// playOlderCopy plays a store that comes back from an older copy with a number of instances, and checks which upstreams they use.
+func playOlderCopy(c *qt.C, store *forgetfulStore, instances int) {
+	k := newCluster(c, 0)
+	store.Store = k.store
+	k.rows = store
+	for i := range instances {
+		k.start(fmt.Sprint("n", i))
+	}
 	k.configure(1, "keyed")
 	for _, id := range []string{"stays", "leaves"} {
 		k.upstream(id, "plain", "z1")
