gateway: entries of an older copy stay held back when the copy is read again

Cause: holdOutdated and keepZones worked on the rows of the first whole read of a new era only. A second one of the same era put a zone that was taken out and an upstream that had left back in use at once; and an entry that the copy lost between the two reads was still confirmed at the end of the grace. Now a held entry stays held until it has a newer version or is gone, and a zone that is kept stays kept.

--- a/internal/gateway/grace.go
+++ b/internal/gateway/grace.go
@@ -8,15 +8,18 @@
 	"cuminlift"
 )
 
-// keepZones keeps zones excluded that an older copy of the store doesn't exclude: it may lack the order.
-func (f *follower) keepZones(before map[string]bool) {
+// keepZones keeps zones excluded that an older copy of the store doesn't exclude: it may lack the order. before holds the zones excluded
+// until now, of which those kept already stay so when the copy is read again.
+func (f *follower) keepZones(before map[string]bool, newEra bool) {
 	for zone := range before {
-		if !f.next.list.ExcludedZones[zone] {
+		if !f.next.list.ExcludedZones[zone] && (newEra || f.keptZones[zone]) {
 			f.next.list.ExcludedZones[zone] = true
 			f.keptZones[zone] = true
 		}
 	}
-	f.startGrace(eraGrace)
+	if newEra {
+		f.startGrace(eraGrace)
+	}
 }
 
 // startGrace keeps missing entries until live upstreams have had time to register again. The caller holds the mutex.
@@ -46,10 +49,11 @@
 	f.applyUpstreams(confirmed)
 }
 
-// holdOutdated takes the rows of an older copy of the store and returns those to apply at once. An upstream that was gone before stays
-// so for now, and one that was leaving leaves, whatever the copy says.
-func (f *follower) holdOutdated(rows []cuminlift.Row) []cuminlift.Row {
+// holdOutdated notes which rows of an older copy of the store are not to be applied before they are written again. An upstream that was
+// gone before stays so for now, and one that was leaving leaves, whatever the copy says.
+func (f *follower) holdOutdated(rows []cuminlift.Row) {
 	now := f.clock.Now()
+	clear(f.held)
 	for id, known := range f.rows {
 		if known.upstream.Draining {
 			f.departures.Add(now, id, known.upstream.Incarnation)
@@ -57,20 +61,16 @@
 		known.version = 0 // Versions of different eras can't be compared.
 		f.rows[id] = known
 	}
-	var current []cuminlift.Row
 	for _, row := range rows {
 		known, wasKnown := f.rows[row.Key]
 		u, err := f.registry.Upstream(row)
 		if err == nil && (!wasKnown || u.Incarnation < known.upstream.Incarnation) {
 			f.held[row.Key] = row
-			continue
 		}
-		current = append(current, row)
 	}
 	f.log.WithFields(logrus.Fields{
 		"rows": len(rows),
 		"held": len(f.held),
 	}).Info("upstreams of an older copy of the store")
 	f.startGrace(eraGrace)
-	return current
 }
--- a/internal/gateway/view.go
+++ b/internal/gateway/view.go
@@ -189,9 +189,7 @@
 				f.next.list.ExcludedZones = map[string]bool{}
 				f.applyOperatorRows(rows)
 				f.next.configured = true
-				if newEra {
-					f.keepZones(before)
-				}
+				f.keepZones(before, newEra)
 			})
 		},
 		applyChanges: func(rows []cuminlift.Row) {
@@ -251,7 +249,7 @@
 		replaceRows: func(rows []cuminlift.Row, newEra bool) {
 			f.update(func() {
 				if newEra {
-					rows = f.holdOutdated(rows)
+					f.holdOutdated(rows)
 				}
 				f.replaceUpstreams(rows)
 			})
@@ -273,8 +271,13 @@
 	for _, row := range rows {
 		present[row.Key] = true
 	}
+	for id := range f.held {
+		if !present[id] {
+			delete(f.held, id)
+		}
+	}
 	for id := range f.rows {
-		if _, held := f.held[id]; !present[id] && !held {
+		if !present[id] {
 			f.handleMissing(id)
 		}
 	}
@@ -296,6 +299,9 @@
 		if known, wasKnown := f.rows[row.Key]; wasKnown && known.version >= row.Version {
 			continue
 		}
+		if held, isHeld := f.held[row.Key]; isHeld && row.Version <= held.Version {
+			continue // Read again, not written again.
+		}
 		delete(f.held, row.Key)
 		if row.Removed {
 			f.handleMissing(row.Key)
