core/keyspace: the model has running requests, late releases and releases whose connection breaks

Now an upstream that takes a key on which another one still works is a failure, and a mutant (releases answered at once) is caught.

--- a/core/keyspace/model_test.go
+++ b/core/keyspace/model_test.go
@@ -39,6 +39,8 @@
 	lostRelease mutant = "unanswered release treated as executed"
 	// restoredHoldersIgnored makes a new coordinator assume that the recorded holders no longer hold keys.
 	restoredHoldersIgnored mutant = "recorded holders ignored by a new coordinator"
+	// workIgnored makes upstreams answer releases while requests on the keys still run.
+	workIgnored mutant = "release answered before the requests have ended"
 	// copyTrusted takes an assignment from a copy of the store for the newest one.
 	copyTrusted mutant = "copy of an older assignment trusted"
 	// copyNotWaitedFor makes a new coordinator that has only a copy grant keys at once.
@@ -78,6 +80,25 @@
 	silentDown bool
 	keys       [modelKeys]grantState
 	seen       [modelKeys]uint64
+	// work holds the request that runs on each key.
+	work [modelKeys]runningWork
+}
+
+// runningWork is a request that runs until a time, or until the grant of its key runs out. A release of the key does not end it.
+type runningWork struct {
+	until    time.Duration
+	released bool
+}
+
+// workingUntil returns when the request on key ends, if the grant is not renewed.
+func (u *modelUpstream) workingUntil(key uint32) time.Duration {
+	if !u.up {
+		return 0
+	}
+	if u.work[key].released {
+		return u.work[key].until
+	}
+	return min(u.work[key].until, u.keys[key].until)
 }
 
 // message is a call in transit that takes effect at the time at.
@@ -198,6 +219,11 @@
 		if w.topBy[key] != u.name() && w.topFence[key] >= call.Grant.Fence {
 			w.fail("%s takes key %d with fence %d, %s had %d", u.name(), key, call.Grant.Fence, w.topBy[key], w.topFence[key])
 		}
+		for _, other := range w.upstreams {
+			if other != u && other.workingUntil(key) > w.now {
+				w.fail("%s is given key %d on which %s is at work until %v", u.name(), key, other.name(), other.workingUntil(key))
+			}
+		}
 		w.topFence[key] = max(w.topFence[key], call.Grant.Fence)
 		w.topBy[key] = u.name()
 		u.seen[key] = call.Grant.Fence
@@ -263,20 +289,62 @@
 		w.after(300*time.Millisecond, func() { k.Released(w.now, call, "", lost) })
 		return
 	}
-	if w.random.Float64() < 0.2 {
-		w.after(300*time.Millisecond, func() { k.Released(w.now, call, "", lost) })
-		return
+	// A release may be executed late, on a connection that waits, and the connection may break before the answer.
+	delay, broken := 5*time.Millisecond, w.random.Float64() < 0.2
+	if w.random.Float64() < 0.1 {
+		delay = time.Duration(w.random.IntN(800)) * time.Millisecond
 	}
-	w.after(5*time.Millisecond, func() {
+	reported := false
+	report := func(handover string, answered bool) {
+		if !reported {
+			reported = true
+			k.Released(w.now, call, handover, answered)
+		}
+	}
+	if broken {
+		w.after(time.Duration(w.random.IntN(600))*time.Millisecond, func() { report("", lost) })
+		if w.random.IntN(2) == 0 {
+			return // It never arrives.
+		}
+	}
+	w.after(delay, func() {
+		ended := w.now
 		for key := call.Grant.From; key <= call.Grant.To; key++ {
-			if u.incarnation == incarnation && u.keys[key].fence <= call.Grant.Fence {
+			if u.incarnation != incarnation {
+				continue
+			}
+			ended = max(ended, u.workingUntil(key))
+			if u.keys[key].fence <= call.Grant.Fence {
+				u.work[key] = runningWork{
+					until:    u.workingUntil(key),
+					released: true,
+				}
 				u.keys[key] = grantState{}
 			}
 		}
-		w.after(5*time.Millisecond, func() { k.Released(w.now, call, "token", true) })
+		if w.mutant == workIgnored {
+			ended = w.now
+		}
+		w.after(ended-w.now+5*time.Millisecond, func() {
+			if !broken {
+				report("token", true)
+			}
+		})
 	})
 }
 
+// startWork starts requests at random on keys that their upstreams hold.
+func (w *model) startWork() {
+	u := w.upstreams[w.random.IntN(len(w.upstreams))]
+	key := uint32(w.random.IntN(modelKeys))
+	if !u.up || u.keys[key].until <= w.now || u.workingUntil(key) > w.now {
+		return
+	}
+	u.work[key] = runningWork{
+		until: w.now + time.Duration(w.random.IntN(2000))*time.Millisecond,
+	}
+}
+
 func (w *model) byID(id string) *modelUpstream {
 	for _, u := range w.upstreams {
 		if u.id == id {
@@ -389,6 +457,7 @@
 		}
 		u.up = false
 		u.keys = [modelKeys]grantState{}
+		u.work = [modelKeys]runningWork{}
 	case 2:
 		// A restart takes longer than the time between two grants.
 		if !u.up && w.now-u.downSince > 1500*time.Millisecond {
@@ -463,6 +532,7 @@
 		if w.random.Float64() < 0.02 {
 			w.injectFault()
 		}
+		w.startWork()
 		w.advance()
 		w.check()
 	}
@@ -490,7 +560,7 @@
 }
 
 func TestModelDetectsMutants(t *testing.T) {
-	for _, m := range []mutant{lateGrantIgnored, fenceReused, excessiveHold, lostRelease, restoredHoldersIgnored, copyTrusted, copyNotWaitedFor, unknownHoldersForgotten} {
+	for _, m := range []mutant{lateGrantIgnored, fenceReused, excessiveHold, lostRelease, restoredHoldersIgnored, workIgnored, copyTrusted, copyNotWaitedFor, unknownHoldersForgotten} {
 		t.Run(string(m), func(t *testing.T) {
 			c := qt.New(t)
 			found := ""
@@ -500,7 +570,7 @@
 				w.run(time.Minute)
 				found = w.failure
 			}
-			c.Check(strings.Contains(found, "is held by") || strings.Contains(found, "takes key"), qt.IsTrue, qt.Commentf("%s", found))
+			c.Check(strings.Contains(found, "is held by") || strings.Contains(found, "takes key") || strings.Contains(found, "at work"), qt.IsTrue, qt.Commentf("%s", found))
 		})
 	}
 }
