--- a/core/keyspace/model_test.go
+++ b/core/keyspace/model_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math/rand/v2"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -108,14 +109,16 @@
 }
 
 type model struct {
-	c         *qt.C
-	random    *rand.Rand
-	mutant    mutant
-	now       time.Duration
-	upstreams []*modelUpstream
-	manager   *keyspace.Manager
-	store     recordState
-	history   []recordState
+	c      *qt.C
+	random *rand.Rand
+	// workRandom draws what upstreams work on and how releases travel.
+	workRandom *rand.Rand
+	mutant     mutant
+	now        time.Duration
+	upstreams  []*modelUpstream
+	manager    *keyspace.Manager
+	store      recordState
+	history    []recordState
 	// era is the store's, and managerEra and managerVersion are those that the coordinator knows of the record.
 	era, managerEra, managerVersion uint64
 	// drills is true if the store may come back older.
@@ -132,9 +135,10 @@
 
 func newModel(c *qt.C, seed uint64, m mutant) *model {
 	w := &model{
-		c:      c,
-		random: rand.New(rand.NewPCG(seed, 7)),
-		mutant: m,
+		c:          c,
+		random:     rand.New(rand.NewPCG(seed, 7)),
+		workRandom: rand.New(rand.NewPCG(seed, 8)),
+		mutant:     m,
 	}
 	for i := range 5 {
 		w.upstreams = append(w.upstreams, &modelUpstream{
@@ -291,8 +295,8 @@
 	}
 	// A release may be executed late, on a connection that waits, and the connection may break before the answer.
 	delay, broken := 5*time.Millisecond, w.random.Float64() < 0.2
-	if w.random.Float64() < 0.1 {
-		delay = time.Duration(w.random.IntN(800)) * time.Millisecond
+	if w.workRandom.Float64() < 0.1 {
+		delay = time.Duration(w.workRandom.IntN(800)) * time.Millisecond
 	}
 	reported := false
 	report := func(handover string, answered bool) {
@@ -302,8 +306,8 @@
 		}
 	}
 	if broken {
-		w.after(time.Duration(w.random.IntN(600))*time.Millisecond, func() { report("", lost) })
-		if w.random.IntN(2) == 0 {
+		w.after(time.Duration(w.workRandom.IntN(600))*time.Millisecond, func() { report("", lost) })
+		if w.workRandom.IntN(2) == 0 {
 			return // It never arrives.
 		}
 	}
@@ -335,13 +339,13 @@
 
 // startWork starts requests at random on keys that their upstreams hold.
 func (w *model) startWork() {
-	u := w.upstreams[w.random.IntN(len(w.upstreams))]
-	key := uint32(w.random.IntN(modelKeys))
+	u := w.upstreams[w.workRandom.IntN(len(w.upstreams))]
+	key := uint32(w.workRandom.IntN(modelKeys))
 	if !u.up || u.keys[key].until <= w.now || u.workingUntil(key) > w.now {
 		return
 	}
 	u.work[key] = runningWork{
-		until: w.now + time.Duration(w.random.IntN(2000))*time.Millisecond,
+		until: w.now + time.Duration(w.workRandom.IntN(2000))*time.Millisecond,
 	}
 }
 
@@ -543,25 +547,30 @@
 
 func TestNoKeyHasTwoHoldersUnderRandomFaults(t *testing.T) {
 	for _, drills := range []bool{false, true} {
-		c := qt.New(t)
-		owned, asked := 0, 0
-		for seed := range uint64(modelSeeds) {
-			w := newModel(c, seed, noMutant)
-			w.drills = drills
-			w.run(time.Minute)
-			c.Check(w.failure, qt.Equals, "", qt.Commentf("seed %d, drills %v", seed, drills))
-			owned += w.owned
-			asked += w.asked
-		}
+		var owned, asked atomic.Int64
+		t.Run(fmt.Sprintf("drills %v", drills), func(t *testing.T) {
+			for seed := range uint64(modelSeeds) {
+				t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
+					t.Parallel()
+					w := newModel(qt.New(t), seed, noMutant)
+					w.drills = drills
+					w.run(time.Minute)
+					qt.Check(t, w.failure, qt.Equals, "")
+					owned.Add(int64(w.owned))
+					asked.Add(int64(w.asked))
+				})
+			}
+		})
 		// A fault occurs every half second on average. The keys must still be owned for much of the time, or the check
 		// would prove nothing.
-		c.Check(float64(owned)/float64(asked) > 0.3, qt.IsTrue, qt.Commentf("owned %d of %d, drills %v", owned, asked, drills))
+		qt.Check(t, float64(owned.Load())/float64(asked.Load()) > 0.3, qt.IsTrue, qt.Commentf("owned %d of %d, drills %v", owned.Load(), asked.Load(), drills))
 	}
 }
 
 func TestModelDetectsMutants(t *testing.T) {
 	for _, m := range []mutant{lateGrantIgnored, fenceReused, excessiveHold, lostRelease, restoredHoldersIgnored, workIgnored, copyTrusted, copyNotWaitedFor, unknownHoldersForgotten} {
 		t.Run(string(m), func(t *testing.T) {
+			t.Parallel()
 			c := qt.New(t)
 			found := ""
 			for seed := uint64(0); seed < 4*modelSeeds && found == ""; seed++ {
