internal/standin: the operators' store and backends as processes (cuminlift-standin store, backend)

The store serves rowstore over the platform's HTTP interface (rows, feed, conditional transactions, Store-Era, 410, 503) with faults set while it runs: away, silent, slow, lost answers, no history, back from an older copy. A backend registers itself, takes grants and releases with fences (a release is answered when its requests have ended), runs requests in slots with a queue, drains before it leaves, and writes what it does as events. Names of the wire are in platform/ once, for both sides.

--- a/internal/command/standin.go
+++ b/internal/command/standin.go
@@ -1,13 +1,20 @@
 package command
 
 import (
+	"context"
+	"encoding/json"
+	"errors"
 	"fmt"
+	"net"
+	"net/http"
 	"os"
 	"time"
 
 	"google.golang.org/protobuf/encoding/protojson"
 
+	"cuminlift/internal/standin/backend"
 	"cuminlift/internal/standin/platform"
+	"cuminlift/internal/standin/rowserver"
 	"cuminlift/internal/standin/upstream"
 	"cuminlift/schema"
 )
@@ -16,6 +23,8 @@
 type Standin struct {
 	Platform PlatformCommand `cmd:"" help:"Run a platform with table, object store and instance list."`
 	Upstream UpstreamCommand `cmd:"" help:"Run an upstream."`
+	Store    StoreCommand    `cmd:"" help:"Run the store of the operators' platform."`
+	Backend  BackendCommand  `cmd:"" help:"Run a backend of the operators' platform."`
 	Docs     DocsCommand     `cmd:"" hidden:"" help:"Print the command reference."`
 }
 
@@ -83,3 +92,62 @@
 	u.Close()
 	return nil
 }
+
+// StoreCommand runs a store with the interface of the operators' platform.
+type StoreCommand struct {
+	Listen string `help:"Address to listen on." default:"127.0.0.1:7900"`
+}
+
+// Help returns the detailed help text.
+func (c *StoreCommand) Help() string {
+	return "POST {\"down\":true}, {\"silent\":true}, {\"delay-ms\":800}, {\"lost-answers\":0.5} or {\"no-history\":true} to " + rowserver.FaultsPath +
+		" to inject faults, {} to end them, and {\"age-ms\":2000} to " + rowserver.DrillPath + " to bring it back from an older copy."
+}
+
+// Run implements the command.
+func (c *StoreCommand) Run(e *Environment) error {
+	listener, err := net.Listen("tcp4", c.Listen)
+	if err != nil {
+		return err
+	}
+	server := &http.Server{
+		Handler:           rowserver.New(e.Context),
+		ReadHeaderTimeout: 5 * time.Second,
+	}
+	stop := context.AfterFunc(e.Context, func() { server.Close() })
+	defer stop()
+	fmt.Fprintln(e.Stdout, "store listens on", c.Listen)
+	if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+		return err
+	}
+	return nil
+}
+
+// BackendCommand runs a backend of the operators' platform.
+type BackendCommand struct {
+	Settings string `arg:"" help:"Settings file in JSON format." type:"existingfile"`
+}
+
+// Help returns the detailed help text.
+func (c *BackendCommand) Help() string {
+	return "The backend registers itself in the store and prints what it does as JSON lines. SIGTERM makes it report that it is draining, serve for a while, and leave."
+}
+
+// Run implements the command.
+func (c *BackendCommand) Run(e *Environment) error {
+	text, err := os.ReadFile(c.Settings)
+	if err != nil {
+		return err
+	}
+	var settings backend.Settings
+	if err := json.Unmarshal(text, &settings); err != nil {
+		return &backend.SettingsError{
+			Problem: fmt.Sprintf("%s: %v", c.Settings, err),
+		}
+	}
+	b, err := backend.New(settings, e.Stdout)
+	if err != nil {
+		return err
+	}
+	return b.Run(e.Context)
+}
--- /dev/null
+++ b/internal/standin/backend/serve.go
@@ -0,0 +1,255 @@
+package backend
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"cuminlift/platform"
+)
+
+// HealthPath is the path of the health check.
+const HealthPath = "/healthz"
+
+// lease is a lease on one key. The fence stays after a release, so that older grants are still refused.
+type lease struct {
+	fence uint64
+	until time.Time
+}
+
+// work is a running request.
+type work struct {
+	keyed bool
+	key   uint32
+	// releasedUntil is when the lease ended that a release took away, zero if there was none.
+	releasedUntil time.Time
+}
+
+// expected answers calls for another backend with status 421.
+func (b *Backend) expected(handle http.HandlerFunc) http.HandlerFunc {
+	headers := platform.Headers()
+	return func(w http.ResponseWriter, r *http.Request) {
+		if id := r.Header.Get(headers.Request); id != "" {
+			w.Header().Set(headers.Request, id)
+		}
+		if id := r.Header.Get(headers.ExpectedUpstream); id != "" && id != b.settings.ID {
+			w.Header().Set(headers.NotRun, "1")
+			w.WriteHeader(http.StatusMisdirectedRequest)
+			return
+		}
+		handle(w, r)
+	}
+}
+
+// load writes the header with the load. The caller holds the mutex.
+func (b *Backend) load(w http.ResponseWriter) {
+	w.Header().Set(platform.Headers().Load, fmt.Sprintf("%d,%d,%d", len(b.work), b.waiting, b.settings.Slots))
+}
+
+func (b *Backend) health(w http.ResponseWriter, _ *http.Request) {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	b.load(w)
+	w.Header().Set("Instance-Id", b.settings.ID)
+	if b.draining {
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}
+}
+
+// grant takes a lease on all keys of a range, or on none if one of them was granted under a higher fence.
+func (b *Backend) grant(w http.ResponseWriter, r *http.Request) {
+	arrived := time.Now()
+	grant, err := platform.DecodeGrant(r.Body)
+	if err != nil || !b.settings.Keyed {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	for key := grant.From; key <= grant.To; key++ {
+		if b.leases[key].fence > grant.Fence {
+			w.WriteHeader(http.StatusConflict)
+			return
+		}
+	}
+	until := arrived.Add(grant.Hold)
+	for key := grant.From; key <= grant.To; key++ {
+		b.leases[key] = lease{
+			fence: grant.Fence,
+			until: until,
+		}
+	}
+	b.record(Event{
+		Kind:  Granted,
+		From:  grant.From,
+		To:    grant.To,
+		Fence: grant.Fence,
+		Until: until.UnixNano(),
+	})
+	b.notify()
+}
+
+// release ends the leases on a range, and answers when the requests that run on it have ended.
+func (b *Backend) release(w http.ResponseWriter, r *http.Request) {
+	grant, err := platform.DecodeGrant(r.Body)
+	if err != nil || !b.settings.Keyed {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	for running := range b.work {
+		if running.keyed && running.key >= grant.From && running.key <= grant.To && running.releasedUntil.IsZero() {
+			running.releasedUntil = b.leases[running.key].until
+		}
+	}
+	for key := grant.From; key <= grant.To; key++ {
+		b.leases[key] = lease{
+			fence: b.leases[key].fence,
+		}
+	}
+	b.record(Event{
+		Kind:  Released,
+		From:  grant.From,
+		To:    grant.To,
+		Fence: grant.Fence,
+	})
+	for b.works(grant.From, grant.To) && r.Context().Err() == nil {
+		b.await(r.Context(), time.Now().Add(time.Second))
+	}
+	w.Header().Set(platform.HandoverHeader, fmt.Sprintf("%s-%d", b.settings.ID, grant.Fence))
+}
+
+// works reports whether a request runs on a range. The caller holds the mutex.
+func (b *Backend) works(from, to uint32) bool {
+	for running := range b.work {
+		if running.keyed && running.key >= from && running.key <= to {
+			return true
+		}
+	}
+	return false
+}
+
+// await releases the mutex until something changes, at most until a time or the end of ctx.
+func (b *Backend) await(ctx context.Context, until time.Time) {
+	changed := b.changed
+	b.mutex.Unlock()
+	defer b.mutex.Lock()
+	timer := time.NewTimer(time.Until(until))
+	defer timer.Stop()
+	select {
+	case <-changed:
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
+
+// run runs a request.
+func (b *Backend) run(w http.ResponseWriter, r *http.Request) {
+	headers := platform.Headers()
+	id := r.Header.Get(headers.Request)
+	key, keyErr := strconv.ParseUint(r.Header.Get(headers.Key), 10, 16)
+	budget, budgetErr := strconv.Atoi(r.Header.Get(headers.Deadline))
+	deadline := time.Now().Add(time.Minute)
+	if budgetErr == nil {
+		deadline = time.Now().Add(time.Duration(budget) * time.Millisecond)
+	}
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		return // The caller has left.
+	}
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	b.load(w)
+	reject := func(status int) {
+		w.Header().Set(headers.NotRun, "1")
+		w.WriteHeader(status)
+	}
+	if b.waiting >= b.settings.Slots {
+		reject(http.StatusServiceUnavailable)
+		return
+	}
+	b.waiting++
+	for len(b.work) >= b.settings.Slots && r.Context().Err() == nil && time.Now().Before(deadline) {
+		b.await(r.Context(), deadline)
+	}
+	b.waiting--
+	switch {
+	case id == "":
+		reject(http.StatusBadRequest)
+		return
+	case r.Context().Err() != nil || !time.Now().Before(deadline):
+		reject(http.StatusServiceUnavailable)
+		return
+	case b.settings.Keyed && (keyErr != nil || !time.Now().Before(b.leases[uint32(key)].until)):
+		reject(http.StatusMisdirectedRequest)
+		return
+	}
+	status, broken := b.runInSlot(r.Context(), id, uint32(key), deadline)
+	if r.Context().Err() != nil {
+		return
+	}
+	w.Header().Set(headers.Signature, b.settings.ID)
+	answer := Answer(b.settings.ID, id, len(body))
+	if broken {
+		w.Header().Set("Content-Length", strconv.Itoa(len(answer)))
+		answer = answer[:len(answer)/2]
+	}
+	w.WriteHeader(status)
+	if _, err := io.WriteString(w, answer); err != nil || broken {
+		panic(http.ErrAbortHandler)
+	}
+}
+
+// Answer returns the body of the answer of a backend to a request with a body of a size.
+func Answer(backend, request string, bodyBytes int) string {
+	return fmt.Sprintf("%s ran %s with %d bytes\n", backend, request, bodyBytes)
+}
+
+// runInSlot runs a request until its time is over, its caller leaves, or the lease of its key ends, and returns the status.
+func (b *Backend) runInSlot(ctx context.Context, id string, key uint32, deadline time.Time) (status int, broken bool) {
+	running := &work{
+		keyed: b.settings.Keyed,
+		key:   key,
+	}
+	b.work[running] = true
+	event := Event{
+		Kind:    Begun,
+		Request: id,
+		Keyed:   b.settings.Keyed,
+		Key:     key,
+	}
+	b.record(event)
+	takes, broken := b.serviceTime()
+	ends := time.Now().Add(takes)
+	status = http.StatusOK
+	for status == http.StatusOK && time.Now().Before(ends) && ctx.Err() == nil {
+		until := running.releasedUntil
+		if until.IsZero() {
+			until = b.leases[key].until
+		}
+		switch now := time.Now(); {
+		case running.keyed && !now.Before(until):
+			status = http.StatusInternalServerError
+		case !now.Before(deadline):
+			status = http.StatusGatewayTimeout
+		default:
+			wake := ends
+			if running.keyed && until.Before(wake) {
+				wake = until
+			}
+			if deadline.Before(wake) {
+				wake = deadline
+			}
+			b.await(ctx, wake)
+		}
+	}
+	delete(b.work, running)
+	event.Kind = Ended
+	b.record(event)
+	b.notify()
+	return status, broken
+}
--- a/internal/standin/rowstore/rowstore.go
+++ b/internal/standin/rowstore/rowstore.go
@@ -177,6 +177,17 @@
 	return version, err
 }
 
+// CommitEra is like Commit for a transaction without an era, and returns the era in which it was applied or refused.
+func (s *Store) CommitEra(transaction cuminlift.RowTransaction) (version, era uint64, err error) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	if s.down {
+		return 0, s.era, ErrUnavailable
+	}
+	version, err = s.commit(transaction)
+	return version, s.era, err
+}
+
 // commit applies a transaction, whatever its era: a store does not know in which era the versions of a precondition were read.
 func (s *Store) commit(transaction cuminlift.RowTransaction) (uint64, error) {
 	conflict := &cuminlift.ConflictError{}
