internal/soak, cuminlift soak: random faults on the real programs, eight checks, and mutants

A seed draws a schedule of overlapping faults on instances, backends, links, the store and the operators' orders; the run starts the programs as processes on loopback, sends requests, and checks from what callers and backends saw: one owner and rising fences, at most once, "not run" is true, nothing after drain or evacuation, own and whole answer, nothing cut by a planned stop, requests served. Each check has a trace that it must reject. Schedules are files, can be played again and shortened.

--- a/internal/command/client.go
+++ b/internal/command/client.go
@@ -117,6 +117,7 @@
 	Record   RecordCommand   `cmd:"" help:"Record a trace of a loopback cluster during a failure or operator action."`
 	Identity IdentityCommand `cmd:"" help:"Generate keys and certificates for development."`
 	Tryout   TryoutCommand   `cmd:"" help:"Run a complete cluster on loopback under load and report the results."`
+	Soak     SoakCommand     `cmd:"" help:"Run the programs against stand-ins of the operators' platform with random faults, and check the promises."`
 	Load     LoadCommand     `cmd:"" help:"Send requests to instances and report latency and outcomes."`
 	Measure  MeasureCommand  `cmd:"" help:"Run benchmarks and write the result tables."`
 	Report   ReportCommand   `cmd:"" help:"Generate plots and update the tables in documentation pages from measured data."`
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -17,6 +17,7 @@
 
 	"cuminlift/core/route"
 	"cuminlift/internal/logs"
+	"cuminlift/internal/mutant"
 	"cuminlift/io/upstream"
 )
 
@@ -206,6 +207,9 @@
 	start := time.Now()
 	g.log.Info("instance is stopping")
 	g.requestHandler.stopping.Store(true)
+	if mutant.Is(mutant.StopCuts) {
+		callerServer.Close()
+	}
 	time.Sleep(min(drainDelay, g.config.Settings.ShutdownTimeout/2))
 	remaining := g.config.Settings.ShutdownTimeout - exitReserve - time.Since(start)
 	ctx, cancel := context.WithTimeout(context.Background(), remaining)
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -15,6 +15,7 @@
 	"cuminlift/core/dispatch"
 	"cuminlift/core/request"
 	"cuminlift/core/route"
+	"cuminlift/internal/mutant"
 	"cuminlift/io/upstream"
 	"cuminlift/schema"
 )
@@ -104,7 +105,7 @@
 		requestID:  r.Header.Get(h.config.Headers.Request),
 		receivedAt: receivedAt,
 	}
-	c.state.Idempotent = matched.Kind != route.AtMostOnce
+	c.state.Idempotent = matched.Kind != route.AtMostOnce || mutant.Is(mutant.RepeatUnsafe)
 	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
 	var tooLarge *http.MaxBytesError
 	if errors.As(err, &tooLarge) {
@@ -390,7 +391,7 @@
 		return
 	}
 	status := http.StatusServiceUnavailable
-	if c.state.ExecutionStatus() != request.NotRun {
+	if c.state.ExecutionStatus() != request.NotRun && !mutant.Is(mutant.FalsePromise) {
 		status = http.StatusBadGateway
 		if ctx.Err() != nil {
 			status = http.StatusGatewayTimeout
--- a/internal/gateway/keys.go
+++ b/internal/gateway/keys.go
@@ -14,6 +14,7 @@
 	"cuminlift"
 	"cuminlift/core/keyspace"
 	"cuminlift/core/roster"
+	"cuminlift/internal/mutant"
 	"cuminlift/schema"
 )
 
@@ -142,7 +143,11 @@
 	go func() {
 		ctx, cancel := context.WithTimeout(c.ctx, releaseTimeout)
 		defer cancel()
-		handover, err := c.config.KeyClient.Release(ctx, call.Address, call.Grant)
+		var handover string
+		var err error
+		if !mutant.Is(mutant.ReleaseSkipped) {
+			handover, err = c.config.KeyClient.Release(ctx, call.Address, call.Grant)
+		}
 		c.post(func(now time.Duration) {
 			var wrongUpstream *cuminlift.WrongUpstreamError
 			gone := errors.As(err, &wrongUpstream)
--- a/internal/gateway/view.go
+++ b/internal/gateway/view.go
@@ -14,6 +14,7 @@
 	"cuminlift/core/replica"
 	"cuminlift/core/roster"
 	"cuminlift/core/route"
+	"cuminlift/internal/mutant"
 )
 
 // view is an immutable snapshot of the configuration and upstreams known to an instance.
@@ -121,11 +122,14 @@
 	snapshot.list.Upstreams = make(map[string]roster.Upstream, len(f.rows))
 	for id, r := range f.rows {
 		r.upstream.Draining = r.upstream.Draining || f.departures.Has(id, r.upstream.Incarnation)
+		if mutant.Is(mutant.DrainIgnored) {
+			r.upstream.Draining = false
+		}
 		snapshot.list.Upstreams[id] = r.upstream
 	}
 	snapshot.list.ExcludedZones = make(map[string]bool, len(f.next.list.ExcludedZones))
 	for zone := range f.next.list.ExcludedZones {
-		snapshot.list.ExcludedZones[zone] = true
+		snapshot.list.ExcludedZones[zone] = !mutant.Is(mutant.ZonesIgnored)
 	}
 	f.current.Store(&snapshot)
 }
--- /dev/null
+++ b/internal/mutant/name.go
@@ -0,0 +1,22 @@
+package mutant
+
+// Variable is the environment variable that names the planted fault.
+const Variable = "CUMINLIFT_MUTANT"
+
+// Name identifies a fault.
+type Name string
+
+// The faults.
+const (
+	// ReleaseSkipped counts keys as released that their holder was not told to give up.
+	ReleaseSkipped Name = "release-skipped"
+	// RepeatUnsafe sends requests again that may have run and must run once at most.
+	RepeatUnsafe Name = "repeat-unsafe"
+	// FalsePromise says of each request that was not answered that it has not run.
+	FalsePromise Name = "false-promise"
+	// DrainIgnored sends to upstreams that have said that they are draining, and ZonesIgnored to evacuated zones.
+	DrainIgnored Name = "drain-ignored"
+	ZonesIgnored Name = "zones-ignored"
+	// StopCuts cuts off running requests when an instance is stopped.
+	StopCuts Name = "stop-cuts"
+)
--- /dev/null
+++ b/internal/soak/history.go
@@ -0,0 +1,90 @@
+package soak
+
+import (
+	"sort"
+	"time"
+
+	"cuminlift/internal/standin/backend"
+)
+
+// Outcome is how a request ended for its caller.
+type Outcome string
+
+// Outcomes.
+const (
+	Answered Outcome = "answered"
+	// Dropped means that the connection ended without a complete answer.
+	Dropped Outcome = "dropped"
+	// Left means that the caller gave up.
+	Left Outcome = "left"
+)
+
+// Result is what a caller saw of one request. Times are Unix times in nanoseconds.
+type Result struct {
+	Request string
+	// Instance is the number of the instance that was asked.
+	Instance int
+	// Unsafe requests must not run more than once.
+	Unsafe     bool
+	SentAt     int64
+	EndedAt    int64
+	Outcome    Outcome
+	Status     int
+	Body       string
+	BodyBytes  int
+	RequestID  string
+	Signature  string
+	RetryAfter string
+}
+
+// Span is a time during which something was disturbed.
+type Span struct {
+	Kind FaultKind
+	// Target is that of the fault.
+	Target   int
+	From, To int64
+}
+
+// Order is an order of the operators to evacuate a zone, acknowledged at From and taken back at To.
+type Order struct {
+	Zone     string
+	From, To int64
+}
+
+// Exit is the end of a backend that was killed.
+type Exit struct {
+	Backend string
+	Born    int64
+	At      int64
+}
+
+// History is all that was seen in a run.
+type History struct {
+	Events  []backend.Event
+	Results []Result
+	Spans   []Span
+	Orders  []Order
+	Exits   []Exit
+	// Stops are the planned stops of instances.
+	Stops []Span
+}
+
+// sorted orders the events by time.
+func (h *History) sorted() {
+	sort.SliceStable(h.Events, func(i, j int) bool { return h.Events[i].At < h.Events[j].At })
+}
+
+// overlaps reports whether a disturbance of one of the kinds overlaps a time.
+func (h *History) overlaps(from, to int64, kinds map[FaultKind]bool) bool {
+	for _, s := range h.Spans {
+		if kinds[s.Kind] && s.From <= to && s.To >= from {
+			return true
+		}
+	}
+	return false
+}
+
+// justHealed reports whether a disturbance of one of the kinds was under way at a time, or had ended within a time before.
+func (h *History) justHealed(at int64, within time.Duration, kinds map[FaultKind]bool) bool {
+	return h.overlaps(at-within.Nanoseconds(), at, kinds)
+}
