--- a/internal/standin/backend/backend.go
+++ b/internal/standin/backend/backend.go
@@ -97,6 +97,8 @@
 	work    map[*work]bool
 	changed chan struct{}
 	waiting int
+	// handoverCount makes each handover differ.
+	handoverCount int
 }
 
 // New returns a backend that writes its events to out.
--- a/internal/standin/backend/serve.go
+++ b/internal/standin/backend/serve.go
@@ -120,7 +120,8 @@
 	for b.works(grant.From, grant.To) && r.Context().Err() == nil {
 		b.await(r.Context(), time.Now().Add(time.Second))
 	}
-	w.Header().Set(platform.HandoverHeader, fmt.Sprintf("%s-%d", b.settings.ID, grant.Fence))
+	b.handoverCount++
+	w.Header().Set(platform.HandoverHeader, fmt.Sprintf("%s-%d-%d", b.settings.ID, grant.Fence, b.handoverCount))
 }
 
 // works reports whether a request runs on a range. The caller holds the mutex.
--- a/internal/standin/keyholder/keyholder.go
+++ b/internal/standin/keyholder/keyholder.go
@@ -210,7 +210,7 @@
 			fence: u.leases[key].fence,
 		}
 	}
-	w.Header().Set("Handover", fmt.Sprintf("token-%d", c.Fence))
+	w.Header().Set("Handover", fmt.Sprintf("token-%d-%d", c.Fence, handoverCount.Add(1)))
 }
 
 func (u *Upstream) run(w http.ResponseWriter, r *http.Request) {
@@ -259,6 +259,9 @@
 	fmt.Fprintf(w, "%s for %s", u.config.ID, name)
 }
 
+// handoverCount makes each handover differ.
+var handoverCount atomic.Uint64
+
 // addressCount is the number of addresses that UnusedAddress has returned.
 var addressCount atomic.Uint32
 
