--- a/internal/soak/cluster.go
+++ b/internal/soak/cluster.go
@@ -70,11 +70,13 @@
 	// direct is the store without a link.
 	direct *platform.Store
 	// Instances and backends are numbered from 0. Each has a link: instances to the store, backends from all instances.
-	instances    []*process
-	storeLinks   []*link
-	backends     []*backendSlot
-	mutex        sync.Mutex
-	history      History
+	instances  []*process
+	storeLinks []*link
+	backends   []*backendSlot
+	mutex      sync.Mutex
+	history    History
+	// eventsErr is what went wrong while events were read: the history then has gaps.
+	eventsErr    error
 	version      uint64
 	backendCount int
 	readers      sync.WaitGroup
@@ -310,20 +312,14 @@
 				b.born = e.Born
 			}
 		})
-		if err != nil {
-			k.mutex.Lock()
-			defer k.mutex.Unlock()
-			k.history.Events = append(k.history.Events, backend.Event{
-				At:      time.Now().UnixNano(),
-				Kind:    backend.Left,
-				Backend: id,
-			})
-		}
+		k.mutex.Lock()
+		defer k.mutex.Unlock()
+		k.eventsErr = errors.Join(k.eventsErr, err)
 	})
 	return nil
 }
 
-// killBackend ends the backend of a slot and takes its entry away after a while, as the platform does.
+// killBackend ends the backend of a slot. Its entry expires.
 func (k *cluster) killBackend(slot int) {
 	b := k.backends[slot]
 	b.process.kill()
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -68,6 +68,9 @@
 	}
 	k.mutex.Lock()
 	defer k.mutex.Unlock()
+	if k.eventsErr != nil {
+		return Summary{}, k.eventsErr
+	}
 	return summarize(&k.history), nil
 }
 
