internal/standin: one set of leases, one decoder of grants and one choice of loopback addresses

Cause: the new backend repeated the leases of keyholder, keyholder decoded grants by a format of its own although platform/ now has the decoder, and the soak repeated how UnusedAddress derives its IPs. Change: packages lease and loopback, used by both sides; keyholder calls platform.DecodeGrant. Behaviour is the same. Result: the tests of the stand-ins, of the soak and the keyed ones of internal/gateway pass, their assertions untouched.

--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -18,6 +18,7 @@
 	"cuminlift"
 	"cuminlift/internal/gateway"
 	"cuminlift/internal/standin/keyholder"
+	"cuminlift/internal/standin/loopback"
 	"cuminlift/internal/standin/rowstore"
 	"cuminlift/io/clock"
 	"cuminlift/platform"
@@ -65,7 +66,7 @@
 }
 
 func freeAddress(c *qt.C) string {
-	address, err := keyholder.UnusedAddress()
+	address, err := loopback.UnusedAddress()
 	c.Assert(err, qt.IsNil)
 	return address
 }
--- a/internal/soak/callers.go
+++ b/internal/soak/callers.go
@@ -13,6 +13,7 @@
 	"sync/atomic"
 	"time"
 
+	"cuminlift/internal/standin/loopback"
 	"cuminlift/platform"
 )
 
@@ -52,7 +53,7 @@
 	client := newCaller()
 	for ctx.Err() == nil {
 		callCtx, cancel := context.WithTimeout(ctx, readinessInterval)
-		request, err := http.NewRequestWithContext(callCtx, http.MethodGet, "http://"+address(instanceHost+instance, readyPort)+platform.ReadyPath, nil)
+		request, err := http.NewRequestWithContext(callCtx, http.MethodGet, "http://"+loopback.Address(instanceHost+instance, readyPort)+platform.ReadyPath, nil)
 		if err != nil {
 			cancel()
 			return
@@ -139,7 +140,7 @@
 			}
 		}
 	}
-	request, err := http.NewRequestWithContext(callCtx, method, "http://"+address(instanceHost+instance, frontPort)+path, body)
+	request, err := http.NewRequestWithContext(callCtx, method, "http://"+loopback.Address(instanceHost+instance, frontPort)+path, body)
 	if err != nil {
 		r.Outcome = Dropped
 		return r
--- a/internal/soak/cluster.go
+++ b/internal/soak/cluster.go
@@ -20,6 +20,7 @@
 	"cuminlift/internal/gateway"
 	"cuminlift/internal/mutant"
 	"cuminlift/internal/standin/backend"
+	"cuminlift/internal/standin/loopback"
 	"cuminlift/internal/standin/rowserver"
 	"cuminlift/platform"
 )
@@ -96,12 +97,6 @@
 	occupied bool
 }
 
-// address returns a loopback address that depends on the process ID of the soak.
-func address(host, port int) string {
-	pid := os.Getpid()
-	return fmt.Sprintf("127.%d.%d.%d:%d", 64+pid>>8&63, pid&255, host, port)
-}
-
 // Hosts and ports of the processes.
 const (
 	storeHost    = 201
@@ -160,10 +155,10 @@
 		folder:   folder,
 	}
 	var err error
-	if k.store, err = k.start("store", "cuminlift-standin", nil, "store", "--listen", address(storeHost, storePort)); err != nil {
+	if k.store, err = k.start("store", "cuminlift-standin", nil, "store", "--listen", loopback.Address(storeHost, storePort)); err != nil {
 		return nil, err
 	}
-	k.direct = platform.NewStore(address(storeHost, storePort), http.DefaultClient)
+	k.direct = platform.NewStore(loopback.Address(storeHost, storePort), http.DefaultClient)
 	if err := k.awaitStore(); err != nil {
 		return k, err
 	}
@@ -171,7 +166,7 @@
 		return k, err
 	}
 	for i := range schedule.Instances {
-		l, err := newLink(address(linkHost, storeLinks+i), address(storeHost, storePort))
+		l, err := newLink(loopback.Address(linkHost, storeLinks+i), loopback.Address(storeHost, storePort))
 		if err != nil {
 			return k, err
 		}
@@ -182,7 +177,7 @@
 		}
 	}
 	for i := range schedule.Backends {
-		l, err := newLink(address(linkHost, backendLinks+i), address(backendHost+i, backendPort))
+		l, err := newLink(loopback.Address(linkHost, backendLinks+i), loopback.Address(backendHost+i, backendPort))
 		if err != nil {
 			return k, err
 		}
@@ -192,7 +187,7 @@
 		}
 		k.backends = append(k.backends, &backendSlot{
 			link:    l,
-			address: address(backendHost+i, backendPort),
+			address: loopback.Address(backendHost+i, backendPort),
 			zone:    zoneName(i / 2),
 			service: service,
 		})
@@ -245,10 +240,10 @@
 	settings, err := platform.EncodeSettings(gateway.Settings{
 		Name:             name,
 		Zone:             zoneName(number),
-		FrontAddress:     address(instanceHost+number, frontPort),
-		ReadyAddress:     address(instanceHost+number, readyPort),
-		PeerAddress:      address(instanceHost+number, peerPort),
-		StoreAddress:     address(linkHost, storeLinks+number),
+		FrontAddress:     loopback.Address(instanceHost+number, frontPort),
+		ReadyAddress:     loopback.Address(instanceHost+number, readyPort),
+		PeerAddress:      loopback.Address(instanceHost+number, peerPort),
+		StoreAddress:     loopback.Address(linkHost, storeLinks+number),
 		MaxGrantDuration: 4 * time.Second,
 		ShutdownTimeout:  stopTimeout,
 		RetryRatio:       0.2,
@@ -276,8 +271,8 @@
 		Service:     b.service,
 		Zone:        b.zone,
 		Listen:      b.address,
-		Address:     address(linkHost, backendLinks+slot),
-		Store:       address(storeHost, storePort),
+		Address:     loopback.Address(linkHost, backendLinks+slot),
+		Store:       loopback.Address(storeHost, storePort),
 		Keyed:       b.service == keyedService,
 		Slots:       4,
 		ServiceMS:   15,
@@ -477,5 +472,5 @@
 }
 
 func (k *cluster) setStoreFaults(faults rowserver.Faults) error {
-	return k.control("http://"+address(storeHost, storePort)+rowserver.FaultsPath, faults)
+	return k.control("http://"+loopback.Address(storeHost, storePort)+rowserver.FaultsPath, faults)
 }
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -8,6 +8,7 @@
 
 	"cuminlift"
 	"cuminlift/internal/standin/backend"
+	"cuminlift/internal/standin/loopback"
 	"cuminlift/internal/standin/rowserver"
 	"cuminlift/platform"
 )
@@ -149,7 +150,7 @@
 		return p.storeFaults()
 	case StoreOlder:
 		defer func() { go k.rewrite() }()
-		return k.control("http://"+address(storeHost, storePort)+rowserver.DrillPath, rowserver.Drill{
+		return k.control("http://"+loopback.Address(storeHost, storePort)+rowserver.DrillPath, rowserver.Drill{
 			AgeMS: f.ForMS / 2,
 		})
 	case ZoneEvacuation:
--- a/internal/standin/backend/backend.go
+++ b/internal/standin/backend/backend.go
@@ -16,6 +16,7 @@
 
 	"cuminlift"
 	"cuminlift/core/roster"
+	"cuminlift/internal/standin/lease"
 	"cuminlift/platform"
 )
 
@@ -92,7 +93,7 @@
 	eventError error
 	faults     Faults
 	draining   bool
-	leases     map[uint32]lease
+	leases     lease.Leases
 	// work holds the running requests. changed is closed and replaced when one of them or a lease changes.
 	work    map[*work]bool
 	changed chan struct{}
@@ -114,7 +115,6 @@
 		store:    platform.NewStore(settings.Store, http.DefaultClient),
 		born:     time.Now().UnixMilli(),
 		events:   json.NewEncoder(out),
-		leases:   map[uint32]lease{},
 		work:     map[*work]bool{},
 		changed:  make(chan struct{}),
 	}, nil
--- a/internal/standin/backend/backend_test.go
+++ b/internal/standin/backend/backend_test.go
@@ -14,7 +14,7 @@
 
 	"cuminlift"
 	"cuminlift/internal/standin/backend"
-	"cuminlift/internal/standin/keyholder"
+	"cuminlift/internal/standin/loopback"
 	"cuminlift/internal/standin/rowserver"
 	"cuminlift/platform"
 )
@@ -34,7 +34,7 @@
 func start(c *qt.C, keyed bool, serviceMS int) *started {
 	server := httptest.NewServer(rowserver.New(c.Context()))
 	c.Cleanup(server.Close)
-	address, err := keyholder.UnusedAddress()
+	address, err := loopback.UnusedAddress()
 	c.Assert(err, qt.IsNil)
 	reader, writer := io.Pipe()
 	b, err := backend.New(backend.Settings{
--- a/internal/standin/backend/serve.go
+++ b/internal/standin/backend/serve.go
@@ -14,12 +14,6 @@
 // HealthPath is the path of the health check.
 const HealthPath = "/healthz"
 
-// lease is a lease on one key. The fence stays after a release, so that older grants are still refused.
-type lease struct {
-	fence uint64
-	until time.Time
-}
-
 // work is a running request.
 type work struct {
 	keyed bool
@@ -69,18 +63,10 @@
 	}
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
-	for key := grant.From; key <= grant.To; key++ {
-		if b.leases[key].fence > grant.Fence {
-			w.WriteHeader(http.StatusConflict)
-			return
-		}
-	}
 	until := arrived.Add(grant.Hold)
-	for key := grant.From; key <= grant.To; key++ {
-		b.leases[key] = lease{
-			fence: grant.Fence,
-			until: until,
-		}
+	if !b.leases.Grant(grant, until) {
+		w.WriteHeader(http.StatusConflict)
+		return
 	}
 	b.record(Event{
 		Kind:  Granted,
@@ -103,14 +89,10 @@
 	defer b.mutex.Unlock()
 	for running := range b.work {
 		if running.keyed && running.key >= grant.From && running.key <= grant.To && running.releasedUntil.IsZero() {
-			running.releasedUntil = b.leases[running.key].until
-		}
-	}
-	for key := grant.From; key <= grant.To; key++ {
-		b.leases[key] = lease{
-			fence: b.leases[key].fence,
+			running.releasedUntil = b.leases.Until(running.key)
 		}
 	}
+	b.leases.Release(grant)
 	b.record(Event{
 		Kind:  Released,
 		From:  grant.From,
@@ -185,7 +167,7 @@
 	case r.Context().Err() != nil || !time.Now().Before(deadline):
 		reject(http.StatusServiceUnavailable)
 		return
-	case b.settings.Keyed && (keyErr != nil || !time.Now().Before(b.leases[uint32(key)].until)):
+	case b.settings.Keyed && (keyErr != nil || !time.Now().Before(b.leases.Until(uint32(key)))):
 		reject(http.StatusMisdirectedRequest)
 		return
 	}
@@ -230,7 +212,7 @@
 	for status == http.StatusOK && time.Now().Before(ends) && ctx.Err() == nil {
 		until := running.releasedUntil
 		if until.IsZero() {
-			until = b.leases[key].until
+			until = b.leases.Until(key)
 		}
 		switch now := time.Now(); {
 		case running.keyed && !now.Before(until):
--- a/internal/standin/keyholder/keyholder.go
+++ b/internal/standin/keyholder/keyholder.go
@@ -4,18 +4,18 @@
 package keyholder
 
 import (
-	"encoding/json"
 	"fmt"
-	"net"
 	"net/http"
 	"net/http/httptest"
-	"os"
 	"slices"
 	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"cuminlift/internal/standin/lease"
+	"cuminlift/platform"
 )
 
 // Config configures an Upstream.
@@ -36,7 +36,7 @@
 	// crashed is true once the upstream has crashed.
 	crashed atomic.Bool
 	mutex   sync.Mutex
-	leases  map[uint32]lease
+	leases  lease.Leases
 	// runs counts the executions of each request by its Request-Id header.
 	runs map[string]int
 	// rejections counts the requests for keys that the upstream does not hold.
@@ -51,17 +51,10 @@
 	arrivals []time.Time
 }
 
-// lease is a lease on one key. The fence stays after a release, so that older grants are still refused.
-type lease struct {
-	fence uint64
-	until time.Time
-}
-
 // Start starts an upstream on a loopback address. Stop must be called.
 func Start(config Config) *Upstream {
 	u := &Upstream{
 		config: config,
-		leases: map[uint32]lease{},
 		runs:   map[string]int{},
 	}
 	mux := http.NewServeMux()
@@ -145,15 +138,7 @@
 func (u *Upstream) HoldsKey(key uint32) bool {
 	u.mutex.Lock()
 	defer u.mutex.Unlock()
-	return time.Now().Before(u.leases[key].until)
-}
-
-// rangeRequest is the body of a grant or a release for the keys From to To, both included.
-type rangeRequest struct {
-	From     uint32 `json:"from"`
-	To       uint32 `json:"to"`
-	Fence    uint64 `json:"fence"`
-	HoldTime string `json:"hold_time"`
+	return time.Now().Before(u.leases.Until(key))
 }
 
 // requireInstance answers requests addressed to another instance with status 421.
@@ -170,47 +155,29 @@
 // grant takes a lease on all keys of a range, or on none if one of them was granted under a higher fence.
 func (u *Upstream) grant(w http.ResponseWriter, r *http.Request) {
 	arrived := time.Now()
-	var c rangeRequest
-	holdTime := time.Duration(0)
-	err := json.NewDecoder(r.Body).Decode(&c)
-	if err == nil {
-		holdTime, err = time.ParseDuration(c.HoldTime)
-	}
-	if err != nil {
+	grant, err := platform.DecodeGrant(r.Body)
+	if err != nil || grant.Hold == 0 {
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
 	u.mutex.Lock()
 	defer u.mutex.Unlock()
-	for key := c.From; key <= c.To; key++ {
-		if u.leases[key].fence > c.Fence {
-			w.WriteHeader(http.StatusConflict)
-			return
-		}
-	}
-	for key := c.From; key <= c.To; key++ {
-		u.leases[key] = lease{
-			fence: c.Fence,
-			until: arrived.Add(holdTime),
-		}
+	if !u.leases.Grant(grant, arrived.Add(grant.Hold)) {
+		w.WriteHeader(http.StatusConflict)
 	}
 }
 
 // release ends the leases on a range and returns a handover token.
 func (u *Upstream) release(w http.ResponseWriter, r *http.Request) {
-	var c rangeRequest
-	if err := json.NewDecoder(r.Body).Decode(&c); err != nil {
+	grant, err := platform.DecodeGrant(r.Body)
+	if err != nil {
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
 	u.mutex.Lock()
 	defer u.mutex.Unlock()
-	for key := c.From; key <= c.To; key++ {
-		u.leases[key] = lease{
-			fence: u.leases[key].fence,
-		}
-	}
-	w.Header().Set("Handover", fmt.Sprintf("token-%d-%d", c.Fence, handoverCount.Add(1)))
+	u.leases.Release(grant)
+	w.Header().Set(platform.HandoverHeader, fmt.Sprintf("token-%d-%d", grant.Fence, handoverCount.Add(1)))
 }
 
 func (u *Upstream) run(w http.ResponseWriter, r *http.Request) {
@@ -261,20 +228,3 @@
 
 // handoverCount makes each handover differ.
 var handoverCount atomic.Uint64
-
-// addressCount is the number of addresses that UnusedAddress has returned.
-var addressCount atomic.Uint32
-
-// UnusedAddress returns a loopback address that no one else listens on. The IP is derived from the process ID and the
-// call count: on a shared IP another process or an outgoing connection could take the port before the caller listens.
-func UnusedAddress() (string, error) {
-	const hostCount = 250
-	process := os.Getpid()
-	host := fmt.Sprintf("127.%d.%d.%d", 64+process>>8&63, process&255, 1+addressCount.Add(1)%hostCount)
-	listener, err := net.Listen("tcp4", net.JoinHostPort(host, "0"))
-	if err != nil {
-		return "", err
-	}
-	defer listener.Close()
-	return listener.Addr().String(), nil
-}
