--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -276,8 +276,8 @@
 		if r.Outcome != Dropped || len(runs[r.Request]) == 0 {
 			continue
 		}
-		for _, stop := range h.Stops {
-			if stop.Target != r.Instance || r.EndedAt < stop.From || r.SentAt > stop.To || r.EndedAt-stop.From > stopTimeout.Nanoseconds() {
+		for _, stop := range h.Spans {
+			if stop.Kind != InstanceStop || stop.Target != r.Instance || r.EndedAt < stop.From || r.EndedAt-stop.From > stopTimeout.Nanoseconds() {
 				continue
 			}
 			if h.overlaps(r.SentAt-contact.Nanoseconds(), r.EndedAt, cutters) {
--- a/internal/soak/check_test.go
+++ b/internal/soak/check_test.go
@@ -89,7 +89,6 @@
 	events  []backend.Event
 	results []soak.Result
 	spans   []soak.Span
-	stops   []soak.Span
 	orders  []soak.Order
 	exits   []soak.Exit
 )
@@ -113,8 +112,6 @@
 			t.history.Results = p
 		case spans:
 			t.history.Spans = p
-		case stops:
-			t.history.Stops = p
 		case orders:
 			t.history.Orders = p
 		case exits:
@@ -133,7 +130,7 @@
 		From: at(0),
 		To:   at(20000),
 	}}
-	stopped := stops{during(soak.InstanceStop, 0, 6000)}
+	stopped := during(soak.InstanceStop, 0, 6000)
 	wrong := answered("r", 200)
 	wrong.Body = backend.Answer("a", "other", 0)
 	half := answered("r", 200)
@@ -170,9 +167,9 @@
 		broken("half", "own and whole answer", results{half}),
 		kept("own", "own and whole answer", results{answered("r", 200)}),
 
-		broken("cut", "nothing cut by a planned stop", events{run(1, "a", backend.Begun, "r")}, results{dropped("r")}, stopped),
-		kept("not passed on", "nothing cut by a planned stop", results{dropped("r")}, stopped),
-		kept("its backend ended", "nothing cut by a planned stop", events{run(1, "a", backend.Begun, "r")}, results{dropped("r")}, stopped, spans{during(soak.BackendKill, 50, 500)}),
+		broken("cut", "nothing cut by a planned stop", events{run(1, "a", backend.Begun, "r")}, results{dropped("r")}, spans{stopped}),
+		kept("not passed on", "nothing cut by a planned stop", results{dropped("r")}, spans{stopped}),
+		kept("its backend ended", "nothing cut by a planned stop", events{run(1, "a", backend.Begun, "r")}, results{dropped("r")}, spans{stopped, during(soak.BackendKill, 50, 500)}),
 
 		broken("nothing", "requests are served", results{answered("r", 503)}),
 		kept("something", "requests are served", results{answered("r", 200)}),
--- a/internal/soak/cluster.go
+++ b/internal/soak/cluster.go
@@ -1,27 +1,19 @@
 package soak
 
 import (
-	"bytes"
 	"context"
 	"encoding/json"
 	"errors"
 	"fmt"
-	"io"
 	"net/http"
 	"os"
-	"os/exec"
 	"path/filepath"
 	"sync"
-	"syscall"
 	"time"
 
-	"cuminlift"
-	"cuminlift/core/route"
 	"cuminlift/internal/gateway"
-	"cuminlift/internal/mutant"
 	"cuminlift/internal/standin/backend"
 	"cuminlift/internal/standin/loopback"
-	"cuminlift/internal/standin/rowserver"
 	"cuminlift/platform"
 )
 
@@ -43,30 +35,10 @@
 	callerHost   = "soak.example"
 )
 
-// process is a program that was started.
-type process struct {
-	command *exec.Cmd
-	// ended is closed once the process has ended.
-	ended chan struct{}
-}
-
-// signal sends a signal to the process, which may have ended.
-func (p *process) signal(s syscall.Signal) {
-	// A process that has ended needs no signal.
-	_ = p.command.Process.Signal(s)
-}
-
-// kill ends the process and returns when it has ended.
-func (p *process) kill() {
-	p.signal(syscall.SIGKILL)
-	<-p.ended
-}
-
 // cluster is a running system with its stand-ins.
 type cluster struct {
 	config   Config
 	schedule Schedule
-	folder   string
 	store    *process
 	// direct is the store without a link.
 	direct *platform.Store
@@ -114,45 +86,10 @@
 
 func zoneName(number int) string { return fmt.Sprintf("zone-%d", number%zoneCount+1) }
 
-// start starts a program, whose error output goes to a file in the folder.
-func (k *cluster) start(name, program string, out io.Writer, args ...string) (*process, error) {
-	log, err := os.OpenFile(filepath.Join(k.folder, name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o644)
-	if err != nil {
-		return nil, err
-	}
-	defer log.Close()
-	command := exec.Command(filepath.Join(k.config.Programs, program), args...)
-	command.Env = append(os.Environ(), mutant.Variable+"="+string(k.config.Mutant))
-	command.Stderr = log
-	command.Stdout = out
-	if out == nil {
-		command.Stdout = log
-	}
-	// The process does not outlive the soak.
-	command.SysProcAttr = &syscall.SysProcAttr{
-		Pdeathsig: syscall.SIGKILL,
-		Setpgid:   true,
-	}
-	if err := command.Start(); err != nil {
-		return nil, fmt.Errorf("starting %s: %w", name, err)
-	}
-	p := &process{
-		command: command,
-		ended:   make(chan struct{}),
-	}
-	go func() {
-		// How it ended is in its log.
-		_ = command.Wait()
-		close(p.ended)
-	}()
-	return p, nil
-}
-
-func newCluster(config Config, schedule Schedule, folder string) (*cluster, error) {
+func newCluster(config Config, schedule Schedule) (*cluster, error) {
 	k := &cluster{
 		config:   config,
 		schedule: schedule,
-		folder:   folder,
 	}
 	var err error
 	if k.store, err = k.start("store", "cuminlift-standin", nil, "store", "--listen", loopback.Address(storeHost, storePort)); err != nil {
@@ -253,7 +190,7 @@
 	if err != nil {
 		return err
 	}
-	path := filepath.Join(k.folder, name+".json")
+	path := filepath.Join(k.config.Folder, name+".json")
 	if err := os.WriteFile(path, settings, 0o644); err != nil {
 		return err
 	}
@@ -282,7 +219,7 @@
 	if err != nil {
 		return err
 	}
-	path := filepath.Join(k.folder, id+".json")
+	path := filepath.Join(k.config.Folder, id+".json")
 	if err := os.WriteFile(path, settings, 0o644); err != nil {
 		return err
 	}
@@ -327,150 +264,3 @@
 	k.mutex.Unlock()
 	b.occupied = false
 }
-
-// commit writes to the store as the operators do, until it is acknowledged or ctx ends.
-func (k *cluster) commit(ctx context.Context, transaction cuminlift.RowTransaction) error {
-	for {
-		callCtx, cancel := context.WithTimeout(ctx, callTimeout)
-		_, err := k.direct.Commit(callCtx, transaction)
-		cancel()
-		if err == nil {
-			return nil
-		}
-		if ctx.Err() != nil {
-			return errors.Join(ctx.Err(), err)
-		}
-		time.Sleep(100 * time.Millisecond)
-	}
-}
-
-// configure writes the next version of the configuration.
-func (k *cluster) configure() error {
-	k.mutex.Lock()
-	k.version += 3 // Versions rise in uneven steps.
-	version := k.version
-	k.mutex.Unlock()
-	row, err := platform.EncodeConfiguration(platform.Configuration{
-		Version: version,
-		Routes: []route.Route{
-			routeTo("read", "/read/", route.Idempotent, keyedService),
-			routeTo("book", "/book/", route.AtMostOnce, keyedService),
-			routeTo("order", "/order/", route.AtMostOnce, plainService),
-			routeTo("list", "/list/", route.Idempotent, plainService),
-		},
-		Services: []route.Service{
-			{
-				Name:         keyedService,
-				HealthPath:   backend.HealthPath,
-				Connections:  64,
-				Keyed:        true,
-				ColdRate:     1000,
-				ColdDuration: time.Millisecond,
-			},
-			{
-				Name:         plainService,
-				HealthPath:   backend.HealthPath,
-				Connections:  64,
-				ColdRate:     1000,
-				ColdDuration: time.Millisecond,
-			},
-		},
-	})
-	if err != nil {
-		return err
-	}
-	ctx, cancel := context.WithTimeout(context.Background(), maxFault+callTimeout)
-	defer cancel()
-	return k.commit(ctx, cuminlift.RowTransaction{
-		Put: []cuminlift.Row{row},
-	})
-}
-
-func routeTo(name, prefix string, kind route.Kind, service string) route.Route {
-	return route.Route{
-		Name:      name,
-		Host:      callerHost,
-		Prefix:    prefix,
-		Kind:      kind,
-		Timeout:   2 * time.Second,
-		Objective: 200 * time.Millisecond,
-		Attempts:  3,
-		Priority:  1,
-		WeightedServices: []route.WeightedService{{
-			Service: service,
-			Weight:  1,
-		}},
-	}
-}
-
-const (
-	// heartbeat is the time between registrations of a backend, and expiryTime how long an entry is kept without one.
-	heartbeat  = 300 * time.Millisecond
-	expiryTime = 3 * heartbeat
-)
-
-// expire removes the entries of backends that have been silent, as the platform does, until ctx ends.
-func (k *cluster) expire(ctx context.Context) {
-	type seen struct {
-		version, era uint64
-		at           time.Time
-	}
-	latest := map[string]seen{}
-	for ; ctx.Err() == nil; time.Sleep(heartbeat / 2) {
-		callCtx, cancel := context.WithTimeout(ctx, callTimeout)
-		page, err := k.direct.Rows(callCtx, platform.RowRegistry{}.UpstreamTable(), "")
-		cancel()
-		if err != nil {
-			clear(latest) // Nothing expires because the store was away.
-			continue
-		}
-		for _, row := range page.Rows {
-			last := latest[row.Key]
-			if last.version != row.Version || last.era != page.Era {
-				latest[row.Key] = seen{
-					version: row.Version,
-					era:     page.Era,
-					at:      time.Now(),
-				}
-				continue
-			}
-			if time.Since(last.at) < expiryTime {
-				continue
-			}
-			// A backend that has registered meanwhile keeps its entry.
-			callCtx, cancel := context.WithTimeout(ctx, callTimeout)
-			_, _ = k.direct.Commit(callCtx, cuminlift.RowTransaction{
-				Require: []cuminlift.Row{row},
-				Remove:  []cuminlift.Row{row},
-			})
-			cancel()
-		}
-	}
-}
-
-// control sends a control call as JSON to a stand-in.
-func (k *cluster) control(url string, body any) error {
-	text, err := json.Marshal(body)
-	if err != nil {
-		return err
-	}
-	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
-	defer cancel()
-	request, err := http.NewRequestWithContext(ctx, http.MethodPost, url, bytes.NewReader(text))
-	if err != nil {
-		return err
-	}
-	response, err := http.DefaultClient.Do(request)
-	if err != nil {
-		return err
-	}
-	defer response.Body.Close()
-	if response.StatusCode != http.StatusOK {
-		return fmt.Errorf("%s answers with status %d", url, response.StatusCode)
-	}
-	return nil
-}
-
-func (k *cluster) setStoreFaults(faults rowserver.Faults) error {
-	return k.control("http://"+loopback.Address(storeHost, storePort)+rowserver.FaultsPath, faults)
-}
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -49,7 +49,6 @@
 // play carries out the schedule from start on, until ctx ends.
 func (p *player) play(ctx context.Context, start time.Time) error {
 	k := p.cluster
-	began := make([]int64, len(k.schedule.Faults))
 	for _, s := range steps(k.schedule.Faults) {
 		timer := time.NewTimer(time.Until(start.Add(s.at)))
 		select {
@@ -60,9 +59,7 @@
 		}
 		f := k.schedule.Faults[s.fault]
 		if !s.ends {
-			began[s.fault] = time.Now().UnixNano()
-			// Until its end, the disturbance has no end.
-			k.addSpan(s.fault, f, began[s.fault], 1<<62)
+			k.beginSpan(s.fault, f)
 			if err := p.begin(ctx, f); err != nil {
 				return err
 			}
@@ -71,12 +68,13 @@
 		if err := p.end(ctx, f); err != nil {
 			return err
 		}
-		k.endSpan(s.fault, time.Now().UnixNano())
+		k.endSpan(s.fault)
 	}
 	return nil
 }
 
-func (k *cluster) addSpan(fault int, f Fault, from, to int64) {
+// beginSpan records that a fault begins. Until endSpan, the disturbance has no end.
+func (k *cluster) beginSpan(fault int, f Fault) {
 	k.mutex.Lock()
 	defer k.mutex.Unlock()
 	for len(k.history.Spans) <= fault {
@@ -85,16 +83,16 @@
 	k.history.Spans[fault] = Span{
 		Kind:   f.Kind,
 		Target: f.Target,
-		From:   from,
-		To:     to,
+		From:   time.Now().UnixNano(),
+		To:     endless,
 	}
 }
 
-func (k *cluster) endSpan(fault int, at int64) {
+func (k *cluster) endSpan(fault int) {
 	k.mutex.Lock()
 	defer k.mutex.Unlock()
 	span := &k.history.Spans[fault]
-	span.To = at
+	span.To = time.Now().UnixNano()
 	switch span.Kind {
 	case InstanceKill, InstanceStop:
 		span.To += startTime.Nanoseconds()
@@ -104,6 +102,9 @@
 	}
 }
 
+// endless is the end of what has not ended yet.
+const endless = 1 << 62
+
 const (
 	// startTime is how long an instance that has started again may need until it is in touch.
 	startTime = 3 * time.Second
@@ -117,14 +118,6 @@
 	case InstanceKill:
 		k.instances[f.Target].kill()
 	case InstanceStop:
-		k.mutex.Lock()
-		k.history.Stops = append(k.history.Stops, Span{
-			Kind:   f.Kind,
-			Target: f.Target,
-			From:   time.Now().UnixNano(),
-			To:     time.Now().Add(stopTimeout).UnixNano(),
-		})
-		k.mutex.Unlock()
 		k.instances[f.Target].signal(syscall.SIGTERM)
 	case InstancePause:
 		p.pause(k.instances[f.Target])
@@ -293,7 +286,7 @@
 	k.history.Orders = append(k.history.Orders, Order{
 		Zone: zone,
 		From: acknowledged,
-		To:   1 << 62,
+		To:   endless,
 	})
 	k.mutex.Unlock()
 	timer := time.NewTimer(lasts)
--- a/internal/soak/history.go
+++ b/internal/soak/history.go
@@ -65,8 +65,6 @@
 	Spans   []Span
 	Orders  []Order
 	Exits   []Exit
-	// Stops are the planned stops of instances.
-	Stops []Span
 }
 
 // sorted orders the events by time.
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -34,7 +34,7 @@
 	if err := schedule.Check(); err != nil {
 		return Summary{}, err
 	}
-	k, err := newCluster(config, schedule, config.Folder)
+	k, err := newCluster(config, schedule)
 	defer k.stop()
 	if err != nil {
 		return Summary{}, err
--- a/internal/standin/rowserver/rowserver.go
+++ b/internal/standin/rowserver/rowserver.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net/http"
+	"net/http/httptest"
 	"strconv"
 	"sync"
 	"time"
@@ -144,7 +145,7 @@
 		case faults.NoHistory && r.URL.Path == platform.CallPrefix+platform.FeedCall:
 			w.WriteHeader(http.StatusGone)
 		case r.Method == http.MethodPost && rand.Float64() < faults.LostAnswers:
-			handle(&discardedAnswer{}, r)
+			handle(httptest.NewRecorder(), r)
 			<-r.Context().Done()
 		default:
 			handle(w, r)
@@ -152,25 +153,6 @@
 	}
 }
 
-// discardedAnswer is a response that nobody receives.
-type discardedAnswer struct {
-	header http.Header
-}
-
-// Header implements http.ResponseWriter.
-func (d *discardedAnswer) Header() http.Header {
-	if d.header == nil {
-		d.header = http.Header{}
-	}
-	return d.header
-}
-
-// Write implements http.ResponseWriter.
-func (*discardedAnswer) Write(data []byte) (int, error) { return len(data), nil }
-
-// WriteHeader implements http.ResponseWriter.
-func (*discardedAnswer) WriteHeader(int) {}
-
 // answer writes a page, or the status of an error.
 func (s *Server) answer(w http.ResponseWriter, page cuminlift.RowPage, truncated bool, err error) {
 	var conflict *cuminlift.ConflictError
