--- a/core/dispatch/suspects.go
+++ b/core/dispatch/suspects.go
@@ -303,22 +303,20 @@
 	if s.entries == nil {
 		s.entries, s.changed = map[uint64]*suspect{}, map[uint64]bool{}
 	}
-	switch {
-	case len(crashes) == 0:
+	if len(crashes) == 0 {
 		delete(s.entries, fingerprint)
-		s.changed[fingerprint] = entry.announced
-	case entry == nil:
-		s.entries[fingerprint] = &suspect{
-			crashes: crashes,
+		if !entry.announced {
+			delete(s.changed, fingerprint) // Nobody was told.
+			return
+		}
+	} else {
+		if entry == nil {
+			entry = &suspect{}
+			s.entries[fingerprint] = entry
 		}
-		s.changed[fingerprint] = true
-	default:
 		entry.crashes = crashes
-		s.changed[fingerprint] = true
-	}
-	if !s.changed[fingerprint] {
-		delete(s.changed, fingerprint)
 	}
+	s.changed[fingerprint] = true
 }
 
 // forget drops the suspicions that are too old.
--- a/internal/gateway/reports.go
+++ b/internal/gateway/reports.go
@@ -102,7 +102,8 @@
 	}
 }
 
-// sendNotices tells a new coordinator what upstreams have said to this instance, and which requests crash them. It must go before the first request.
+// sendNotices tells a new coordinator what upstreams have said to this instance, and which requests crash them. It must go before the
+// first request.
 func (t *ticketClient) sendNotices(now time.Duration) {
 	for _, frame := range t.departures.departureNotices() {
 		t.frameConn.Send(frame)
--- /dev/null
+++ b/internal/gateway/response.go
@@ -0,0 +1,101 @@
+package gateway
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"cuminlift/core/request"
+	"cuminlift/internal/mutant"
+	"cuminlift/io/upstream"
+)
+
+// streamBufferBytes is the size of the buffer of an answer that is passed on as it arrives.
+const streamBufferBytes = 8 << 10
+
+// writeResponse writes the response to the caller. If the response breaks off, it aborts the connection, so that the caller
+// does not take the response for complete.
+func (h *requestHandler) writeResponse(w http.ResponseWriter, c *call, response *upstream.Response, buffered []byte, complete bool) {
+	header := w.Header()
+	for name, values := range response.Header {
+		header[name] = values
+	}
+	for _, name := range []string{"Date", "Content-Type"} {
+		if _, present := header[name]; !present {
+			header[name] = nil
+		}
+	}
+	if complete && bodyAllowed(response.Status) {
+		header.Set("Content-Length", strconv.Itoa(len(buffered)))
+	}
+	if h.stopping.Load() {
+		header.Set("Connection", "close")
+	}
+	w.WriteHeader(response.Status)
+	if _, err := w.Write(buffered); err != nil || complete {
+		return // The caller has disconnected, or has received everything.
+	}
+	// A caller that reads too slowly must not keep the rest of the response, which may have no end, beyond the request's time.
+	controller := http.NewResponseController(w)
+	if err := controller.SetWriteDeadline(c.deadline); err != nil {
+		h.log.WithField("request", c.requestID).WithError(err).Warn("limiting the time of an answer failed")
+	}
+	// The server's own way of copying would take four times as much for each.
+	if _, err := io.CopyBuffer(struct{ io.Writer }{w}, response.Body, make([]byte, streamBufferBytes)); err != nil {
+		h.log.WithField("request", c.requestID).WithError(err).Warn("answer broke off")
+		panic(http.ErrAbortHandler)
+	}
+	// The connection stays open for further requests.
+	if err := controller.SetWriteDeadline(time.Time{}); err != nil {
+		h.log.WithField("request", c.requestID).WithError(err).Warn("lifting the limit on the time of an answer failed")
+	}
+}
+
+func bodyAllowed(status int) bool {
+	return status != http.StatusNoContent && status != http.StatusNotModified
+}
+
+// failCall responds at once to a call that no upstream answered. The status says whether the request may have run.
+func (h *requestHandler) failCall(ctx context.Context, w http.ResponseWriter, r *http.Request, c *call, reason string, retryDelay time.Duration) {
+	if r.Context().Err() != nil {
+		h.counters.count("left")
+		return
+	}
+	status := http.StatusServiceUnavailable
+	if c.state.ExecutionStatus() != request.NotRun && !mutant.Is(mutant.FalsePromise) {
+		status = http.StatusBadGateway
+		if ctx.Err() != nil {
+			status = http.StatusGatewayTimeout
+		}
+	}
+	h.log.WithFields(logrus.Fields{
+		"request":  c.requestID,
+		"content":  formatFingerprint(c.identity.Content),
+		"route":    c.route.Name,
+		"service":  c.service,
+		"key":      int64(c.key) - 1,
+		"reason":   reason,
+		"known":    c.state.ExecutionStatus().String(),
+		"attempts": c.state.Attempts(),
+		"status":   status,
+		"after":    retryDelay,
+		"held":     time.Since(c.receivedAt),
+	}).Warn("request given up")
+	h.respondError(w, status, reason, retryDelay)
+}
+
+// respondError responds with an error of the instance itself.
+func (h *requestHandler) respondError(w http.ResponseWriter, status int, reason string, retryDelay time.Duration) {
+	if status == http.StatusServiceUnavailable {
+		name, text := h.config.RetryAfterHeader(max(retryDelay, time.Millisecond))
+		w.Header().Set(name, text)
+	}
+	h.counters.count("refused-" + strconv.Itoa(status))
+	w.Header().Set("Content-Type", "text/plain; charset=utf-8")
+	w.WriteHeader(status)
+	_, _ = io.WriteString(w, reason+"\n") // A caller that has disconnected needs no response.
+}
