schema, core/dispatch: fields for the parts on hard load

Cause: five parts add fields to the same messages; settled numbers keep them from colliding. Change: fields are only added; the size of the body travels with each ticket request. Nothing reads the others yet. Result: builds; no behaviour changes.

--- a/core/dispatch/ticket.go
+++ b/core/dispatch/ticket.go
@@ -29,6 +29,12 @@
 	Avoid   string
 	// Unsent is true if no earlier attempt was sent, so that this one takes nothing of the retry budget.
 	Unsent bool
+	// Workspace is the workspace of the caller, empty for none.
+	Workspace string
+	// Class is the same for requests that are taken to cost alike.
+	Class string
+	// BodyBytes is the size of the request's body.
+	BodyBytes int
 	// Identity is the same for each repeat of the request.
 	Identity request.Identity
 	// arrived is when the ticket was submitted.
--- a/internal/gateway/tickets.go
+++ b/internal/gateway/tickets.go
@@ -191,6 +191,9 @@
 		Attempt:    int(request.GetAttempt()),
 		Avoid:      request.GetAvoid(),
 		Unsent:     request.GetUnsent(),
+		Workspace:  request.GetWorkspace(),
+		Class:      request.GetRouteClass(),
+		BodyBytes:  int(request.GetBodyBytes()),
 		Identity:   identityOf(request),
 	}
 }
