internal/gateway: instances are told changes of key holders instead of whole maps

Cause: the coordinator sent each instance the whole map up to once a second: 8 KB to each of 75 instances in one burst, which fills a link of 10 Mbit/s for half a second; dials with a timeout of 0.3 s, tickets and heartbeats wait behind it.

--- a/core/keyspace/holders.go
+++ b/core/keyspace/holders.go
@@ -1,6 +1,7 @@
 package keyspace
 
 import (
+	"slices"
 	"sort"
 	"time"
 
@@ -46,6 +47,101 @@
 	return true
 }
 
+// Apply replaces the holders of some ranges. It reports false and changes nothing if no map is known or the changes are inconsistent
+// with it.
+func (m *HolderMap) Apply(changes *schema.OwnerChanges) bool {
+	keys := uint64(0)
+	if len(m.lastKeys) > 0 {
+		keys = uint64(m.lastKeys[len(m.lastKeys)-1]) + 1
+	}
+	for _, r := range changes.GetRanges() {
+		if r.GetWidth() == 0 || uint64(r.GetFrom())+uint64(r.GetWidth()) > keys || int(r.GetHolder()) >= len(changes.GetHolders()) {
+			return false
+		}
+	}
+	for _, r := range changes.GetRanges() {
+		m.replaceRange(r.GetFrom(), r.GetFrom()+r.GetWidth()-1, m.holderIndex(changes.GetHolders()[r.GetHolder()]))
+	}
+	m.denied, m.denials = map[int]bool{}, map[uint32]int{}
+	return true
+}
+
+// replaceRange gives the keys of a range, which must be known, a holder.
+func (m *HolderMap) replaceRange(from, to, holder uint32) {
+	first, last := m.rangeOf(from), m.rangeOf(to)
+	var lastKeys, holders []uint32
+	if start := m.rangeStart(first); start < from {
+		lastKeys, holders = append(lastKeys, from-1), append(holders, m.rangeHolders[first])
+	}
+	lastKeys, holders = append(lastKeys, to), append(holders, holder)
+	if m.lastKeys[last] > to {
+		lastKeys, holders = append(lastKeys, m.lastKeys[last]), append(holders, m.rangeHolders[last])
+	}
+	// The slices may be those of the message from which the map came.
+	m.lastKeys = slices.Replace(slices.Clone(m.lastKeys), first, last+1, lastKeys...)
+	m.rangeHolders = slices.Replace(slices.Clone(m.rangeHolders), first, last+1, holders...)
+}
+
+func (m *HolderMap) rangeStart(index int) uint32 {
+	if index == 0 {
+		return 0
+	}
+	return m.lastKeys[index-1] + 1
+}
+
+// holderIndex returns the index of a holder, which it adds if it is new.
+func (m *HolderMap) holderIndex(h *schema.KeyHolder) uint32 {
+	for i, known := range m.holders {
+		if sameHolder(known, h) {
+			return uint32(i)
+		}
+	}
+	m.holders = append(slices.Clone(m.holders), h)
+	return uint32(len(m.holders) - 1)
+}
+
+func sameHolder(a, b *schema.KeyHolder) bool {
+	return a.GetUpstream() == b.GetUpstream() && a.GetBorn() == b.GetBorn()
+}
+
+// Changes returns the ranges of next whose holder differs from that in previous. Both must cover the same keys.
+func Changes(previous, next *schema.KeyMap) *schema.OwnerChanges {
+	changes := &schema.OwnerChanges{}
+	positions := map[uint32]uint32{}
+	at, previousEnd := -1, uint32(0)
+	from := uint32(0)
+	for i, width := range next.GetWidths() {
+		holder := next.GetHolders()[next.GetOwners()[i]]
+		differs := false
+		end := from + width
+		for {
+			if at >= 0 && previousEnd > from {
+				differs = differs || !sameHolder(previous.GetHolders()[previous.GetOwners()[at]], holder)
+			}
+			if previousEnd >= end || at+1 >= len(previous.GetWidths()) {
+				break
+			}
+			at++
+			previousEnd += previous.GetWidths()[at]
+		}
+		if differs || previousEnd < end {
+			position, known := positions[next.GetOwners()[i]]
+			if !known {
+				position = uint32(len(changes.Holders))
+				positions[next.GetOwners()[i]] = position
+				changes.Holders = append(changes.Holders, holder)
+			}
+			changes.Ranges = append(changes.Ranges, &schema.OwnedRange{
+				From:   from,
+				Width:  width,
+				Holder: position,
+			})
+		}
+		from = end
+	}
+	return changes
+}
+
 // Deny records that upstream has said that it doesn't hold key. Until the next Update, the key's range has no holder.
 func (m *HolderMap) Deny(key uint32, upstream string) {
 	index := m.rangeOf(key)
--- a/core/keyspace/holders_test.go
+++ b/core/keyspace/holders_test.go
@@ -1,6 +1,8 @@
 package keyspace_test
 
 import (
+	"math/rand/v2"
+	"strconv"
 	"testing"
 
 	qt "github.com/frankban/quicktest"
@@ -75,3 +77,52 @@
 	c.Check(m.Update(broken), qt.IsFalse)
 	c.Check(ownerOf(m, 150), qt.Equals, "u1")
 }
+
+// TestChangesTurnOneMapIntoTheNext guards against instances that keep an outdated holder, or invent one, because only the changed
+// ranges are sent.
+func TestChangesTurnOneMapIntoTheNext(t *testing.T) {
+	c := qt.New(t)
+	random := rand.New(rand.NewPCG(1, 2))
+	previous := randomMap(random)
+	m := &keyspace.HolderMap{}
+	c.Check(m.Apply(keyspace.Changes(&schema.KeyMap{}, previous)), qt.IsFalse) // Nothing is known that could change.
+	c.Assert(m.Update(previous), qt.IsTrue)
+	for range 300 {
+		next := randomMap(random)
+		c.Assert(m.Apply(keyspace.Changes(previous, next)), qt.IsTrue)
+		want := &keyspace.HolderMap{}
+		c.Assert(want.Update(next), qt.IsTrue)
+		for key := range uint32(mapKeys) {
+			c.Assert(ownerOf(m, key), qt.Equals, ownerOf(want, key))
+		}
+		c.Check(keyspace.Changes(next, next).GetRanges(), qt.HasLen, 0)
+		previous = next
+	}
+	c.Check(m.Apply(&schema.OwnerChanges{
+		Holders: previous.GetHolders(),
+		Ranges: []*schema.OwnedRange{{
+			From:  mapKeys - 1,
+			Width: 2,
+		}},
+	}), qt.IsFalse)
+}
+
+const mapKeys = 64
+
+// randomMap returns a map of mapKeys keys in random ranges.
+func randomMap(random *rand.Rand) *schema.KeyMap {
+	m := &schema.KeyMap{}
+	for i := range 4 {
+		m.Holders = append(m.Holders, &schema.KeyHolder{
+			Upstream: "u" + strconv.Itoa((i+random.IntN(2))%4),
+			Born:     int64(random.IntN(2)),
+		})
+	}
+	for left := uint32(mapKeys); left > 0; {
+		width := min(left, 1+random.Uint32N(20))
+		left -= width
+		m.Widths = append(m.Widths, width)
+		m.Owners = append(m.Owners, random.Uint32N(4))
+	}
+	return m
+}
--- a/internal/gateway/coordinator.go
+++ b/internal/gateway/coordinator.go
@@ -91,10 +91,9 @@
 	// holdersView and holdersSetAt are the view and the time of the last update of the assigner's upstreams.
 	holdersView  *view
 	holdersSetAt time.Duration
-	// ownersDueAt is when the holders may next be sent to all instances, and lastOwners what was last sent.
-	ownersDueAt time.Duration
-	lastOwners  []byte
-	tickets     map[uint64]ticketOrigin
+	// owners is what instances were told of the holders.
+	owners  ownerPublication
+	tickets map[uint64]ticketOrigin
 }
 
 // ticketOrigin records which instance requested a ticket, and its ID there.
@@ -120,11 +119,6 @@
 	// coordinator's authority lasts after a renewal.
 	leaseWriteTimeout      = 700 * time.Millisecond
 	assignmentWriteTimeout = 1500 * time.Millisecond
-	// ownersInterval is the shortest interval between owner updates to all instances, and ownersBytesPerSecond bounds their traffic.
-	// Instances use them only while there is no coordinator, and an upstream refuses requests based on outdated ones. An update
-	// takes some tens of bytes for each range and instance, and the slowest links carry a megabyte per second.
-	ownersInterval       = time.Second
-	ownersBytesPerSecond = 1 << 20
 	// queueLogInterval is the interval between log lines with queue statistics.
 	queueLogInterval = time.Second
 	// probeInterval is the interval between probes of unreachable upstreams.
@@ -374,6 +368,9 @@
 			name:    name,
 			keyed:   keyed,
 			tickets: map[uint64]ticketOrigin{},
+			owners: ownerPublication{
+				sent: map[frameConn]bool{},
+			},
 		}
 		config := poolConfig(c.config.Settings, dispatch.Share{})
 		config.Suspects = c.suspects
--- a/internal/gateway/coordinator_conn.go
+++ b/internal/gateway/coordinator_conn.go
@@ -89,6 +89,10 @@
 		if conn == t.frameConn {
 			t.handleOwners(body.Owners)
 		}
+	case *schema.Frame_OwnerChanges:
+		if conn == t.frameConn && !t.keyOwners(body.OwnerChanges.GetService()).Apply(body.OwnerChanges) {
+			t.log.WithField("service", body.OwnerChanges.GetService()).Error("changes of key owners do not fit the map from the coordinator: check that all instances run the same version")
+		}
 	}
 	return true
 }
--- a/internal/gateway/keys.go
+++ b/internal/gateway/keys.go
@@ -1,7 +1,6 @@
 package gateway
 
 import (
-	"bytes"
 	"context"
 	"errors"
 	"net/http"
@@ -9,13 +8,11 @@
 	"time"
 
 	"github.com/sirupsen/logrus"
-	"google.golang.org/protobuf/proto"
 
 	"cuminlift"
 	"cuminlift/core/keyspace"
 	"cuminlift/core/roster"
 	"cuminlift/internal/mutant"
-	"cuminlift/schema"
 )
 
 // advanceKeys runs the assigner of a service and carries out its actions.
@@ -44,9 +41,7 @@
 	for _, call := range actions.Releases {
 		c.sendRelease(s, call)
 	}
-	if now >= s.ownersDueAt {
-		c.broadcastOwners(now, s)
-	}
+	c.publishOwners(now, s)
 }
 
 // minCapacity is the lowest capacity of a holder, in requests per second.
@@ -166,42 +161,6 @@
 	}()
 }
 
-// broadcastOwners sends the holders of the keys to all instances if they have changed.
-func (c *coordinator) broadcastOwners(now time.Duration, s *serviceState) {
-	s.ownersDueAt = now + ownersInterval
-	frame := ownersFrame(s)
-	encoded, err := proto.MarshalOptions{
-		Deterministic: true,
-	}.Marshal(frame)
-	if err != nil || bytes.Equal(encoded, s.lastOwners) {
-		return
-	}
-	s.lastOwners = encoded
-	traffic := len(encoded) * len(c.links)
-	s.ownersDueAt = now + max(ownersInterval, time.Duration(traffic)*time.Second/ownersBytesPerSecond)
-	c.broadcast(frame)
-}
-
-func ownersFrame(s *serviceState) *schema.Frame {
-	return &schema.Frame{
-		Body: &schema.Frame_Owners{
-			Owners: &schema.Owners{
-				Service: s.name,
-				Map:     s.assigner.Map(),
-			},
-		},
-	}
-}
-
-// sendOwners sends the holders of the keys to a newly connected instance.
-func (c *coordinator) sendOwners(l *link) {
-	for _, s := range c.services {
-		if s.assigner != nil {
-			l.send(ownersFrame(s))
-		}
-	}
-}
-
 // probeUnreachable sends a health check to each unreachable upstream of a keyed service once per probeInterval.
 func (c *coordinator) probeUnreachable(now time.Duration, v *view) {
 	if now-c.lastProbe < probeInterval {
--- a/internal/gateway/links.go
+++ b/internal/gateway/links.go
@@ -104,7 +104,7 @@
 			l.current = f
 			l.downSince = 0
 			l.send(l.coordinator.beatFrame(l, false))
-			l.coordinator.sendOwners(l)
+			l.coordinator.queueOwners(l)
 			for _, notice := range l.coordinator.departures.departureNotices() {
 				l.send(notice)
 			}
@@ -180,6 +180,7 @@
 	}
 	l.current = nil
 	l.downSince = now
+	c.forgetOwners(f)
 	for id, s := range l.ticketServices {
 		globalID := l.globalID(id)
 		if origin := s.tickets[globalID]; origin.expires == 0 {
