core/authority, internal/gateway: rank candidates for the lease by what the coordinator needs

Cause: all instances with at least half of the largest CPU share ranked as equally large, whatever their link. On 75 instances with 0.12, 0.4 and 0.8 of a core and links of 10, 10 and 200 Mbit/s, those with 0.4 took the lease and lost it after 0.2 to 4 s. Change: the instance row holds link, memory and descriptors from the settings. The coordinator computes what it needs from instances, upstreams and requests per second, and tells it in its heartbeat with the resources of the fittest connected instance. An instance with less than 0.8 of the best fitness is delayed by a further 1.2 s; fitness is limited by what is needed, so that the order stays where all have enough. Before a heartbeat, the instance rows and 10 requests/s an upstream are used. Without a known link, the CPU share alone decides, as before. Result: TestInstancesWithSlowLinksRankBehindLargeOnes fails with the CPU share alone and passes; TestOrderStaysWhereAllCanCoordinate passes. core/authority, platform and internal/gateway pass. Not played on a deployment yet.

--- a/core/authority/rank.go
+++ b/core/authority/rank.go
@@ -31,8 +31,9 @@
 	return rank
 }
 
-// withoutPathsDelay is added to the rank of an instance that can't reach upstreams. Those that can come first, also the small ones.
-const withoutPathsDelay = smallInstanceDelay + rankCount
+// withoutPathsDelay is added to the rank of an instance that can't reach upstreams. Those that can come first, also the small ones,
+// which may be delayed both for their CPU share and for their fitness.
+const withoutPathsDelay = 2*smallInstanceDelay + rankCount
 
 // RankWithoutPaths returns the rank of an instance that has lost its paths to upstreams.
 func RankWithoutPaths(rank int) int {
--- a/internal/gateway/config.go
+++ b/internal/gateway/config.go
@@ -30,6 +30,8 @@
 	MemoryBytes int64
 	// CPUShare is the fraction of a core that the process may use, 0 if unknown.
 	CPUShare float64
+	// LinkMbps is the rate of the instance's network link, and MaxFDs the number of file descriptors that it may open, 0 if unknown.
+	LinkMbps, MaxFDs uint32
 	// MaxGrantDuration is the longest duration of a key grant.
 	MaxGrantDuration time.Duration
 	// ShutdownTimeout is the time from the stop signal until the process is killed.
--- a/internal/gateway/coordinator.go
+++ b/internal/gateway/coordinator.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"runtime/debug"
+	"sync/atomic"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -67,6 +68,10 @@
 	// relaysDueAt is when instances may next be told of relays, and lastRelays are those that they were told of.
 	relaysDueAt time.Duration
 	lastRelays  []paths.Relay
+	// requests counts requests of all instances without their retries. demand is their rate, and resources what follows from it.
+	requests  atomic.Uint64
+	demand    authority.Demand
+	resources peerResources
 	// suspects are shared by the pools of all services.
 	suspects  *dispatch.Suspects
 	cancel    context.CancelFunc
@@ -263,6 +268,10 @@
 
 				LargestCpuPermille: c.maxCPUPermille(),
 				Place:              to.index,
+
+				Needed:      encodeResources(c.resources.needed),
+				Best:        encodeResources(c.resources.best),
+				RequestRate: c.resources.requestRate,
 			},
 		},
 	}
@@ -273,7 +282,7 @@
 	highest := uint32(0)
 	for _, l := range c.links {
 		if l.current != nil {
-			highest = max(highest, l.cpuPermille)
+			highest = max(highest, l.resources.CPUPermille)
 		}
 	}
 	return highest
@@ -322,6 +331,7 @@
 	c.announceRelays(now)
 	c.comparePaths(now)
 	c.pruneInstances(now)
+	c.measureDemand(now)
 	v := c.view()
 	if v.table == nil || !v.listed {
 		return
--- a/internal/gateway/coordinator_conn.go
+++ b/internal/gateway/coordinator_conn.go
@@ -114,6 +114,7 @@
 	t.instanceCount = int(beat.GetInstances())
 	t.index = int(beat.GetPlace())
 	t.maxCPUPermille = beat.GetLargestCpuPermille()
+	t.learnResources(beat)
 	if beat.GetStoreFails() {
 		t.requestStoreProbe()
 		// Rows forwarded by a coordinator that can't reach the store are outdated.
--- a/internal/gateway/election.go
+++ b/internal/gateway/election.go
@@ -77,6 +77,10 @@
 		CpuPermille: permille(e.config.Settings.CPUShare),
 
 		RelayAddress: e.config.Settings.RelayAddress,
+
+		LinkMbps: e.config.Settings.LinkMbps,
+		MemoryMb: uint32(e.config.Settings.MemoryBytes >> 20),
+		MaxFds:   e.config.Settings.MaxFDs,
 	}
 	value, err := proto.Marshal(row)
 	if err != nil {
@@ -145,6 +149,7 @@
 func (e *elector) observeInstances(rows []cuminlift.Row, value []byte) (version uint64, upToDate bool) {
 	maxCPUPermille := uint32(0)
 	index, others := 0, 0
+	resources := []authority.Resources{e.config.Settings.resources()}
 	own := e.config.Settings.Name
 	for _, row := range rows {
 		instance := &schema.InstanceRow{}
@@ -156,6 +161,7 @@
 			version, upToDate = row.Version, string(row.Value) == string(value)
 		} else {
 			others++
+			resources = append(resources, rowResources(instance))
 		}
 		if row.Key < own {
 			index++
@@ -165,6 +171,7 @@
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
 	t.maxCPUPermille = max(t.maxCPUPermille, maxCPUPermille)
+	t.resources.rows = resources
 	if t.instanceCount <= others {
 		t.instanceCount, t.index = others+1, index
 	}
@@ -177,7 +184,7 @@
 	now := e.clock.Now()
 	holdersLost := e.paths.holdersLost()
 	t.mutex.Lock()
-	rank := authority.Rank(e.config.Settings.Name, permille(e.config.Settings.CPUShare), t.maxCPUPermille)
+	rank := t.rank()
 	if holdersLost {
 		rank = authority.RankWithoutPaths(rank)
 	}
@@ -295,6 +302,9 @@
 	e.ticketClient.resumeStoreReads(nil)
 	c := newCoordinator(ctx, e.config, e.log, e.view, e.incarnation, next, written, sentAt)
 	c.leaseEra = era
+	e.ticketClient.mutex.Lock()
+	c.demand = authority.NewDemand(float64(e.ticketClient.resources.requestRate))
+	e.ticketClient.mutex.Unlock()
 	c.store = e.store
 	c.register = func(ctx context.Context) error {
 		_, _, err := e.putInstanceRow(ctx)
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -34,6 +34,8 @@
 	upstreams    map[string]*keyholder.Upstream
 	paths        map[string]*paths
 	requestCount int
+	// adjust changes the settings of instances that are started from now on, nil for none.
+	adjust func(*gateway.Settings)
 }
 
 type instance struct {
@@ -90,6 +92,9 @@
 		RetryWindow:      10 * time.Second,
 		RetrySlack:       58,
 	}
+	if k.adjust != nil {
+		k.adjust(&settings)
+	}
 	if k.paths[name] == nil {
 		k.paths[name] = &paths{}
 	}
--- a/internal/gateway/instances.go
+++ b/internal/gateway/instances.go
@@ -95,6 +95,7 @@
 		if old != nil && old.address == instance.GetAddress() {
 			old.rowVersion = instance.version
 			old.relayAddress = instance.GetRelayAddress()
+			old.resources = rowResources(instance.InstanceRow)
 			continue
 		}
 		if old != nil {
--- a/internal/gateway/links.go
+++ b/internal/gateway/links.go
@@ -20,7 +20,7 @@
 	// it does not reach.
 	relayAddress    string
 	failedUpstreams int
-	cpuPermille     uint32
+	resources       authority.Resources
 	// rowVersion is the version of the instance's row. downSince is when the connection was lost or first tried, 0 while connected.
 	rowVersion uint64
 	downSince  time.Duration
@@ -71,7 +71,7 @@
 		zone:           instance.GetZone(),
 		address:        instance.GetAddress(),
 		relayAddress:   instance.GetRelayAddress(),
-		cpuPermille:    instance.GetCpuPermille(),
+		resources:      rowResources(instance.InstanceRow),
 		rowVersion:     instance.version,
 		downSince:      now,
 		number:         c.nextLinkNumber,
@@ -137,6 +137,9 @@
 			watchdog.Reset(beatTimeout)
 			l.coordinator.post(func(time.Duration) { l.coordinator.handleBeatReply(l, body.BeatReply) })
 		case *schema.Frame_Request:
+			if body.Request.GetAttempt() == 0 {
+				l.coordinator.requests.Add(1)
+			}
 			if l.coordinator.overloaded() {
 				f.Send(refusal(body.Request.GetId(), dispatch.TooLate, overloadRetryAfter))
 				continue
--- a/internal/gateway/tickets.go
+++ b/internal/gateway/tickets.go
@@ -78,6 +78,7 @@
 	instanceCount, index int
 	// maxCPUPermille is the largest CPU share of an instance as last reported, in thousandths of a core, 0 if unknown.
 	maxCPUPermille uint32
+	resources      peerResources
 	// notices holds what upstreams have said of themselves to this instance.
 	notices dispatch.Notices
 	// suspects are used by the local pools, and told to new coordinators.
