internal/gateway, core/roster, io/upstream: the sender checks tickets against its own tables

Cause: a coordinator that the store refuses goes on granting tickets for upstreams in an evacuated zone, or that leave, and followers with newer tables used them. Change: a follower returns a ticket that its own tables exclude (zone evacuated, draining, removed, earlier start), when it gets the ticket and again once there is a connection, just before the request is written; relaying instances too. Its tables decide unless they are older than those named in the last heartbeat before the grant (Beat.tables, the latest change that the coordinator knows); without versions they always decide. A returned ticket counts neither as an attempt nor as a retry or a request of the retry budget, the next request says so (TicketRequest.returned), and the coordinator withholds the upstream from that instance until their tables agree.

--- a/core/dispatch/pause.go
+++ b/core/dispatch/pause.go
@@ -53,14 +53,14 @@
 		return 0, 0
 	}
 	if q.owner != nil {
-		return q.owner.pauses.remaining(now, t.Instance), q.owner.pauses.shortest(now)
+		return q.owner.closedFor(now, t.Instance), q.owner.pauses.shortest(now)
 	}
 	first := true
 	for _, u := range p.sorted {
 		if !u.state.Usable {
 			continue
 		}
-		ownPause, otherPause := u.pauses.remaining(now, t.Instance), u.pauses.shortest(now)
+		ownPause, otherPause := u.closedFor(now, t.Instance), u.pauses.shortest(now)
 		if ownPause == 0 {
 			return 0, 0
 		}
--- a/core/dispatch/pool.go
+++ b/core/dispatch/pool.go
@@ -148,7 +148,7 @@
 	}
 	if newIncarnation {
 		u.blockCount, u.blockedUntil, u.failureRate, u.suspect, u.latency = 0, 0, 0, false, 0
-		u.limiter, u.pauses = limiter{}, pauses{}
+		u.limiter, u.pauses, u.withheld = limiter{}, pauses{}, pauses{}
 	}
 	if (newIncarnation && p.initialized) || returned {
 		u.coldUntil = now + max(state.ColdRemaining, p.service.ColdDuration)
@@ -175,7 +175,7 @@
 	if t.Bulk {
 		t.rank += bulkDelay
 	}
-	if t.Attempt == 0 {
+	if t.Attempt == 0 && !t.Returned {
 		p.budget.countRequest(now)
 	}
 	if v := p.verdict(now, t); v.Quarantine > 0 {
@@ -185,7 +185,7 @@
 	q := p.queueFor(now, t)
 	wait, work := p.expectedWait(now, t, q)
 	own, others := p.pauseOf(now, t, q)
-	if t.Attempt > 0 && !t.Unsent && !p.budget.take(now) {
+	if t.Attempt > 0 && !t.Unsent && !t.Returned && !p.budget.take(now) {
 		p.refuse(t, NoBudget, max(wait, others), work)
 		return
 	}
--- a/core/dispatch/ticket.go
+++ b/core/dispatch/ticket.go
@@ -29,6 +29,8 @@
 	Avoid   string
 	// Unsent is true if no earlier attempt was sent, so that this one takes nothing of the retry budget.
 	Unsent bool
+	// Returned is true if the last ticket of the request was returned unused. It was counted as a request or a retry then.
+	Returned bool
 	// Workspace is the workspace of the caller, empty for none.
 	Workspace string
 	// Class is the same for requests that are taken to cost alike.
--- a/core/dispatch/upstream.go
+++ b/core/dispatch/upstream.go
@@ -48,6 +48,8 @@
 	// limiter holds the limit that the upstream has named, and pauses the instances from which it wants nothing for now.
 	limiter limiter
 	pauses  pauses
+	// withheld holds the instances that get no ticket for the upstream, because they have returned one.
+	withheld pauses
 	// trials is the number of running tickets that were suspected to crash upstreams when they were sent, at most one.
 	trials int
 }
--- a/core/replica/replica.go
+++ b/core/replica/replica.go
@@ -9,6 +9,8 @@
 	loaded bool
 	// syncedVersion is the version up to which all changes are known, also while loaded is false. It was given out in era.
 	syncedVersion, era uint64
+	// changedVersion is the version of the latest known change.
+	changedVersion uint64
 	// removals are the rows removed after removalsSince, ordered by version.
 	removals      []cuminlift.Row
 	removalsSince uint64
@@ -28,7 +30,7 @@
 		return cuminlift.RowPage{}, false
 	}
 	if page.Era > t.era {
-		t.era, t.syncedVersion = page.Era, 0
+		t.era, t.syncedVersion, t.changedVersion = page.Era, 0, 0
 	}
 	news.Version, news.Era = page.Version, page.Era
 	if snapshot {
@@ -37,12 +39,14 @@
 		t.removals = nil
 		// The rows removed up to this version are unknown.
 		t.removalsSince = page.Version
+		t.changedVersion = max(t.changedVersion, page.Version)
 	}
 	for _, row := range page.Rows {
 		if !snapshot && row.Version <= t.syncedVersion {
 			continue
 		}
 		news.Rows = append(news.Rows, row)
+		t.changedVersion = max(t.changedVersion, row.Version)
 		if !row.Removed {
 			t.rows[row.Key] = row
 			continue
@@ -76,6 +80,23 @@
 	return t.syncedVersion
 }
 
+// Position returns the version up to which changes are known, also while a snapshot must be read.
+func (t *Table) Position() Position {
+	return Position{
+		Era:     t.era,
+		Version: t.syncedVersion,
+	}
+}
+
+// LastChange returns the version of the latest known change. A copy that is known up to there is not older than this one. Position may
+// be higher: a page without rows advances it.
+func (t *Table) LastChange() Position {
+	return Position{
+		Era:     t.era,
+		Version: t.changedVersion,
+	}
+}
+
 // Era returns the era of the store from which the rows were read.
 func (t *Table) Era() uint64 {
 	return t.era
--- a/core/replica/replica_test.go
+++ b/core/replica/replica_test.go
@@ -138,3 +138,35 @@
 	c.Check(table.SyncedVersion(), qt.Equals, uint64(0))
 	c.Check(table.CanApply(cuminlift.RowPage{}, false, 5), qt.IsFalse)
 }
+
+// TestEmptyPagesAreNoChanges guards against a follower whose copy counts as older than that of the coordinator, although it lacks no
+// row: pages without rows are not forwarded.
+func TestEmptyPagesAreNoChanges(t *testing.T) {
+	c := qt.New(t)
+	coordinator, follower := &replica.Table{}, &replica.Table{}
+	for _, table := range []*replica.Table{coordinator, follower} {
+		apply(c, table, cuminlift.RowPage{
+			Version: 5,
+		}, true, 0)
+	}
+	apply(c, coordinator, cuminlift.RowPage{
+		Version: 8,
+	}, false, 5)
+	c.Check(coordinator.Position().Version, qt.Equals, uint64(8))
+	c.Check(follower.Position().Before(coordinator.LastChange()), qt.IsFalse)
+	apply(c, coordinator, cuminlift.RowPage{
+		Version: 12,
+		Rows: []cuminlift.Row{{
+			Key:     "k",
+			Version: 11,
+		}},
+	}, false, 8)
+	c.Check(follower.Position().Before(coordinator.LastChange()), qt.IsTrue)
+	coordinator.Invalidate()
+	c.Check(coordinator.Position().Version, qt.Equals, uint64(12))
+	apply(c, follower, cuminlift.RowPage{
+		Version: 1,
+		Era:     1,
+	}, true, 0)
+	c.Check(coordinator.Position().Before(follower.LastChange()), qt.IsTrue, qt.Commentf("a later era"))
+}
--- a/internal/gateway/coordinator.go
+++ b/internal/gateway/coordinator.go
@@ -67,6 +67,8 @@
 	// relaysDueAt is when instances may next be told of relays, and lastRelays are those that they were told of.
 	relaysDueAt time.Duration
 	lastRelays  []paths.Relay
+	// withheld are the upstreams for which single instances get no tickets, because they have returned one.
+	withheld map[withheldKey]*withheldTickets
 	// suspects are shared by the pools of all services.
 	suspects  *dispatch.Suspects
 	cancel    context.CancelFunc
@@ -149,6 +151,7 @@
 		links:         map[string]*link{},
 		services:      map[string]*serviceState{},
 		suspects:      &dispatch.Suspects{},
+		withheld:      map[withheldKey]*withheldTickets{},
 		ctx:           ctx,
 		cancel:        cancel,
 	}
@@ -261,6 +264,8 @@
 				LeaseVersion: c.leaseVersion,
 				Era:          c.leaseEra,
 
+				Tables: c.lastChanges(),
+
 				LargestCpuPermille: c.maxCPUPermille(),
 				Place:              to.index,
 			},
@@ -336,6 +341,7 @@
 		c.decide(now, s)
 		c.reclaimExpired(now, s)
 	}
+	c.renewWithheld(now)
 	c.probeUnreachable(now, v)
 	c.logQueues(now)
 }
--- a/internal/gateway/coordinator_conn.go
+++ b/internal/gateway/coordinator_conn.go
@@ -123,11 +123,14 @@
 		t.attach(conn, beat)
 	}
 	t.term = beat.GetTerm()
+	t.coordinatorTables = decodePositions(beat.GetTables())
 	reply := &schema.BeatReply{
 		Era:          t.store.currentEra(),
 		Sequence:     beat.GetSequence(),
 		StoreReached: t.storeReachable(),
 
+		AnswersTableRequests: true,
+
 		FailedUpstreams: uint32(t.failedUpstreams()),
 	}
 	for _, feed := range t.tables {
@@ -182,6 +185,8 @@
 		incarnation: reply.GetBorn(),
 		reason:      reply.GetReason(),
 		retryAfter:  time.Duration(reply.GetRetryAfterMs()) * time.Millisecond,
+		// The coordinator has sent the last heartbeat before this.
+		tables: t.coordinatorTables,
 	}
 	w := t.waiters[result.id]
 	if w == nil {
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -15,6 +15,7 @@
 
 	"cuminlift/core/dispatch"
 	"cuminlift/core/request"
+	"cuminlift/core/roster"
 	"cuminlift/core/route"
 	"cuminlift/internal/mutant"
 	"cuminlift/io/upstream"
@@ -52,6 +53,10 @@
 	state      request.Request
 	identity   request.Identity
 	avoid      string
+	// returned is the upstream of the last ticket, if that was returned because of this instance's tables, and empty otherwise. returns
+	// counts such tickets.
+	returned string
+	returns  int
 	// arrivals counts the attempts that may have reached an upstream.
 	arrivals int
 	// pathFailed is true once an upstream could not be reached from this instance.
@@ -145,7 +150,7 @@
 	defer cancel()
 	reason := ""
 	retryDelay := time.Duration(0)
-	for attempt := 0; attempt < c.route.Attempts+maxUnsentAttempts && c.arrivals < c.route.Attempts && c.state.CanAttempt(); attempt++ {
+	for attempt := 0; attempt < c.route.Attempts+maxUnsentAttempts && c.arrivals < c.route.Attempts && c.state.CanAttempt(); {
 		result, err := h.acquireTicket(ctx, c, attempt)
 		if err != nil {
 			reason = "time is over"
@@ -160,6 +165,10 @@
 		if h.attempt(ctx, w, r, c, result) {
 			return
 		}
+		if c.returned != "" {
+			continue // Nothing was tried.
+		}
+		attempt++
 		reason = "upstreams failed"
 		retryDelay = defaultRetryAfter
 	}
@@ -174,13 +183,25 @@
 // next one is for another upstream.
 const maxReturnedTickets = 3
 
+// maxOutdatedTickets is the number of tickets that a call returns because of this instance's tables before it is refused. The
+// coordinator gets the newer rows after the first one, unless it is of an earlier version and goes on granting by its own tables.
+const maxOutdatedTickets = 8
+
 // acquireTicket obtains a ticket whose upstream may still be used.
 func (h *requestHandler) acquireTicket(ctx context.Context, c *call, attempt int) (ticketResult, error) {
-	for range maxReturnedTickets {
+	for unwanted := 0; unwanted < maxReturnedTickets && c.returns < maxOutdatedTickets; {
 		result, err := h.ticketClient.acquire(ctx, h.ticketRequest(c, attempt))
-		if err != nil || result.upstream == "" || !h.ticketClient.returnUnwanted(result, c.service) {
+		if err != nil || result.upstream == "" {
 			return result, err
 		}
+		if reason := h.ticketClient.exclusion(result); reason != "" {
+			h.returnTicket(c, result, reason)
+			continue
+		}
+		if !h.ticketClient.returnUnwanted(result, c.service) {
+			return result, nil
+		}
+		unwanted++
 	}
 	return ticketResult{
 		reason:     "upstream wants no requests",
@@ -188,6 +209,21 @@
 	}, nil
 }
 
+// returnTicket returns a ticket whose upstream is excluded by this instance's tables. It counts neither as an attempt nor as a retry.
+func (h *requestHandler) returnTicket(c *call, result ticketResult, reason roster.Exclusion) {
+	c.returned = result.upstream
+	c.returns++
+	h.ticketClient.reportEnd(result, c.service, schema.TicketOutcome_abandoned, 0, nil)
+	h.counters.count("returned-" + string(reason))
+	h.log.WithFields(logrus.Fields{
+		"request":  c.requestID,
+		"upstream": result.upstream,
+		"born":     result.incarnation,
+		"reason":   string(reason),
+		"local":    result.local,
+	}).Info("ticket returned")
+}
+
 // advance moves the call's state on. An invalid transition is a bug and is logged.
 func (c *call) advance(h *requestHandler, states ...request.State) {
 	for _, s := range states {
@@ -199,6 +235,10 @@
 
 func (h *requestHandler) ticketRequest(c *call, attempt int) *schema.TicketRequest {
 	now := time.Now()
+	avoid, returned := c.avoid, c.returned != ""
+	if returned {
+		avoid, c.returned = c.returned, ""
+	}
 	return &schema.TicketRequest{
 		Service:     c.service,
 		Key:         c.key,
@@ -208,7 +248,8 @@
 		RemainingMs: uint32(max(1, c.deadline.Sub(now).Milliseconds())),
 		ObjectiveMs: uint32(max(0, c.receivedAt.Add(c.route.Objective).Sub(now).Milliseconds())),
 		Attempt:     uint32(attempt),
-		Avoid:       c.avoid,
+		Avoid:       avoid,
+		Returned:    returned,
 		Unsent:      c.arrivals == 0,
 		Content:     c.identity.Content,
 		Caller:      c.identity.Caller,
@@ -226,6 +267,11 @@
 		defer cancel()
 	}
 	response, relay, err := h.send(ctx, r, c, result)
+	if errors.Is(err, upstream.ErrNotConfirmed) {
+		c.advance(h, request.Refused)
+		h.returnTicket(c, result, h.ticketClient.exclusion(result))
+		return false
+	}
 	c.avoid = result.upstream
 	if err != nil {
 		h.failAttempt(ctx, c, result, err, sentAt)
--- a/internal/gateway/links.go
+++ b/internal/gateway/links.go
@@ -8,6 +8,7 @@
 	"cuminlift"
 	"cuminlift/core/authority"
 	"cuminlift/core/dispatch"
+	"cuminlift/core/replica"
 	"cuminlift/io/frames"
 	"cuminlift/io/upstream"
 	"cuminlift/schema"
@@ -32,18 +33,13 @@
 	// current is nil while disconnected. Only the coordinator's goroutine accesses it.
 	current frameConn
 	// tableVersions are the versions of the tables that the instance has, and tablesSent is true once it was sent what it lacks.
-	tableVersions map[string]tableVersion
+	tableVersions map[string]replica.Position
 	tablesSent    bool
 	// ticketServices holds the service of each open ticket, by the instance's ID of the ticket.
 	ticketServices map[uint64]*serviceState
 	cancel         context.CancelFunc
 }
 
-// tableVersion is a version and the era of the store in which it was given out.
-type tableVersion struct {
-	era, version uint64
-}
-
 // globalID turns an instance's ticket ID into one that is unique among all instances.
 func (l *link) globalID(id uint64) uint64 {
 	return l.number<<40 | id&(1<<40-1)
@@ -76,7 +72,7 @@
 		downSince:      now,
 		number:         c.nextLinkNumber,
 		coordinator:    c,
-		tableVersions:  map[string]tableVersion{},
+		tableVersions:  map[string]replica.Position{},
 		ticketServices: map[uint64]*serviceState{},
 		cancel:         cancel,
 	}
@@ -246,7 +242,7 @@
 	l.tablesSent = true
 	for _, feed := range c.tables {
 		known := l.tableVersions[feed.table]
-		if frame, ok := feed.frameSince(known.era, known.version); ok {
+		if frame, ok := feed.frameSince(known.Era, known.Version); ok {
 			l.send(frame)
 		} else {
 			l.tablesSent = false
--- a/internal/gateway/paths_test.go
+++ b/internal/gateway/paths_test.go
@@ -22,6 +22,8 @@
 	mutex sync.Mutex
 	kind  partition
 	conns []*pathConn
+	// held is open while new connections must wait, nil otherwise; dialing gets an element for each.
+	held, dialing chan struct{}
 }
 
 // partition is the kind of a partition.
@@ -81,6 +83,13 @@
 		}
 	case intact:
 	}
+	p.mutex.Lock()
+	held, dialing := p.held, p.dialing
+	p.mutex.Unlock()
+	if held != nil {
+		dialing <- struct{}{}
+		<-held
+	}
 	conn, err := upstream.DialWithReset(300*time.Millisecond)(ctx, network, address)
 	if err != nil {
 		return nil, err
@@ -95,6 +104,21 @@
 	return cut, nil
 }
 
+// holdDials closes all connections, and makes new ones wait until release is called. dialing gets an element for each.
+func (p *paths) holdDials() (dialing <-chan struct{}, release func()) {
+	p.set(reset)
+	p.set(intact)
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	p.held, p.dialing = make(chan struct{}), make(chan struct{}, 100)
+	return p.dialing, func() {
+		p.mutex.Lock()
+		defer p.mutex.Unlock()
+		close(p.held)
+		p.held = nil
+	}
+}
+
 func (p *paths) client() *http.Client {
 	return &http.Client{
 		Transport: &http.Transport{
--- a/internal/gateway/poll.go
+++ b/internal/gateway/poll.go
@@ -323,6 +323,20 @@
 	return t.known.SyncedVersion(), t.known.Era()
 }
 
+// position returns the version up to which the table is known, also while it must be read again.
+func (t *tableFeed) position() replica.Position {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	return t.known.Position()
+}
+
+// lastChange returns the version of the latest known change.
+func (t *tableFeed) lastChange() replica.Position {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	return t.known.LastChange()
+}
+
 // frameSince returns the message that brings an instance up to date that knows the table up to version of an era. ok is false
 // before the first read, and while the rows are outdated: the store fails, or the instance knows newer ones.
 func (t *tableFeed) frameSince(era, version uint64) (frame *schema.Frame, ok bool) {
--- a/internal/gateway/queue.go
+++ b/internal/gateway/queue.go
@@ -49,15 +49,13 @@
 
 // handleBeatReply handles an instance's acknowledgement of a heartbeat.
 func (c *coordinator) handleBeatReply(l *link, reply *schema.BeatReply) {
-	for _, t := range reply.GetTables() {
-		l.tableVersions[t.GetTable()] = tableVersion{
-			era:     t.GetEra(),
-			version: t.GetVersion(),
-		}
+	for table, position := range decodePositions(reply.GetTables()) {
+		l.tableVersions[table] = position
 	}
 	l.failedUpstreams = int(reply.GetFailedUpstreams())
 	c.store.learnEra(reply.GetEra())
 	c.sendTables(l)
+	c.noteWithheld(l)
 	c.leadership.Acknowledged(l.name, time.Duration(reply.GetSequence()), reply.GetStoreReached())
 }
 
@@ -105,7 +103,9 @@
 		id:   request.GetId(),
 	}
 	l.ticketServices[request.GetId()] = s
-	if s.assigner != nil && request.GetKey() > 0 && request.GetAttempt() == 0 {
+	if request.GetReturned() {
+		c.withhold(now, l, s, request.GetAvoid())
+	} else if s.assigner != nil && request.GetKey() > 0 && request.GetAttempt() == 0 {
 		s.assigner.Count(request.GetKey() - 1)
 	}
 	s.pool.Submit(now, newTicket(request, id, l.name, l.zone, deadline, objective))
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -13,6 +13,7 @@
 
 	"cuminlift/core/paths"
 	"cuminlift/core/request"
+	"cuminlift/core/roster"
 	"cuminlift/io/upstream"
 	"cuminlift/schema"
 )
@@ -68,6 +69,7 @@
 // send sends the call to the upstream of its ticket, through another instance if there is no path.
 func (h *requestHandler) send(ctx context.Context, r *http.Request, c *call, result ticketResult) (response *upstream.Response, relay string, err error) {
 	attempt := newAttempt(r, c, result)
+	attempt.Confirm = func() bool { return h.ticketClient.exclusion(result) == "" }
 	if c.pathFailed || h.paths.avoid(c.service, result.upstream) {
 		if other, ok := h.ticketClient.nextRelay(); ok {
 			response, err = h.sendThrough(ctx, attempt, result, other)
@@ -82,6 +84,7 @@
 	switch {
 	case err == nil:
 		h.paths.reached(c.service, result.upstream)
+	case errors.Is(err, upstream.ErrNotConfirmed):
 	case errors.As(err, &notSent) && ctx.Err() == nil:
 		c.pathFailed = true
 		h.paths.failed(c.service, result.upstream, time.Since(sentAt))
@@ -97,6 +100,9 @@
 	attempt.Header.Set(relayBornHeader, strconv.FormatInt(result.incarnation, 10))
 	attempt.Header.Set(relayAtMostOnceHeader, strconv.FormatBool(attempt.AtMostOnce))
 	response, err := h.relayClient.Do(ctx, attempt)
+	if errors.Is(err, upstream.ErrNotConfirmed) {
+		return nil, err
+	}
 	if err != nil {
 		var notSent *upstream.NotSentError
 		unsent := errors.As(err, &notSent)
@@ -148,9 +154,8 @@
 	if err != nil {
 		panic(http.ErrAbortHandler) // Nothing was sent; the instance has left or broken off.
 	}
-	v := h.view()
-	u, known := v.list.Upstreams[id]
-	if !known || u.Incarnation != incarnation || !v.list.Usable(u) || h.paths.avoid(u.Service, id) || h.ticketClient.unwanted(id, incarnation) {
+	u, usable := h.relayTarget(id, incarnation)
+	if !usable {
 		h.refuseRelay(w, r, schema.TicketOutcome_abandoned)
 		return
 	}
@@ -176,10 +181,23 @@
 	})
 }
 
+// relayTarget returns the upstream to which this instance may send a request of another one.
+func (h *requestHandler) relayTarget(id string, incarnation int64) (u roster.Upstream, usable bool) {
+	v := h.view()
+	u, known := v.list.Upstreams[id]
+	usable = known && u.Incarnation == incarnation && v.list.Usable(u) && !h.paths.avoid(u.Service, id) && !h.ticketClient.unwanted(id, incarnation)
+	return u, usable
+}
+
 // relayAttempt makes one attempt for another instance, and passes on what it learns.
 func (h *requestHandler) relayAttempt(ctx context.Context, w http.ResponseWriter, r *http.Request, c *call, result ticketResult) {
 	sentAt := time.Now()
-	response, err := h.upstreamClient.Do(ctx, newAttempt(r, c, result))
+	attempt := newAttempt(r, c, result)
+	attempt.Confirm = func() bool {
+		_, usable := h.relayTarget(result.upstream, result.incarnation)
+		return usable
+	}
+	response, err := h.upstreamClient.Do(ctx, attempt)
 	if err != nil {
 		h.refuseRelay(w, r, h.relayOutcome(ctx, c, result, err, sentAt))
 		return
@@ -204,6 +222,8 @@
 	h.logFailedAttempt(c, result, sentAt, err.Error(), 0)
 	var notSent *upstream.NotSentError
 	switch {
+	case errors.Is(err, upstream.ErrNotConfirmed):
+		return schema.TicketOutcome_abandoned
 	case errors.As(err, &notSent) && ctx.Err() == nil:
 		h.paths.failed(c.service, result.upstream, time.Since(sentAt))
 		return schema.TicketOutcome_unreachable
--- a/internal/gateway/tickets.go
+++ b/internal/gateway/tickets.go
@@ -12,6 +12,7 @@
 	"cuminlift/core/dispatch"
 	"cuminlift/core/keyspace"
 	"cuminlift/core/paths"
+	"cuminlift/core/replica"
 	"cuminlift/core/request"
 	"cuminlift/schema"
 )
@@ -39,8 +40,10 @@
 	// incarnation is the start of the upstream that the ticket is for.
 	incarnation int64
 	identity    request.Identity
-	reason      string
-	retryAfter  time.Duration
+	// tables are the latest changes that the coordinator knew of when it granted the ticket, by table; nil if it doesn't tell.
+	tables     map[string]replica.Position
+	reason     string
+	retryAfter time.Duration
 	// local is true if a local pool granted the ticket, while there was no coordinator.
 	local bool
 }
@@ -68,6 +71,9 @@
 	frameConn       frameConn
 	term            uint64
 	coordinatorName string
+	// coordinatorTables are the latest changes that the coordinator knows of, by table; nil if it doesn't tell. The map is replaced,
+	// not changed.
+	coordinatorTables map[string]replica.Position
 	// coordinatorLostAt is when the last coordinator was lost, or when this instance started.
 	coordinatorLostAt time.Duration
 	nextID            uint64
@@ -191,6 +197,7 @@
 		Attempt:    int(request.GetAttempt()),
 		Avoid:      request.GetAvoid(),
 		Unsent:     request.GetUnsent(),
+		Returned:   request.GetReturned(),
 		Workspace:  request.GetWorkspace(),
 		Class:      request.GetRouteClass(),
 		BodyBytes:  int(request.GetBodyBytes()),
--- a/internal/gateway/view.go
+++ b/internal/gateway/view.go
@@ -54,8 +54,8 @@
 	// were excluded before. Both are decided at graceUntil, or when they are written again.
 	held      map[string]cuminlift.Row
 	keptZones map[string]bool
-	// departures are the upstreams that have said in answers that they leave.
-	departures roster.Departures
+	// departures are the upstreams that have said in answers that they leave, and removed those whose entries are gone.
+	departures, removed roster.Departures
 }
 
 type upstreamRow struct {
@@ -131,6 +131,8 @@
 	for zone := range f.next.list.ExcludedZones {
 		snapshot.list.ExcludedZones[zone] = !mutant.Is(mutant.ZonesIgnored)
 	}
+	snapshot.list.Removed = map[string]int64{}
+	f.removed.List(func(id string, incarnation int64) { snapshot.list.Removed[id] = incarnation })
 	f.current.Store(&snapshot)
 }
 
@@ -336,7 +338,8 @@
 }
 
 func (f *follower) removeUpstream(id string) {
-	if _, known := f.rows[id]; known {
+	if row, known := f.rows[id]; known {
+		f.removed.Add(f.clock.Now(), id, row.upstream.Incarnation)
 		f.log.WithField("upstream", id).Info("upstream's entry is gone")
 	}
 	delete(f.rows, id)
--- a/io/upstream/client.go
+++ b/io/upstream/client.go
@@ -55,6 +55,9 @@
 	// AtMostOnce is true for a request that must not run twice. It is not sent on a connection that was idle for long: if
 	// such a connection is reset, it is unknown whether the upstream had read the request.
 	AtMostOnce bool
+	// Confirm is called once there is a connection, just before the request is written. If it returns false, nothing is sent. It may
+	// be nil.
+	Confirm func() bool
 }
 
 // Response is the response to an attempt. The caller must read its body to the end and close it.
@@ -83,6 +86,9 @@
 // Unwrap returns the cause.
 func (e *NotSentError) Unwrap() error { return e.Cause }
 
+// ErrNotConfirmed is the cause of a NotSentError if Confirm returned false.
+var ErrNotConfirmed = errors.New("the upstream may no longer be used")
+
 // UnknownOutcomeError reports an attempt that was sent and got no valid response. The request may have run.
 type UnknownOutcomeError struct {
 	Upstream string
@@ -157,6 +163,13 @@
 			Cause:    err,
 		}
 	}
+	if request.Confirm != nil && !request.Confirm() {
+		cl.pool.putBack(request.Address, c)
+		return nil, &NotSentError{
+			Upstream: request.Upstream,
+			Cause:    ErrNotConfirmed,
+		}
+	}
 	stop := context.AfterFunc(ctx, c.abort)
 	written := make(chan error, 1)
 	head := cl.encodeHead(request)
--- a/io/upstream/connection.go
+++ b/io/upstream/connection.go
@@ -156,6 +156,19 @@
 	if idle > 0 {
 		c.idleUntil = c.idleSince.Add(idle - idleMargin)
 	}
+	p.add(address, c)
+}
+
+// putBack returns a connection on which nothing was sent since it was taken.
+func (p *connectionPool) putBack(address string, c *connection) {
+	if c.idleSince.IsZero() {
+		p.put(address, c, 0)
+		return
+	}
+	p.add(address, c)
+}
+
+func (p *connectionPool) add(address string, c *connection) {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
 	if len(p.idle[address]) >= maxIdlePerUpstream {
