--- a/internal/gateway/coordinator.go
+++ b/internal/gateway/coordinator.go
@@ -72,6 +72,8 @@
 	requests  atomic.Uint64
 	demand    authority.Demand
 	resources peerResources
+	// withheld are the upstreams for which single instances get no tickets, because they have returned one.
+	withheld map[withheldKey]*withheldTickets
 	// suspects are shared by the pools of all services.
 	suspects  *dispatch.Suspects
 	cancel    context.CancelFunc
@@ -148,6 +150,7 @@
 		links:         map[string]*link{},
 		services:      map[string]*serviceState{},
 		suspects:      &dispatch.Suspects{},
+		withheld:      map[withheldKey]*withheldTickets{},
 		ctx:           ctx,
 		cancel:        cancel,
 	}
@@ -260,6 +263,8 @@
 				LeaseVersion: c.leaseVersion,
 				Era:          c.leaseEra,
 
+				Tables: c.lastChanges(),
+
 				LargestCpuPermille: c.maxCPUPermille(),
 				Place:              to.index,
 
@@ -340,6 +345,7 @@
 		c.decide(now, s)
 		c.reclaimExpired(now, s)
 	}
+	c.renewWithheld(now)
 	c.probeUnreachable(now, v)
 	c.logQueues(now)
 }
