core/dispatch, internal/gateway: a new coordinator is told of running requests, retries and latencies

Cause: a new coordinator took all slots for free and all upstreams for equally fast (100 ms), and each of a chain of coordinators spent 45% of the retry budget's slack again. Change: when a follower attaches, it sends its requests at upstreams (OpenTickets, with those sent to cold upstreams in the last second), its requests and retries of the budget's window, and the mean latency of each upstream. The coordinator grants nothing until all have told, for at most 150 ms after the first instances are known. The ends of told tickets are reported to it, also of those that a local pool has granted. Earlier builds send and use nothing of this. TestSlotsOfToldRequestsAreNotGranted fails without the restored tickets. core/dispatch and internal/gateway pass.

--- a/core/dispatch/pool.go
+++ b/core/dispatch/pool.go
@@ -148,6 +148,7 @@
 	}
 	if newIncarnation {
 		u.blockCount, u.blockedUntil, u.failureRate, u.suspect, u.latency = 0, 0, 0, false, 0
+		u.learned, u.learnedSamples = 0, 0
 		u.limiter, u.pauses = limiter{}, pauses{}
 	}
 	if (newIncarnation && p.initialized) || returned {
--- a/core/dispatch/upstream.go
+++ b/core/dispatch/upstream.go
@@ -26,6 +26,9 @@
 	lastAnswered time.Duration
 	// latency is the moving average of the response time, 0 before the first response.
 	latency time.Duration
+	// learned is the latency while it is that of learnedSamples answers that instances have told of, see LearnLatency.
+	learned        time.Duration
+	learnedSamples int
 	// failureRate is the moving average of the fraction of failed attempts, 0 to 1.
 	failureRate float64
 	// coldUntil is the end of the cold start. coldSends holds the times of the last sends during it.
--- a/internal/gateway/coordinator.go
+++ b/internal/gateway/coordinator.go
@@ -72,6 +72,7 @@
 	requests  atomic.Uint64
 	demand    authority.Demand
 	resources peerResources
+	handover  handoverState
 	// suspects are shared by the pools of all services.
 	suspects  *dispatch.Suspects
 	cancel    context.CancelFunc
--- a/internal/gateway/coordinator_conn.go
+++ b/internal/gateway/coordinator_conn.go
@@ -159,6 +159,7 @@
 	}).Info("coordinator found")
 	now := t.clock.Now()
 	t.sendNotices(now)
+	t.sendState(now)
 	for _, w := range t.waiters {
 		if pool := t.localPools[w.request.GetService()]; pool != nil {
 			pool.Cancel(now, w.request.GetId())
@@ -190,7 +191,7 @@
 		return
 	}
 	delete(t.waiters, result.id)
-	w.result <- result
+	t.grant(t.clock.Now(), w, result)
 }
 
 func (t *ticketClient) handleOwners(owners *schema.Owners) {
--- a/internal/gateway/queue.go
+++ b/internal/gateway/queue.go
@@ -9,6 +9,9 @@
 
 // decide sends the pool's decisions to the instances that requested the tickets.
 func (c *coordinator) decide(now time.Duration, s *serviceState) {
+	if c.settles(now) {
+		return
+	}
 	for _, decision := range s.pool.Decide(now) {
 		id := decision.Ticket.ID
 		origin, known := s.tickets[id]
@@ -79,6 +82,10 @@
 	switch body := frame.GetBody().(type) {
 	case *schema.Frame_Suspicions:
 		c.suspects.Merge(now, decodeSuspicions(now, body.Suspicions))
+	case *schema.Frame_OpenTickets:
+		c.handleOpenTickets(now, l, body.OpenTickets)
+	case *schema.Frame_CostEstimates:
+		c.learnLatencies(now, body.CostEstimates.GetUpstreams())
 	case *schema.Frame_Head:
 		c.handleHead(now, l, body.Head)
 	case *schema.Frame_End:
--- /dev/null
+++ b/internal/gateway/takeover.go
@@ -0,0 +1,321 @@
+package gateway
+
+import (
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"cuminlift/core/dispatch"
+	"cuminlift/core/request"
+	"cuminlift/schema"
+)
+
+// openTicket is a granted ticket whose request has not ended.
+type openTicket struct {
+	result   ticketResult
+	request  *schema.TicketRequest
+	sent     time.Duration
+	deadline time.Duration
+	// headed is true once the response has begun, which frees the slot.
+	headed bool
+	// announced is the connection to the coordinator that was told of the ticket and did not grant it, nil for none.
+	announced frameConn
+}
+
+// coldSendWindow is how long a request that has ended counts for the cold-start rate of its upstream.
+const coldSendWindow = time.Second
+
+// maxTicketsPerFrame keeps messages of open tickets well below the limit of a message.
+const maxTicketsPerFrame = 2000
+
+// grant records a ticket and passes it to the request that waits for it.
+func (t *ticketClient) grant(now time.Duration, w *waiter, result ticketResult) {
+	if result.upstream != "" {
+		t.open[result.id] = &openTicket{
+			result:   result,
+			request:  w.request,
+			sent:     now,
+			deadline: w.deadline,
+		}
+		if w.request.GetAttempt() > 0 && !w.request.GetUnsent() {
+			t.retryHistory(w.request.GetService()).Retry(now)
+		}
+	}
+	w.result <- result
+}
+
+func (t *ticketClient) retryHistory(service string) dispatch.RetryHistory {
+	history, known := t.retries[service]
+	if !known {
+		history = dispatch.NewRetryHistory(t.config.Settings.RetryWindow)
+		t.retries[service] = history
+	}
+	return history
+}
+
+// freeTicket records that a ticket has left its slot, answered after took, or 0 for no answer.
+func (t *ticketClient) freeTicket(now time.Duration, id uint64, took time.Duration) {
+	open := t.open[id]
+	if open == nil || open.headed {
+		return
+	}
+	open.headed = true
+	result := open.result
+	if took > 0 {
+		latencies := t.latencies[open.request.GetService()]
+		if latencies == nil {
+			latencies = &dispatch.Latencies{}
+			t.latencies[open.request.GetService()] = latencies
+		}
+		latencies.Record(now, took, dispatch.Latency{
+			Service:     open.request.GetService(),
+			Upstream:    result.upstream,
+			Incarnation: result.incarnation,
+		})
+	}
+	if t.view().list.Upstreams[result.upstream].ColdRemaining > 0 {
+		t.coldSends = append(recentSends(now, t.coldSends), open)
+	}
+}
+
+func recentSends(now time.Duration, sends []*openTicket) []*openTicket {
+	for len(sends) > 0 && now-sends[0].sent >= coldSendWindow {
+		sends = sends[1:]
+	}
+	return sends
+}
+
+// closeTicket records the end of a ticket. If the coordinator knows of a ticket that it did not grant, it is sent the end.
+func (t *ticketClient) closeTicket(now time.Duration, result ticketResult, outcome schema.TicketOutcome, took time.Duration, end *schema.Frame) {
+	if outcome != schema.TicketOutcome_answered {
+		took = 0
+	}
+	t.freeTicket(now, result.id, took)
+	t.announceEvent(result, end)
+	delete(t.open, result.id)
+}
+
+// announceEvent tells the coordinator of a change to a ticket of the local pool, if it has been told of the ticket.
+func (t *ticketClient) announceEvent(result ticketResult, frame *schema.Frame) {
+	if open := t.open[result.id]; open != nil && result.local && open.announced != nil && open.announced == t.frameConn {
+		t.frameConn.Send(frame)
+	}
+}
+
+// sendState tells a new coordinator what it can't know: the requests at upstreams, the used part of the retry budget, and how fast
+// upstreams have answered. It must go before the first request, and is sent even if it is empty, since the coordinator waits for it.
+func (t *ticketClient) sendState(now time.Duration) {
+	tickets := &schema.OpenTickets{}
+	flush := func() {
+		t.frameConn.Send(&schema.Frame{
+			Body: &schema.Frame_OpenTickets{
+				OpenTickets: tickets,
+			},
+		})
+		tickets = &schema.OpenTickets{}
+	}
+	add := func(open *openTicket) {
+		if len(tickets.Tickets) == maxTicketsPerFrame {
+			flush()
+		}
+		tickets.Tickets = append(tickets.Tickets, open.encode(now))
+	}
+	for id, open := range t.open {
+		if now > open.deadline+ticketGrace {
+			delete(t.open, id)
+			continue
+		}
+		if !open.headed {
+			open.announced = t.frameConn
+			add(open)
+		}
+	}
+	t.coldSends = recentSends(now, t.coldSends)
+	for _, open := range t.coldSends {
+		add(open)
+	}
+	tickets.Retries = t.retryUsage(now)
+	flush()
+	t.sendLatencies(now)
+}
+
+func (o *openTicket) encode(now time.Duration) *schema.OpenTicket {
+	return &schema.OpenTicket{
+		Id:          o.result.id,
+		Service:     o.request.GetService(),
+		Upstream:    o.result.upstream,
+		Born:        o.result.incarnation,
+		SentUsAgo:   uint64((now - o.sent).Microseconds()),
+		RemainingMs: uint32(max(0, (o.deadline - now).Milliseconds())),
+		RouteClass:  o.request.GetRouteClass(),
+		Workspace:   o.request.GetWorkspace(),
+		Content:     o.request.GetContent(),
+		Caller:      o.request.GetCaller(),
+		Ended:       o.headed,
+	}
+}
+
+// retryUsage returns what has been sent. Requests that wait are left out: they are submitted to the coordinator, which counts them.
+func (t *ticketClient) retryUsage(now time.Duration) []*schema.RetryUsage {
+	waiting := map[string]uint32{}
+	for _, w := range t.waiters {
+		if w.request.GetAttempt() == 0 {
+			waiting[w.request.GetService()]++
+		}
+	}
+	var all []*schema.RetryUsage
+	for service, history := range t.retries {
+		usage := history.Usage(now)
+		for i := range usage.Requests {
+			left := min(usage.Requests[i], waiting[service])
+			usage.Requests[i] -= left
+			waiting[service] -= left
+		}
+		all = append(all, &schema.RetryUsage{
+			Service:  service,
+			SpanMs:   uint32(usage.Span.Milliseconds()),
+			Requests: usage.Requests,
+			Retries:  usage.Retries,
+		})
+	}
+	return all
+}
+
+func (t *ticketClient) sendLatencies(now time.Duration) {
+	upstreams := t.view().list.Upstreams
+	present := func(id string, incarnation int64) bool {
+		u, known := upstreams[id]
+		return known && u.Incarnation == incarnation
+	}
+	estimates := &schema.CostEstimates{}
+	for _, latencies := range t.latencies {
+		for _, l := range latencies.List(now, present) {
+			estimates.Upstreams = append(estimates.Upstreams, &schema.UpstreamSpeed{
+				Service:   l.Service,
+				Upstream:  l.Upstream,
+				Born:      l.Incarnation,
+				Samples:   uint32(l.Samples),
+				LatencyUs: uint64(l.Mean.Microseconds()),
+			})
+		}
+	}
+	if len(estimates.Upstreams) > 0 {
+		t.frameConn.Send(&schema.Frame{
+			Body: &schema.Frame_CostEstimates{
+				CostEstimates: estimates,
+			},
+		})
+	}
+}
+
+// settleTime is how long a new coordinator grants nothing while instances have not told their open tickets. It covers connecting and
+// the first heartbeat; instances out of reach and those of an earlier build tell nothing.
+const settleTime = 150 * time.Millisecond
+
+// handoverState is what the coordinator knows of the time before it.
+type handoverState struct {
+	// settled is true once tickets may be granted, and firstLinkAt is when the first instances were known, 0 before.
+	settled     bool
+	firstLinkAt time.Duration
+	// told holds the instances that have told their open tickets in this term.
+	told map[string]bool
+	// restored counts tickets that were taken over.
+	restored int
+}
+
+// settles reports whether to wait for open tickets before the first grant. Otherwise slots that are in use would be granted again.
+func (c *coordinator) settles(now time.Duration) bool {
+	h := &c.handover
+	if h.settled {
+		return false
+	}
+	if len(c.links) == 0 {
+		return true
+	}
+	if h.firstLinkAt == 0 {
+		h.firstLinkAt = now
+	}
+	if now-h.firstLinkAt < settleTime {
+		for name := range c.links {
+			if !h.told[name] {
+				return true
+			}
+		}
+	}
+	h.settled = true
+	c.log.WithFields(logrus.Fields{
+		"instances": len(c.links),
+		"told":      len(h.told),
+		"tickets":   h.restored,
+		"after":     now - h.firstLinkAt,
+	}).Info("state of the last term taken over")
+	return false
+}
+
+// handleOpenTickets takes over the running tickets of an instance and, once for each instance, its part of the retry budget.
+func (c *coordinator) handleOpenTickets(now time.Duration, l *link, open *schema.OpenTickets) {
+	for _, t := range open.GetTickets() {
+		c.restore(now, l, t)
+	}
+	if c.handover.told[l.name] {
+		return // It has reconnected within the term: the pools have counted its requests.
+	}
+	if c.handover.told == nil {
+		c.handover.told = map[string]bool{}
+	}
+	c.handover.told[l.name] = true
+	for _, usage := range open.GetRetries() {
+		if s := c.services[usage.GetService()]; s != nil {
+			s.pool.AddRetryUsage(now, dispatch.RetryUsage{
+				Span:     time.Duration(usage.GetSpanMs()) * time.Millisecond,
+				Requests: usage.GetRequests(),
+				Retries:  usage.GetRetries(),
+			})
+		}
+	}
+}
+
+func (c *coordinator) restore(now time.Duration, l *link, t *schema.OpenTicket) {
+	s := c.services[t.GetService()]
+	if s == nil {
+		return
+	}
+	id := l.globalID(t.GetId())
+	restored := s.pool.Restore(now, dispatch.OpenTicket{
+		ID:          id,
+		Upstream:    t.GetUpstream(),
+		Incarnation: t.GetBorn(),
+		Sent:        now - time.Duration(t.GetSentUsAgo())*time.Microsecond,
+		Instance:    l.name,
+		Identity: request.Identity{
+			Content: t.GetContent(),
+			Caller:  t.GetCaller(),
+		},
+		Ended: t.GetEnded(),
+	})
+	if !restored {
+		return
+	}
+	c.handover.restored++
+	l.ticketServices[t.GetId()] = s
+	s.tickets[id] = ticketOrigin{
+		link:    l,
+		id:      t.GetId(),
+		expires: now + time.Duration(t.GetRemainingMs())*time.Millisecond + ticketGrace,
+	}
+}
+
+// learnLatencies uses what an instance has measured of upstreams.
+func (c *coordinator) learnLatencies(now time.Duration, speeds []*schema.UpstreamSpeed) {
+	for _, speed := range speeds {
+		if s := c.services[speed.GetService()]; s != nil {
+			s.pool.LearnLatency(now, dispatch.Latency{
+				Service:     speed.GetService(),
+				Upstream:    speed.GetUpstream(),
+				Incarnation: speed.GetBorn(),
+				Mean:        time.Duration(speed.GetLatencyUs()) * time.Microsecond,
+				Samples:     int(speed.GetSamples()),
+			})
+		}
+	}
+}
--- a/internal/gateway/tickets.go
+++ b/internal/gateway/tickets.go
@@ -83,6 +83,12 @@
 	notices dispatch.Notices
 	// suspects are used by the local pools, and told to new coordinators.
 	suspects *dispatch.Suspects
+	// open holds the granted tickets that have not ended, and coldSends those that have left the slot of a cold upstream lately.
+	open      map[uint64]*openTicket
+	coldSends []*openTicket
+	// retries and latencies hold, by service, what this instance has sent and measured, for a new coordinator.
+	retries   map[string]dispatch.RetryHistory
+	latencies map[string]*dispatch.Latencies
 	// relays are the instances that may send requests for this one.
 	relays paths.Relays
 	// failedUpstreams returns the number of upstreams that this instance does not reach.
@@ -109,6 +115,9 @@
 		owners:        map[string]*keyspace.HolderMap{},
 		instanceCount: 1,
 		suspects:      &dispatch.Suspects{},
+		open:          map[uint64]*openTicket{},
+		retries:       map[string]dispatch.RetryHistory{},
+		latencies:     map[string]*dispatch.Latencies{},
 		wake:          make(chan struct{}, 1),
 
 		coordinatorLostAt: config.Clock.Now(),
@@ -135,6 +144,9 @@
 	w.deadline = now + time.Duration(request.GetRemainingMs())*time.Millisecond
 	w.objective = now + time.Duration(request.GetObjectiveMs())*time.Millisecond
 	t.waiters[request.Id] = w
+	if request.GetAttempt() == 0 {
+		t.retryHistory(request.GetService()).Request(now)
+	}
 	t.submit(now, w)
 	t.mutex.Unlock()
 	select {
@@ -261,7 +273,7 @@
 			continue
 		}
 		delete(t.waiters, decision.Ticket.ID)
-		w.result <- ticketResult{
+		t.grant(now, w, ticketResult{
 			id:          decision.Ticket.ID,
 			upstream:    decision.Upstream,
 			address:     decision.Address,
@@ -269,7 +281,7 @@
 			reason:      string(decision.Reason),
 			retryAfter:  decision.RetryAfter,
 			local:       true,
-		}
+		})
 	}
 }
 
@@ -312,7 +324,7 @@
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
 	t.note(result, service, took, report)
-	t.report(result, service, func(now time.Duration, pool *dispatch.Pool) { pool.Head(now, result.id, took, report) }, &schema.Frame{
+	head := &schema.Frame{
 		Body: &schema.Frame_Head{
 			Head: &schema.TicketHead{
 				Id:     result.id,
@@ -321,7 +333,10 @@
 				Report: encodeReport(report),
 			},
 		},
-	})
+	}
+	t.freeTicket(t.clock.Now(), result.id, took)
+	t.announceEvent(result, head)
+	t.report(result, service, func(now time.Duration, pool *dispatch.Pool) { pool.Head(now, result.id, took, report) }, head)
 }
 
 // report passes an event of a ticket to whoever granted it: the local pool or, if still connected, the coordinator.
@@ -363,9 +378,7 @@
 	if result.upstream == "" {
 		return
 	}
-	t.report(result, service, func(now time.Duration, pool *dispatch.Pool) {
-		pool.End(now, result.id, dispatch.Outcome(outcome), took, report)
-	}, &schema.Frame{
+	end := &schema.Frame{
 		Body: &schema.Frame_End{
 			End: &schema.TicketEnd{
 				Id:      result.id,
@@ -375,7 +388,11 @@
 				Report:  encodeReport(report),
 			},
 		},
-	})
+	}
+	t.closeTicket(t.clock.Now(), result, outcome, took, end)
+	t.report(result, service, func(now time.Duration, pool *dispatch.Pool) {
+		pool.End(now, result.id, dispatch.Outcome(outcome), took, report)
+	}, end)
 }
 
 func (t *ticketClient) cancelLocked(request *schema.TicketRequest) {
