--- a/internal/gateway/coordinator.go
+++ b/internal/gateway/coordinator.go
@@ -72,6 +72,7 @@
 	requests  atomic.Uint64
 	demand    authority.Demand
 	resources peerResources
+	handover  handoverState
 	// withheld are the upstreams for which single instances get no tickets, because they have returned one.
 	withheld map[withheldKey]*withheldTickets
 	// suspects are shared by the pools of all services.
