core/workspace, platform, internal/gateway: callers are authenticated by API key

Cause: requests can't be assigned to a workspace. Change: a configuration with workspaces makes an instance look up the caller's key by digest before it reads the body; 401 without a valid key unless the route allows it. The key is not sent on; the upstream gets the name of the workspace, also through another instance. The name given by a caller is dropped always, also if the caller lists the header as one of its connection. A workspace's priority goes before the route's. The new tests do not compile or fail before: keys were not looked at, and a caller's own workspace name reached the upstream.

--- a/core/route/route.go
+++ b/core/route/route.go
@@ -6,6 +6,8 @@
 	"sort"
 	"strings"
 	"time"
+
+	"cuminlift/core/workspace"
 )
 
 // Kind tells whether the requests of a route may be repeated.
@@ -36,6 +38,8 @@
 	Attempts int
 	// Priority is the urgency of the requests; 0 is the most urgent.
 	Priority int
+	// AllowAnonymous is true if callers need no API key.
+	AllowAnonymous bool
 }
 
 // WeightedService is a service with the weight of its share of a route's requests.
@@ -74,6 +78,8 @@
 	Version  uint64
 	Services map[string]Service
 	Limits   Limits
+	// Workspaces is nil if callers need no API keys on any route.
+	Workspaces *workspace.Directory
 	// hosts maps a host to its routes, longest prefix first.
 	hosts map[string][]*Route
 }
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -51,7 +51,10 @@
 	deadline   time.Time
 	state      request.Request
 	identity   request.Identity
-	avoid      string
+	// workspace is empty for none.
+	workspace string
+	priority  int
+	avoid     string
 	// arrivals counts the attempts that may have reached an upstream.
 	arrivals int
 	// pathFailed is true once an upstream could not be reached from this instance.
@@ -84,6 +87,11 @@
 		h.respondError(w, http.StatusNotFound, "no route for this host and path", 0)
 		return
 	}
+	caller, authorized := h.authenticate(r, v, matched)
+	if !authorized {
+		h.rejectKey(w, r, matched)
+		return
+	}
 	c, status := h.readCall(w, r, v, matched, receivedAt)
 	if status != 0 {
 		if status > 0 {
@@ -91,6 +99,7 @@
 		}
 		return
 	}
+	c.assign(caller)
 	h.serveCall(w, r, c)
 }
 
@@ -105,6 +114,7 @@
 		route:      matched,
 		requestID:  r.Header.Get(h.config.Headers.Request),
 		receivedAt: receivedAt,
+		priority:   matched.Priority,
 	}
 	c.state.Idempotent = matched.Kind != route.AtMostOnce || mutant.Is(mutant.RepeatUnsafe)
 	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
@@ -202,7 +212,7 @@
 	return &schema.TicketRequest{
 		Service:     c.service,
 		Key:         c.key,
-		Priority:    uint32(max(0, c.route.Priority)),
+		Priority:    uint32(max(0, c.priority)),
 		Idempotent:  c.state.Idempotent,
 		Bulk:        c.route.Kind == route.Download,
 		RemainingMs: uint32(max(1, c.deadline.Sub(now).Milliseconds())),
@@ -212,6 +222,7 @@
 		Unsent:      c.arrivals == 0,
 		Content:     c.identity.Content,
 		Caller:      c.identity.Caller,
+		Workspace:   c.workspace,
 		BodyBytes:   uint32(min(len(c.body), math.MaxUint32)),
 	}
 }
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -59,6 +59,7 @@
 		Host:       r.Host,
 		Header:     r.Header,
 		Body:       c.body,
+		Workspace:  c.workspace,
 		RequestID:  c.requestID,
 		Timeout:    time.Until(c.deadline),
 		AtMostOnce: !c.state.Idempotent,
@@ -159,6 +160,10 @@
 		requestID: r.Header.Get(h.config.Headers.Request),
 		body:      body,
 		deadline:  time.Now().Add(time.Duration(remaining) * time.Millisecond),
+		workspace: r.Header.Get(h.config.Headers.Workspace),
+	}
+	if v.table != nil && v.table.Workspaces != nil {
+		r.Header.Del(h.config.Headers.APIKey) // An instance of the previous build sends it.
 	}
 	ctx := r.Context()
 	if c.state.Idempotent = r.Header.Get(relayAtMostOnceHeader) != "true"; !c.state.Idempotent {
--- a/io/upstream/client.go
+++ b/io/upstream/client.go
@@ -35,6 +35,10 @@
 	NotRun string
 	// Key carries the number of the request's key.
 	Key string
+	// APIKey carries a caller's API key, which is not sent on.
+	APIKey string
+	// Workspace carries the name of the workspace that a request belongs to. It is never taken from a caller.
+	Workspace string
 }
 
 // Request is one attempt at one upstream.
@@ -48,6 +52,8 @@
 	Host   string
 	Header http.Header
 	Body   []byte
+	// Workspace is the workspace that the request belongs to, empty for none.
+	Workspace string
 	// RequestID is the ID that the response must repeat. It is empty if the caller gave none.
 	RequestID string
 	// Timeout is the time that the upstream has to respond.
@@ -196,6 +202,11 @@
 	header.Del("Expect")
 	header.Set(cl.headers.Deadline, strconv.FormatInt(max(1, request.Timeout.Milliseconds()), 10))
 	header.Set(cl.headers.ExpectedUpstream, request.Upstream)
+	// After the removal of the headers that a caller lists as those of its connection, which may name this one.
+	header.Del(cl.headers.Workspace)
+	if request.Workspace != "" {
+		header.Set(cl.headers.Workspace, request.Workspace)
+	}
 	if len(request.Body) > 0 || (request.Method != http.MethodGet && request.Method != http.MethodHead) {
 		header.Set("Content-Length", strconv.Itoa(len(request.Body)))
 	}
