core/route, internal/gateway: classes of routes and services with mixed kinds

Cause: requests that look alike need very different work, and a configuration may have thousands of routes; what is learned of cost needs few classes, and decisions may change only for services whose routes differ. Change: NewTable gives each route a class (kind, priority, objective, timeout), and marks services to which routes of different priority, objective or kind send, downloads apart. A ticket request carries the class. Nothing reads them yet.

--- a/core/route/route.go
+++ b/core/route/route.go
@@ -36,6 +36,8 @@
 	Attempts int
 	// Priority is the urgency of the requests; 0 is the most urgent.
 	Priority int
+	// Class is set by NewTable. It is the same for routes that agree in kind, priority, objective and timeout.
+	Class string
 }
 
 // WeightedService is a service with the weight of its share of a route's requests.
@@ -58,6 +60,9 @@
 	// changes owner without a handover.
 	Keyed          bool
 	WarmupDuration time.Duration
+	// Mixed is set by NewTable. It is true if routes that differ in priority, objective or kind send to the service, apart from
+	// downloads.
+	Mixed bool
 }
 
 // Limits restricts what clients may send.
@@ -97,6 +102,7 @@
 		hosts:    map[string][]*Route{},
 	}
 	for _, s := range services {
+		s.Mixed = false
 		t.Services[s.Name] = s
 	}
 	for i := range routes {
@@ -104,9 +110,11 @@
 		if err := t.check(&r); err != nil {
 			return nil, err
 		}
+		r.Class = className(&r)
 		host := strings.ToLower(r.Host)
 		t.hosts[host] = append(t.hosts[host], &r)
 	}
+	t.markMixedServices()
 	for _, list := range t.hosts {
 		sort.SliceStable(list, func(i, j int) bool { return len(list[i].Prefix) > len(list[j].Prefix) })
 	}
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -212,6 +212,7 @@
 		Unsent:      c.arrivals == 0,
 		Content:     c.identity.Content,
 		Caller:      c.identity.Caller,
+		RouteClass:  c.route.Class,
 		BodyBytes:   uint32(min(len(c.body), math.MaxUint32)),
 	}
 }
