core/dispatch: placement, admission and order of queues by expected cost on mixed services

Change: on services with mixed kinds, a queue is ordered by urgency with a floor against starvation, then by what can be in time; admission and refusals use the work of the kind at the speed of the upstream; placement uses the remaining work. Slots are reserved for a surge of urgent requests where too few become free in time. Pool.order is the single point that orders a queue.

--- a/core/cost/class.go
+++ b/core/cost/class.go
@@ -79,10 +79,11 @@
 
 // Expect returns the expected work of a request with a key (0 for none) and a body of a size.
 func (c *Class) Expect(key uint32, bytes int) time.Duration {
-	return time.Duration(float64(c.Work.Mean()) * c.factor(key, bytes))
+	return time.Duration(float64(c.Work.Mean()) * c.Factor(key, bytes))
 }
 
-func (c *Class) factor(key uint32, bytes int) float64 {
+// Factor returns the work of a request with a key (0 for none) and a body of a size relative to the mean of its class.
+func (c *Class) Factor(key uint32, bytes int) float64 {
 	factor := c.sizes[sizeOf(bytes)].factor()
 	if entry := c.key(key); entry != nil {
 		factor *= entry.factor()
--- a/core/cost/speed.go
+++ b/core/cost/speed.go
@@ -8,8 +8,8 @@
 const (
 	// speedPrior is the number of observations for which an upstream is assumed to have average speed, and speedMemory how many are
 	// remembered. The tail of the work makes single observations unreliable.
-	speedPrior  = 3
-	speedMemory = 40
+	speedPrior  = 2
+	speedMemory = 24
 	// maxStretch bounds a single observation relative to the expectation.
 	maxStretch = 3
 	// confidence is the number of samples of a class at which its observations count half for the speed of an upstream.
@@ -40,6 +40,11 @@
 	return (s.taken + prior) / (s.expected + prior)
 }
 
+// Unknown reports whether nothing is known of the speed of the upstream.
+func (s *Speed) Unknown() bool {
+	return s.weight == 0
+}
+
 // Observe records that a request of class took a time for which the model expected work on an upstream of average speed.
 func (s *Speed) Observe(class *Class, work, took time.Duration) {
 	if work <= 0 || took < 0 {
@@ -84,7 +89,7 @@
 
 // Learn adds the estimate of another instance, made from a number of samples.
 func (s *Speed) Learn(factor float64, samples uint32) {
-	weight := float64(min(samples, speedMemory/2))
+	weight := float64(min(samples, speedMemory))
 	if factor <= 0 || weight == 0 {
 		return
 	}
--- a/core/dispatch/decide.go
+++ b/core/dispatch/decide.go
@@ -70,6 +70,9 @@
 
 // dispatchQueue sends as many tickets of a queue as the upstreams have capacity for.
 func (p *Pool) dispatchQueue(now time.Duration, q *queue, decisions []Decision) []Decision {
+	if p.mixed {
+		return p.dispatchMixed(now, q, decisions)
+	}
 	saturated := p.saturated(now, q)
 	for _, late := range []bool{false, true} {
 		for i := 0; i < len(q.tickets) && !saturated; {
@@ -129,8 +132,7 @@
 
 func (p *Pool) send(now time.Duration, t *Ticket, u *upstream, suspected bool) Decision {
 	p.dequeue(t)
-	u.recordSend(now, t.ID, p)
-	p.running[t.ID] = assignment{
+	granted := assignment{
 		upstream:    u,
 		incarnation: u.state.Incarnation,
 		sent:        now,
@@ -138,6 +140,9 @@
 		identity:    t.Identity,
 		trial:       suspected,
 	}
+	p.predict(now, t, &granted)
+	u.recordSend(now, t.ID, p)
+	p.running[t.ID] = granted
 	if suspected {
 		u.trials++
 		p.config.Suspects.beginTrial(t.Identity)
@@ -179,6 +184,9 @@
 
 // late reports whether t would miss its objective if it were sent now to owner, or to any upstream if owner is nil.
 func (p *Pool) late(now time.Duration, t *Ticket, owner *upstream) bool {
+	if p.mixed {
+		return p.lateMixed(now, t, owner)
+	}
 	return now+time.Duration(lateMargin*float64(p.expectedLatency(now, owner))) > t.Objective
 }
 
@@ -199,7 +207,11 @@
 // overdue reports whether t must be refused: either it can no longer be answered before its deadline, or it is late and
 // has used up the time that a late request may wait for a slot.
 func (p *Pool) overdue(now time.Duration, t *Ticket, owner *upstream) bool {
-	if now+p.expectedLatency(now, owner) > t.Deadline {
+	expected := p.expectedLatency(now, owner)
+	if p.mixed {
+		expected = p.expectedAt(now, t, owner)
+	}
+	if now+expected > t.Deadline {
 		return true
 	}
 	return p.late(now, t, owner) && now-t.arrived > time.Duration(lateWaitShare*float64(t.Deadline-t.arrived))
--- a/core/dispatch/end.go
+++ b/core/dispatch/end.go
@@ -10,6 +10,7 @@
 		return
 	}
 	granted.upstream.recordLatency(took)
+	p.observe(now, granted, took)
 }
 
 // releaseSlot releases the slot of a ticket. It returns false if the slot was released before.
@@ -25,6 +26,7 @@
 		p.setPause(now, u, granted.instance, report.Pause)
 	}
 	delete(u.running, id)
+	u.backlog.valid = false
 	p.markDirty(u.queue)
 	p.markDirty(p.shared)
 	return true
@@ -47,6 +49,7 @@
 	case Answered:
 		if heldSlot {
 			u.recordLatency(took)
+			p.observe(now, granted, took)
 		}
 		u.recordOutcome(false)
 		u.recordAnswer(now, granted.sent, p)
--- a/core/dispatch/pool.go
+++ b/core/dispatch/pool.go
@@ -4,6 +4,7 @@
 	"sort"
 	"time"
 
+	"cuminlift/core/cost"
 	"cuminlift/core/request"
 	"cuminlift/core/route"
 )
@@ -56,6 +57,12 @@
 	pausedUntil time.Duration
 	// median caches the result of medianLatency, 0 for none, and medianAt is when it was computed.
 	median, medianAt time.Duration
+	// mixed is true if the service gets requests of different kinds, which are then told apart in kinds.
+	mixed bool
+	kinds kinds
+	// factor and capacity cache the results of usualFactor, computed at factorAt, 0 for none.
+	factor, capacity float64
+	factorAt         time.Duration
 }
 
 // assignment is what a running ticket was granted.
@@ -68,6 +75,12 @@
 	identity    request.Identity
 	// trial is true if the request was suspected to crash upstreams when it was sent.
 	trial bool
+	// kind is set on services with mixed kinds. work is the expected work of the request, wait the expected time in the queue of the
+	// upstream, and predicted the time in which it was expected to be answered.
+	kind                  *kind
+	work, wait, predicted time.Duration
+	key                   uint32
+	bytes                 int
 }
 
 // NewPool returns a pool without upstreams.
@@ -98,6 +111,7 @@
 // SetService sets the service configuration.
 func (p *Pool) SetService(service route.Service) {
 	p.service = service
+	p.setMixed(service.Mixed)
 }
 
 // SetShare changes the pool's share of the service-wide limits.
@@ -149,6 +163,7 @@
 	if newIncarnation {
 		u.blockCount, u.blockedUntil, u.failureRate, u.suspect, u.latency = 0, 0, 0, false, 0
 		u.limiter, u.pauses = limiter{}, pauses{}
+		u.speed, u.backlog = cost.Speed{}, backlog{}
 	}
 	if (newIncarnation && p.initialized) || returned {
 		u.coldUntil = now + max(state.ColdRemaining, p.service.ColdDuration)
@@ -171,10 +186,7 @@
 // Submit adds a ticket to the pool. A later call of Decide returns the decision.
 func (p *Pool) Submit(now time.Duration, t *Ticket) {
 	t.arrived = now
-	t.rank = now + time.Duration(t.Priority)*priorityStep
-	if t.Bulk {
-		t.rank += bulkDelay
-	}
+	p.order(now, t)
 	if t.Attempt == 0 {
 		p.budget.countRequest(now)
 	}
@@ -183,6 +195,9 @@
 		return
 	}
 	q := p.queueFor(now, t)
+	if p.mixed {
+		q.countArrival(now, t)
+	}
 	wait, work := p.expectedWait(now, t, q)
 	own, others := p.pauseOf(now, t, q)
 	if t.Attempt > 0 && !t.Unsent && !p.budget.take(now) {
@@ -198,6 +213,18 @@
 	p.markDirty(q)
 }
 
+// order sets the rank of a ticket, which alone orders the queues.
+func (p *Pool) order(now time.Duration, t *Ticket) {
+	if p.mixed {
+		p.setOrder(now, t)
+		return
+	}
+	t.rank = t.arrived + time.Duration(t.Priority)*priorityStep
+	if t.Bulk {
+		t.rank += bulkDelay
+	}
+}
+
 // admit reports whether t may be queued, which requires that it is expected to be answered in time.
 func (p *Pool) admit(now time.Duration, t *Ticket, q *queue, wait, work time.Duration) (Reason, bool) {
 	if !p.anyUsable() {
@@ -243,6 +270,14 @@
 // expectedWait estimates how long t, which is or would be in q, waits for a slot, and how long it then takes to be
 // answered.
 func (p *Pool) expectedWait(now time.Duration, t *Ticket, q *queue) (wait, work time.Duration) {
+	if p.mixed {
+		return p.expectedMixed(now, t, q)
+	}
+	return p.uniformWait(now, t, q)
+}
+
+// uniformWait is expectedWait for requests that all take the typical latency of their upstream.
+func (p *Pool) uniformWait(now time.Duration, t *Ticket, q *queue) (wait, work time.Duration) {
 	if q.unowned {
 		return 0, defaultLatency
 	}
--- a/core/dispatch/queue.go
+++ b/core/dispatch/queue.go
@@ -15,6 +15,8 @@
 	tickets []*Ticket
 	// dirty is true if the queue has changed since it was last processed.
 	dirty bool
+	// flows describes the tickets by the index of their kind, on services with mixed kinds.
+	flows []flow
 }
 
 func (q *queue) insert(t *Ticket) {
@@ -23,6 +25,7 @@
 	copy(q.tickets[at+1:], q.tickets[at:])
 	q.tickets[at] = t
 	t.queue = q
+	q.adjustWaiting(t, 1)
 }
 
 // position returns the number of tickets ordered before, or equal to, a ticket with the given rank.
@@ -36,6 +39,7 @@
 			copy(q.tickets[i:], q.tickets[i+1:])
 			q.tickets[len(q.tickets)-1] = nil
 			q.tickets = q.tickets[:len(q.tickets)-1]
+			q.adjustWaiting(t, -1)
 			break
 		}
 	}
--- a/core/dispatch/upstream.go
+++ b/core/dispatch/upstream.go
@@ -1,6 +1,10 @@
 package dispatch
 
-import "time"
+import (
+	"time"
+
+	"cuminlift/core/cost"
+)
 
 // UpstreamState is the registered state of an upstream.
 type UpstreamState struct {
@@ -50,6 +54,9 @@
 	pauses  pauses
 	// trials is the number of running tickets that were suspected to crash upstreams when they were sent, at most one.
 	trials int
+	// speed and backlog are used on services with mixed kinds.
+	speed   cost.Speed
+	backlog backlog
 }
 
 const (
@@ -184,6 +191,7 @@
 	if len(load) > 3 {
 		u.slowness = load[3]
 		u.slownessAt = now
+		u.speed.Report(now, load[3])
 	}
 	slots := u.state.Slots
 	if slots == 0 || len(u.running) < slots {
@@ -221,6 +229,7 @@
 		u.limiter.spend(now, share)
 	}
 	u.running[id] = now
+	u.backlog.valid = false
 	u.lastSent = now
 	if !u.isCold(now) {
 		u.coldSends = u.coldSends[:0]
