core/dispatch: refusals on arrival on mixed services, and Retry-After by the load

Retry-After followed the expected wait alone, the same for all callers. Slots beyond those of an upstream counted as free although no request may use them, so that wrong reports of load led to waits. Change: a request that must wait is admitted only if 1.4 times the expected wait leaves it in time; Retry-After is 0.08 to 0.15 of the time to the deadline, by the offered work, and spread; open slots are counted as dispatching uses them; the slowness seen in running requests is their median, since two requests of the tail among six are usual.

--- a/core/dispatch/decide.go
+++ b/core/dispatch/decide.go
@@ -172,6 +172,9 @@
 			wait, work := p.expectedWait(now, t, q)
 			_, others := p.pauseOf(now, t, q)
 			decision.RetryAfter = retryAfter(max(wait, others), work)
+			if p.mixed {
+				decision.RetryAfter = p.returnDelay(now, t, q, decision.RetryAfter)
+			}
 		default:
 			i++
 			continue
--- a/core/dispatch/expected.go
+++ b/core/dispatch/expected.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 
 	"cuminlift/core/cost"
@@ -11,8 +12,8 @@
 type backlog struct {
 	// total is the sum over running requests, and soonest the least of them.
 	total, soonest time.Duration
-	// stretch is the second largest age of a running request relative to what was expected, at least 1. It tells that an upstream
-	// has become slow before it answers. A single request may be one of the tail.
+	// stretch is the median age of the running requests relative to what was expected, at least 1. It tells that an upstream has
+	// become slow before it answers. Single requests may be of the tail.
 	stretch float64
 	at      time.Duration
 	valid   bool
@@ -45,7 +46,7 @@
 		return b
 	}
 	present := u.speed.Present(now)
-	first, second := 1.0, 1.0
+	p.stretches = p.stretches[:0]
 	b.soonest = math.MaxInt64
 	for id, since := range u.running {
 		granted := p.running[id]
@@ -56,17 +57,19 @@
 		rest := time.Duration(present * float64(granted.kind.cost.Work.Remaining(time.Duration(float64(age)/present))))
 		b.total += rest
 		b.soonest = min(b.soonest, rest)
-		stretch := float64(age) / max(float64(granted.predicted), 1)
-		if stretch > first {
-			first, second = stretch, first
-		} else {
-			second = max(second, stretch)
-		}
+		p.stretches = append(p.stretches, float64(age)/max(float64(granted.predicted), 1))
 	}
 	if b.soonest == math.MaxInt64 {
 		b.soonest = 0
 	}
-	b.stretch = min(second, maxStretch)
+	if n := len(p.stretches); n > 1 {
+		slices.Sort(p.stretches)
+		median := n / 2
+		if n == 2 {
+			median = 0
+		}
+		b.stretch = min(max(p.stretches[median], 1), maxStretch)
+	}
 	return b
 }
 
@@ -181,15 +184,41 @@
 		return 0
 	}
 	if q.owner != nil {
-		return max(0, q.owner.freeSlots(now, p))
+		return q.owner.openSlots(now, p)
 	}
 	total := 0
 	for _, u := range p.sorted {
-		total += max(0, u.freeSlots(now, p))
+		total += u.openSlots(now, p)
 	}
 	return total
 }
 
+// openSlots returns the number of the upstream's slots that are free, or 1 if one will soon be: a request may then wait there.
+func (u *upstream) openSlots(now time.Duration, p *Pool) int {
+	free := u.freeSlots(now, p)
+	if free <= 0 {
+		return 0
+	}
+	if unused := u.state.Slots - len(u.running); unused > 0 {
+		return min(free, unused)
+	}
+	if u.acceptsExtra(now, p, p.shortest(now)) {
+		return 1
+	}
+	return 0
+}
+
+// shortest returns the least mean work of a kind that has been used lately.
+func (p *Pool) shortest(now time.Duration) time.Duration {
+	shortest := time.Duration(math.MaxInt64)
+	for _, k := range p.kinds.list {
+		if now-k.usedAt < shareMemory {
+			shortest = min(shortest, k.mean)
+		}
+	}
+	return shortest
+}
+
 const (
 	// maxReserve bounds the part of the slots that is reserved for more urgent requests.
 	maxReserve = 0.25
--- a/core/dispatch/mixed_test.go
+++ b/core/dispatch/mixed_test.go
@@ -1,10 +1,14 @@
 package dispatch_test
 
 import (
+	"math"
 	"testing"
 	"time"
 
 	qt "github.com/frankban/quicktest"
+
+	"cuminlift/core/dispatch"
+	"cuminlift/core/route"
 )
 
 // compare plays a replay with the decisions of a service with one kind, as the baseline, and with those by expected cost.
@@ -84,3 +88,133 @@
 		}
 	}
 }
+
+// TestTailsOfShortRequests covers speeds of 0.6, 1.0 and 1.6 with tails of 7 times the mean, at the capacity. Short requests waited
+// behind long ones.
+func TestTailsOfShortRequests(t *testing.T) {
+	c := qt.New(t)
+	s := openReplay(1)
+	s.tail = 0.01
+	before, after := compare(c, s)
+	c.Check(after[0].quantile(0.99) <= before[0].quantile(0.99)/2, qt.IsTrue, qt.Commentf("%v, before %v", after[0], before[0]))
+	checkOrder(c, s, after)
+}
+
+// TestWaves covers load that goes up and down by half every 12 s.
+func TestWaves(t *testing.T) {
+	c := qt.New(t)
+	for _, s := range []replay{openReplay(0.9), keyedReplay(0.7)} {
+		for i := range s.kinds {
+			s.kinds[i].load = func(now time.Duration) float64 { return 1 + 0.5*math.Sin(2*math.Pi*now.Seconds()/12) }
+		}
+		before, after := compare(c, s)
+		checkOrder(c, s, after)
+		urgent := len(s.kinds) - 1
+		if s.kinds[0].priority == 0 {
+			urgent = 0
+		}
+		c.Check(after[urgent].shareInTime() >= before[urgent].shareInTime()+0.05, qt.IsTrue, qt.Commentf("%v", after[urgent]))
+	}
+}
+
+// TestUnreliableReports covers load reports that are 500 ms old or wrong, while upstreams take three times as long for 400 ms at a
+// time. Wrong reports once led to requests that waited at upstreams behind long ones.
+func TestUnreliableReports(t *testing.T) {
+	c := qt.New(t)
+	for _, s := range []replay{openReplay(1.1), keyedReplay(0.6)} {
+		s.slowPhases = true
+		s.reportAge = 500 * time.Millisecond
+		for _, wrong := range []bool{false, true} {
+			s.wrongReports = wrong
+			_, after := compare(c, s)
+			checkOrder(c, s, after)
+			for i, r := range after {
+				if s.kinds[i].priority == 0 {
+					c.Check(r.shareInTime() >= 0.93, qt.IsTrue, qt.Commentf("%v", r))
+				}
+			}
+		}
+	}
+}
+
+// TestTakeoverAndSlowUpstreams covers a coordinator that has just taken over and knows nothing, and upstreams of which one of four
+// becomes five times as slow.
+func TestTakeoverAndSlowUpstreams(t *testing.T) {
+	c := qt.New(t)
+	for _, s := range []replay{openReplay(0.6), keyedReplay(0.5)} {
+		taken := s
+		taken.takeoverAt = 7 * time.Second
+		_, after := compare(c, taken)
+		checkOrder(c, taken, after)
+		s.slowFrom = 5 * time.Second
+		_, after = compare(c, s)
+		checkOrder(c, s, after)
+	}
+}
+
+// TestRefusedCallersDoNotReturnTogether guards against callers that all come back at the same time, and after their deadline.
+func TestRefusedCallersDoNotReturnTogether(t *testing.T) {
+	c := qt.New(t)
+	p := newPool(dispatch.Share{})
+	p.SetService(route.Service{
+		Mixed: true,
+	})
+	p.SetUpstreams(0, states(1))
+	delays := map[time.Duration]int{}
+	for id := uint64(1); id <= 200; id++ {
+		p.Submit(0, ticket(id, 0))
+		for _, d := range p.Decide(0) {
+			if d.Upstream == "" {
+				c.Assert(d.Reason, qt.Equals, dispatch.TooLate)
+				c.Assert(d.RetryAfter >= 100*time.Millisecond && d.RetryAfter <= time.Second, qt.IsTrue, qt.Commentf("%v", d.RetryAfter))
+				delays[d.RetryAfter.Truncate(10*time.Millisecond)]++
+			}
+		}
+	}
+	c.Check(len(delays) >= 10, qt.IsTrue, qt.Commentf("%v", delays))
+}
+
+// TestStarvedKindKeepsAFloor covers urgent requests that alone exceed the capacity.
+func TestStarvedKindKeepsAFloor(t *testing.T) {
+	c := qt.New(t)
+	s := openReplay(1.5)
+	s.kinds[0].share, s.kinds[1].share = 0.97, 0.03
+	s.mixed = true
+	results, _ := s.run()
+	c.Log(results)
+	checkOrder(c, s, results)
+}
+
+// TestChangeOfKindsKeepsTickets covers a configuration that gives a service routes of different kinds, and takes them away, while
+// tickets wait.
+func TestChangeOfKindsKeepsTickets(t *testing.T) {
+	c := qt.New(t)
+	p := newPool(dispatch.Share{})
+	p.SetUpstreams(0, states(1))
+	service := route.Service{}
+	const tickets = 12
+	ended := map[uint64]bool{}
+	var running []uint64
+	for now := time.Duration(0); now < 4*time.Second; now += 50 * time.Millisecond {
+		service.Mixed = int(now/(100*time.Millisecond))%2 == 1
+		p.SetService(service)
+		if id := uint64(now/(50*time.Millisecond)) + 1; id <= tickets {
+			r := ticket(id, now)
+			r.Priority = int(id % 3)
+			p.Submit(now, r)
+		}
+		for _, id := range running {
+			p.End(now, id, dispatch.Answered, 50*time.Millisecond, nil)
+		}
+		running = nil
+		for _, d := range p.Decide(now) {
+			c.Assert(ended[d.Ticket.ID], qt.IsFalse)
+			ended[d.Ticket.ID] = true
+			if d.Upstream != "" {
+				running = append(running, d.Ticket.ID)
+			}
+		}
+	}
+	c.Check(ended, qt.HasLen, tickets)
+	c.Check(p.Waiting(), qt.Equals, 0)
+}
--- a/core/dispatch/pool.go
+++ b/core/dispatch/pool.go
@@ -63,6 +63,8 @@
 	// factor and capacity cache the results of usualFactor, computed at factorAt, 0 for none.
 	factor, capacity float64
 	factorAt         time.Duration
+	// stretches is a buffer.
+	stretches []float64
 }
 
 // assignment is what a running ticket was granted.
@@ -191,7 +193,7 @@
 		p.budget.countRequest(now)
 	}
 	if v := p.verdict(now, t); v.Quarantine > 0 {
-		p.refuse(t, Quarantined, v.Quarantine, 0)
+		p.refuse(now, t, Quarantined, v.Quarantine, 0)
 		return
 	}
 	q := p.queueFor(now, t)
@@ -201,11 +203,11 @@
 	wait, work := p.expectedWait(now, t, q)
 	own, others := p.pauseOf(now, t, q)
 	if t.Attempt > 0 && !t.Unsent && !p.budget.take(now) {
-		p.refuse(t, NoBudget, max(wait, others), work)
+		p.refuse(now, t, NoBudget, max(wait, others), work)
 		return
 	}
 	if reason, ok := p.admit(now, t, q, max(wait, own), work); !ok {
-		p.refuse(t, reason, max(wait, others), work)
+		p.refuse(now, t, reason, max(wait, others), work)
 		return
 	}
 	q.insert(t)
@@ -236,6 +238,9 @@
 	if wait == 0 {
 		return "", true
 	}
+	if p.mixed {
+		return TooLate, p.admitMixed(now, t, wait, work)
+	}
 	finish := now + wait + work
 	if finish <= t.Objective {
 		return "", true
@@ -328,10 +333,13 @@
 	return len(p.tickets)
 }
 
-func (p *Pool) refuse(t *Ticket, reason Reason, wait, work time.Duration) {
+func (p *Pool) refuse(now time.Duration, t *Ticket, reason Reason, wait, work time.Duration) {
 	delay := retryAfter(wait, work)
-	if reason == NoOwner {
+	switch {
+	case reason == NoOwner:
 		delay = DefaultOwnerWait
+	case reason == TooLate && p.mixed:
+		delay = p.returnDelay(now, t, p.queueFor(now, t), delay)
 	}
 	p.refusals = append(p.refusals, Decision{
 		Ticket:     t,
