--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -264,6 +264,7 @@
 		Content:     c.identity.Content,
 		Caller:      c.identity.Caller,
 		Workspace:   c.workspace,
+		RouteClass:  c.route.Class,
 		BodyBytes:   uint32(min(len(c.body), math.MaxUint32)),
 	}
 }
