core/authority: an outdated coordinator resigns, and refusals move the lease at most twice in 5 s

Cause: a coordinator that the store refuses resigned only if one member reported for 1.2 s in a row that it reaches the store, and without a shortest term a store that refuses one instance after the other moved the lease all the time. Change: it also resigns if its tables have been older than those of a member for a second while a member reaches the store. Neither happens in the first 3 s of a term. The loss of paths to upstreams is judged as before.

--- a/core/authority/authority.go
+++ b/core/authority/authority.go
@@ -26,6 +26,9 @@
 	failingSince time.Duration
 	// pathsLostSince is when the coordinator lost its paths to upstreams that hold keys, 0 while it has them.
 	pathsLostSince time.Duration
+	// startedAt is when the lease was taken. behindSince is since when the coordinator's tables are older than those of a member.
+	startedAt, behindSince time.Duration
+	behind                 bool
 	// members are the other registered instances.
 	members map[string]*member
 	// resigned is permanent once set.
@@ -46,6 +49,7 @@
 func NewLeadership(sent time.Duration) *Leadership {
 	return &Leadership{
 		renewedAt: sent,
+		startedAt: sent,
 		members:   map[string]*member{},
 	}
 }
@@ -108,6 +112,12 @@
 	}
 }
 
+// TablesBehind records whether the coordinator's tables are older than those of a member although it has asked for the rows, and since
+// when.
+func (l *Leadership) TablesBehind(since time.Duration, behind bool) {
+	l.behindSince, l.behind = since, behind
+}
+
 // Resign ends the leadership permanently.
 func (l *Leadership) Resign() {
 	l.resigned = true
@@ -149,12 +159,21 @@
 // coordinator's own calls that were under way must have had the time to fail and to be repeated.
 const retryBeforeResigning = 1200 * time.Millisecond
 
+// resignBehindAfter is how long the tables must be older than those of a member for the coordinator to resign. The rows usually come
+// within a few requests to members, of 300 ms each.
+const resignBehindAfter = time.Second
+
+// minTerm is the shortest term that ends because the store refuses the coordinator. A store that refuses one instance after the other
+// would otherwise move the lease all the time; two terms of this length take longer than 5 s.
+const minTerm = 3 * time.Second
+
 // resignWithoutPathsAfter is how long the paths to upstreams must be lost for the coordinator to resign. Grants last several times as
 // long.
 const resignWithoutPathsAfter = 200 * time.Millisecond
 
 // ShouldResign reports whether another instance is better placed to coordinate: the store goes on failing for this instance but
-// works for a member, or a member reaches upstreams that this instance can't grant keys to. Without the store none could follow.
+// works for a member, or its tables stay older than those of members and the store works for one, or a member reaches upstreams that
+// this instance can't grant keys to. Without the store none could follow.
 func (l *Leadership) ShouldResign(now time.Duration) bool {
 	if l.failingSince == 0 && l.pathsLostSince != 0 && now-l.pathsLostSince >= resignWithoutPathsAfter {
 		for _, m := range l.members {
@@ -163,11 +182,16 @@
 			}
 		}
 	}
-	if l.failingSince == 0 || now-l.failingSince < resignAfter {
+	if now-l.startedAt < minTerm {
+		return false
+	}
+	behind := l.behind && now-l.behindSince >= resignBehindAfter
+	refused := l.failingSince != 0 && now-l.failingSince >= resignAfter
+	if !behind && !refused {
 		return false
 	}
 	for _, m := range l.members {
-		if m.storeReached && now-m.reachedSince >= retryBeforeResigning && now-m.lastAcknowledged < LeaseDuration {
+		if m.storeReached && now-m.lastAcknowledged < LeaseDuration && (behind || now-m.reachedSince >= retryBeforeResigning) {
 			return true
 		}
 	}
--- a/core/authority/authority_test.go
+++ b/core/authority/authority_test.go
@@ -159,8 +159,11 @@
 	// for one under its own precondition, keepVersionsOverEras takes an equal version of another era for the same, and reuseTerms gives
 	// the terms of an era out again.
 	ignoreEraOfWrites, keepVersionsOverEras, reuseTerms bool
-	// drills is true if the store may come back older.
-	drills bool
+	// drills is true if the store may come back older. refusals is true if the only fault is that it refuses some instances, though
+	// never all, for a time.
+	drills, refusals bool
+	// starts are the times at which terms begin.
+	starts []time.Duration
 }
 
 // leaseState is the lease's row at a time.
@@ -353,6 +356,7 @@
 		s.failure = fmt.Sprintf("at %v %s gets term %d, which %s had", s.now, i.name, term, holder)
 	}
 	s.terms[term] = i.name
+	s.starts = append(s.starts, s.now)
 	i.term = term
 }
 
@@ -453,6 +457,9 @@
 		}
 		o.monitor.HeartbeatReceived(s.now, era, version, term)
 		reached, replyEra := s.now-o.lastStoreAnswer < 25*time.Second, o.era
+		if s.refusals {
+			reached = !o.storeDenied
+		}
 		s.send(i, s.messageDelay(), func() {
 			s.learnEra(i, replyEra)
 			if s.countFromAnswer {
@@ -466,6 +473,10 @@
 }
 
 func (s *simulation) injectFault() {
+	if s.refusals {
+		s.refuseSome()
+		return
+	}
 	i := s.instances[s.random.IntN(len(s.instances))]
 	o := s.instances[s.random.IntN(len(s.instances))]
 	switch s.random.IntN(9) {
