core/replica, internal/gateway: followers hand up tables to a coordinator that the store refuses

Cause: while the store refused the coordinator, it knew of no change until it resigned; every follower read both tables and probed the store for itself, and with many instances their reports of a probe lasted shorter than the time between probes, so that none counted as reaching the store for 1.2 s in a row. Change: the coordinator tells a few followers that the store fails for it, and keeps up to three that reach it; all are told if none of eight reaches it within 800 ms, or if a connected one is of an earlier build. It asks a follower that is ahead by era and version for the rows (TableRequest), another one after 300 ms, applies them like rows of the store and forwards them. Probes are paced by the number of instances told (Beat.store-readers), and a report lasts until the next probe should have ended; a failed one ends it.

--- a/internal/gateway/coordinator.go
+++ b/internal/gateway/coordinator.go
@@ -12,6 +12,7 @@
 	"cuminlift/core/dispatch"
 	"cuminlift/core/keyspace"
 	"cuminlift/core/paths"
+	"cuminlift/core/replica"
 	"cuminlift/core/roster"
 	"cuminlift/schema"
 )
@@ -56,9 +57,11 @@
 	links          map[string]*link
 	nextLinkNumber uint64
 	services       map[string]*serviceState
-	// tables are forwarded to all instances. storeFailed is the last result of storeFails.
-	tables      []*tableFeed
-	storeFailed bool
+	// tables are forwarded to all instances. While the store fails, readers read it, and catchUps gets the rows of each table that the
+	// coordinator lacks.
+	tables   []*tableFeed
+	readers  replica.Readers
+	catchUps map[string]*replica.CatchUp
 	// spread holds the upstreams of which all instances have been told that they leave.
 	departures departureKeeper
 	spread     roster.Departures
@@ -152,6 +155,7 @@
 		services:      map[string]*serviceState{},
 		suspects:      &dispatch.Suspects{},
 		withheld:      map[withheldKey]*withheldTickets{},
+		catchUps:      map[string]*replica.CatchUp{},
 		ctx:           ctx,
 		cancel:        cancel,
 	}
@@ -184,6 +188,9 @@
 	c.log.Info("coordinator starts")
 	defer debug.SetGCPercent(gcPercent)
 	// Load services and upstreams before the first ticket is requested.
+	for _, feed := range c.tables {
+		c.catchUps[feed.table] = &replica.CatchUp{}
+	}
 	c.tick(c.clock.Now())
 	ticker := time.NewTicker(coordinatorInterval)
 	defer ticker.Stop()
@@ -260,7 +267,8 @@
 				Sequence:     uint64(c.clock.Now()),
 				Resigned:     resigned,
 				Instances:    uint32(len(c.links)),
-				StoreFails:   c.storeFails(),
+				StoreFails:   to.readsStore,
+				StoreReaders: uint32(c.readers.Count()),
 				LeaseVersion: c.leaseVersion,
 				Era:          c.leaseEra,
 
@@ -302,18 +310,6 @@
 	}
 }
 
-// resendTables sends the tables to all instances once the store works again. They began to read it themselves.
-func (c *coordinator) resendTables() {
-	failed := c.storeFails()
-	if c.storeFailed && !failed {
-		for _, l := range c.links {
-			l.tablesSent = false
-			c.sendTables(l)
-		}
-	}
-	c.storeFailed = failed
-}
-
 // tick runs time-driven work.
 func (c *coordinator) tick(now time.Duration) {
 	if c.store.currentEra() == c.leaseEra {
@@ -322,7 +318,8 @@
 		c.rewriteLease(now)
 	}
 	c.forwardPages()
-	c.resendTables()
+	c.updateReaders(now)
+	c.requestRows(now)
 	c.announceSuspicions(now)
 	c.announceRelays(now)
 	c.comparePaths(now)
--- a/internal/gateway/coordinator_conn.go
+++ b/internal/gateway/coordinator_conn.go
@@ -73,6 +73,10 @@
 		if conn == t.frameConn && t.coordinatorName != t.config.Settings.Name {
 			t.handleRows(conn, body.Rows)
 		}
+	case *schema.Frame_TableRequest:
+		if conn == t.frameConn && t.coordinatorName != t.config.Settings.Name {
+			t.handleTableRequest(conn, body.TableRequest)
+		}
 	case *schema.Frame_Notice:
 		if body.Notice.GetLeaving() {
 			t.departures.noteLeaving(body.Notice.GetUpstream(), body.Notice.GetBorn())
@@ -114,9 +118,15 @@
 	t.instanceCount = int(beat.GetInstances())
 	t.index = int(beat.GetPlace())
 	t.maxCPUPermille = beat.GetLargestCpuPermille()
+	t.storeReaders = 0
 	if beat.GetStoreFails() {
-		t.requestStoreProbe()
-		// Rows forwarded by a coordinator that can't reach the store are outdated.
+		t.storeReaders = int(beat.GetStoreReaders())
+		probing := t.storeReaders
+		if probing == 0 {
+			probing = t.instanceCount
+		}
+		t.requestStoreProbe(probing)
+		// Rows forwarded by a coordinator that can't reach the store may be outdated.
 		t.resumeStoreReads(conn)
 	}
 	if t.frameConn != conn {
@@ -236,6 +246,7 @@
 		return
 	}
 	t.frameConn = nil
+	t.storeReaders = 0
 	t.resumeStoreReads(conn)
 	t.log.WithFields(logrus.Fields{
 		"coordinator": t.coordinatorName,
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -75,11 +75,11 @@
 	}
 	g.follower = newFollower(config, loggers.For("configuration"))
 	g.ticketClient = newTicketClient(config, loggers.For("instance"), g.follower.view)
-	g.ticketClient.storeReachable = func() bool { return g.follower.storeReachable(storeProbeValidity) }
-	g.ticketClient.requestStoreProbe = func() { g.follower.probeStore(context.Background()) }
+	g.ticketClient.storeReachable = g.follower.storeReachable
+	g.ticketClient.requestStoreProbe = func(instances int) { g.follower.probeStore(context.Background(), instances) }
 	g.ticketClient.departures = g.follower
 	g.ticketClient.store = store
-	g.follower.instances = g.ticketClient.knownInstances
+	g.follower.instances = g.ticketClient.readingInstances
 	g.ticketClient.tables = []*tableFeed{g.follower.configuration, g.follower.upstreams}
 	store.feeds = g.ticketClient.tables
 	client := newUpstreamClient(config)
--- a/internal/gateway/links.go
+++ b/internal/gateway/links.go
@@ -35,6 +35,9 @@
 	// tableVersions are the versions of the tables that the instance has, and tablesSent is true once it was sent what it lacks.
 	tableVersions map[string]replica.Position
 	tablesSent    bool
+	// readsStore is true while the instance is told that the store fails for the coordinator, so that it reads the store itself, and
+	// storeReached is true if it reaches the store. handsUpRows is true if it answers requests for rows.
+	readsStore, storeReached, handsUpRows bool
 	// ticketServices holds the service of each open ticket, by the instance's ID of the ticket.
 	ticketServices map[uint64]*serviceState
 	cancel         context.CancelFunc
@@ -106,7 +109,9 @@
 			}
 			l.send(suspicionsFrame(now, l.coordinator.suspects.List(now)))
 			l.send(relaysFrame(l.coordinator.lastRelays, l))
-			l.tablesSent = false
+			// What the instance has, it tells in its first heartbeat reply: it may have restarted.
+			l.tablesSent, l.storeReached, l.handsUpRows = false, false, false
+			clear(l.tableVersions)
 		})
 		l.serve(ctx, f)
 		stop()
@@ -233,10 +238,10 @@
 	}
 }
 
-// sendTables sends an instance the rows it lacks, once its first heartbeat reply has told its versions. While the store
-// fails, the coordinator's rows may be outdated, and the instance reads the store itself.
+// sendTables sends an instance the rows it lacks, once its first heartbeat reply has told its versions, unless it reads the store
+// itself because the store fails for the coordinator.
 func (c *coordinator) sendTables(l *link) {
-	if l.tablesSent || c.storeFails() {
+	if l.tablesSent || l.readsStore || len(l.tableVersions) == 0 {
 		return
 	}
 	l.tablesSent = true
--- a/internal/gateway/poll.go
+++ b/internal/gateway/poll.go
@@ -263,19 +263,7 @@
 // handleForwarded applies rows forwarded by the coordinator. From the first page that continues the
 // known rows on, the store is no longer read. changed is true if the source of the rows has changed.
 func (t *tableFeed) handleForwarded(from frameConn, rows *schema.TableRows) (changed bool) {
-	page := cuminlift.RowPage{
-		Version: rows.GetVersion(),
-		Era:     rows.GetEra(),
-	}
-	for _, row := range rows.GetRows() {
-		page.Rows = append(page.Rows, cuminlift.Row{
-			Table:   t.table,
-			Key:     row.GetKey(),
-			Value:   row.GetValue(),
-			Version: row.GetVersion(),
-			Removed: row.GetRemoved(),
-		})
-	}
+	page := decodeRows(rows)
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
 	if t.source != from && !rows.GetWhole() && !rows.GetJoins() {
@@ -338,12 +326,12 @@
 }
 
 // frameSince returns the message that brings an instance up to date that knows the table up to version of an era. ok is false
-// before the first read, and while the rows are outdated: the store fails, or the instance knows newer ones.
+// before the first read, and while the instance knows newer rows.
 func (t *tableFeed) frameSince(era, version uint64) (frame *schema.Frame, ok bool) {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
 	page, whole, ok := t.known.Since(era, version)
-	if !ok || t.failingSince != 0 || era > page.Era || (era == page.Era && version > page.Version) {
+	if !ok || era > page.Era || (era == page.Era && version > page.Version) {
 		return nil, false
 	}
 	frame = rowsFrame(t.table, page, whole, version)
--- a/internal/gateway/queue.go
+++ b/internal/gateway/queue.go
@@ -52,6 +52,7 @@
 	for table, position := range decodePositions(reply.GetTables()) {
 		l.tableVersions[table] = position
 	}
+	l.storeReached, l.handsUpRows = reply.GetStoreReached(), reply.GetAnswersTableRequests()
 	l.failedUpstreams = int(reply.GetFailedUpstreams())
 	c.store.learnEra(reply.GetEra())
 	c.sendTables(l)
@@ -85,6 +86,8 @@
 		c.handleCancel(now, l, body.Cancel)
 	case *schema.Frame_Notice:
 		c.handleNotice(now, l, body.Notice)
+	case *schema.Frame_Rows:
+		c.handleRows(l, body.Rows)
 	}
 }
 
--- a/internal/gateway/returned.go
+++ b/internal/gateway/returned.go
@@ -83,6 +83,7 @@
 // withhold grants an instance no more tickets for an upstream that its tables exclude, until its tables and those of the coordinator
 // agree.
 func (c *coordinator) withhold(now time.Duration, l *link, s *serviceState, upstream string) {
+	c.requestRowsFrom(now, l)
 	s.pool.sync(now, c.view(), s.name)
 	s.pool.Withhold(now, l.name, upstream, withholdInterval)
 	key := withheldKey{
--- a/internal/gateway/tickets.go
+++ b/internal/gateway/tickets.go
@@ -54,9 +54,10 @@
 	clock  cuminlift.Clock
 	log    *logrus.Entry
 	view   func() *view
-	// storeReachable reports whether the store replied recently, and requestStoreProbe starts a probe of it.
+	// storeReachable reports whether the store answered the last probe, and requestStoreProbe starts one if it is due while a number of
+	// instances do so.
 	storeReachable    func() bool
-	requestStoreProbe func()
+	requestStoreProbe func(instances int)
 	// store tells the era.
 	store *watchedStore
 	// departures keeps the upstreams that have said that they leave.
@@ -82,6 +83,9 @@
 	localPools           map[string]*syncedPool
 	owners               map[string]*keyspace.HolderMap
 	instanceCount, index int
+	// storeReaders is the number of instances that read the store for a coordinator that can't reach it, with this one among them, and 0
+	// if all do so or none needs to.
+	storeReaders int
 	// maxCPUPermille is the largest CPU share of an instance as last reported, in thousandths of a core, 0 if unknown.
 	maxCPUPermille uint32
 	// notices holds what upstreams have said of themselves to this instance.
@@ -127,6 +131,16 @@
 	return t.instanceCount
 }
 
+// readingInstances returns the number of instances that may read the tables from the store at the same time.
+func (t *ticketClient) readingInstances() int {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	if t.storeReaders > 0 {
+		return t.storeReaders
+	}
+	return t.instanceCount
+}
+
 // acquire waits for a ticket. It returns an error only if ctx ends first; the request has then not been sent to an upstream.
 func (t *ticketClient) acquire(ctx context.Context, request *schema.TicketRequest) (ticketResult, error) {
 	w := &waiter{
--- a/internal/gateway/view.go
+++ b/internal/gateway/view.go
@@ -32,11 +32,10 @@
 	registry Registry
 	log      *logrus.Entry
 	current  atomic.Pointer[view]
-	// probeSucceededAt is when the store last replied to a probe, made for a coordinator that can't reach it.
-	probeSucceededAt atomic.Int64
-	// probing is true while a probe of the store runs.
-	probing atomic.Bool
-	clock   cuminlift.Clock
+	clock    cuminlift.Clock
+	// probes are those of the store for a coordinator that can't reach it.
+	probeMutex sync.Mutex
+	probes     replica.Probes
 
 	// instances returns the number of instances that may read the store at the same time.
 	instances func() int
@@ -77,9 +76,8 @@
 	maxStoreRetryPause = time.Second
 	// storeReadTimeout bounds a read that is not a long poll.
 	storeReadTimeout = 2 * time.Second
-	// storeProbeTimeout bounds a probe of the store, and storeProbeValidity is how long its success counts.
-	storeProbeTimeout  = 500 * time.Millisecond
-	storeProbeValidity = time.Second
+	// storeProbeTimeout bounds a probe of the store.
+	storeProbeTimeout = 500 * time.Millisecond
 	// registrationGrace is how long after the store's recovery missing entries are kept: upstreams whose entries expired
 	// while the store was down register again within two seconds.
 	registrationGrace = 2300 * time.Millisecond
@@ -140,27 +138,27 @@
 	return f.current.Load()
 }
 
-// storeReachable reports whether a probe of the store succeeded within the given time.
-func (f *follower) storeReachable(within time.Duration) bool {
-	at := f.probeSucceededAt.Load()
-	return at != 0 && f.clock.Now()-time.Duration(at) < within
+// storeReachable reports whether the store answered the last probe.
+func (f *follower) storeReachable() bool {
+	f.probeMutex.Lock()
+	defer f.probeMutex.Unlock()
+	return f.probes.Reached(f.clock.Now())
 }
 
-// probeStore starts a small read of the store, which updates storeReachable. At most one probe runs at a time.
-func (f *follower) probeStore(ctx context.Context) {
-	if !f.probing.CompareAndSwap(false, true) {
+// probeStore starts a small read of the store if one is due while a number of instances probe it, which updates storeReachable.
+func (f *follower) probeStore(ctx context.Context, instances int) {
+	f.probeMutex.Lock()
+	defer f.probeMutex.Unlock()
+	if !f.probes.Due(f.clock.Now(), instances, rand.Float64()) {
 		return
 	}
 	go func() {
-		defer f.probing.Store(false)
-		pause := replica.ProbePause(f.instances())
-		sleep(ctx, jitter(pause)) // All instances are asked at the same time.
 		callCtx, cancel := context.WithTimeout(ctx, storeProbeTimeout)
 		defer cancel()
-		if _, err := f.store.Rows(callCtx, leaseTable, ""); err == nil {
-			f.probeSucceededAt.Store(int64(f.clock.Now()))
-		}
-		sleep(ctx, max(storeProbeTimeout/2, pause/2))
+		_, err := f.store.Rows(callCtx, leaseTable, "")
+		f.probeMutex.Lock()
+		defer f.probeMutex.Unlock()
+		f.probes.Ended(f.clock.Now(), err == nil)
 	}()
 }
 
