core/quota, core/dispatch, internal/gateway: quotas of workspaces over all instances

Cause: nothing limits the requests of a workspace. Change: the coordinator counts in a ledger for the pools of all services: reserved when a ticket is submitted, charged when it is sent, returned when it is refused, cancelled or did not run. Its buckets start empty and are set from the sum of what all instances report when they attach (QuotaUsage, which also says for how long the instance has counted). The share of instances that are registered but not connected is reserved, also for 30 s after their rows were removed. Without a coordinator, an instance has its share, which starts empty; a quota too small for all instances is held by some in turn. What a coordinator of the previous build does not count (TicketReply.counted), the instance counts against its share. Refused requests get a 429 with a Retry-After for the next free place each.

--- a/core/dispatch/decide.go
+++ b/core/dispatch/decide.go
@@ -128,6 +128,7 @@
 }
 
 func (p *Pool) send(now time.Duration, t *Ticket, u *upstream, suspected bool) Decision {
+	workspace := p.chargeQuota(now, t)
 	p.dequeue(t)
 	u.recordSend(now, t.ID, p)
 	p.running[t.ID] = assignment{
@@ -137,6 +138,7 @@
 		instance:    t.Instance,
 		identity:    t.Identity,
 		trial:       suspected,
+		workspace:   workspace,
 	}
 	if suspected {
 		u.trials++
--- a/core/dispatch/pool.go
+++ b/core/dispatch/pool.go
@@ -26,6 +26,8 @@
 	Owners Owners
 	// Suspects is shared by the pools of all services. If it is nil, the pool has its own.
 	Suspects *Suspects
+	// Quota is shared by the pools of all services. It is nil if workspaces have no quotas.
+	Quota Quota
 }
 
 // Pool queues the requests of one service and assigns them to its upstreams. It is not safe for concurrent use.
@@ -68,6 +70,8 @@
 	identity    request.Identity
 	// trial is true if the request was suspected to crash upstreams when it was sent.
 	trial bool
+	// workspace was charged for the request; it is empty for none.
+	workspace string
 }
 
 // NewPool returns a pool without upstreams.
@@ -182,6 +186,10 @@
 		p.refuse(t, Quarantined, v.Quarantine, 0)
 		return
 	}
+	if wait, ok := p.reserveQuota(now, t); !ok {
+		p.refuse(t, OverQuota, wait, 0)
+		return
+	}
 	q := p.queueFor(now, t)
 	wait, work := p.expectedWait(now, t, q)
 	own, others := p.pauseOf(now, t, q)
@@ -277,6 +285,7 @@
 		p.dequeue(t)
 		return
 	}
+	p.keepCharge(id)
 	p.End(now, id, Abandoned, 0, nil)
 }
 
@@ -286,6 +295,7 @@
 		t.queue.remove(t)
 	}
 	delete(p.tickets, t.ID)
+	p.cancelQuota(t)
 }
 
 // Waiting returns the number of queued tickets.
@@ -294,6 +304,7 @@
 }
 
 func (p *Pool) refuse(t *Ticket, reason Reason, wait, work time.Duration) {
+	p.cancelQuota(t)
 	delay := retryAfter(wait, work)
 	if reason == NoOwner {
 		delay = DefaultOwnerWait
--- a/core/dispatch/ticket.go
+++ b/core/dispatch/ticket.go
@@ -43,6 +43,8 @@
 	rank time.Duration
 	// queue is the queue that holds the ticket, nil if it is not waiting.
 	queue *queue
+	// reserved is true while a request of the workspace is reserved for the ticket.
+	reserved bool
 }
 
 // Reason is why a ticket was refused. A refused ticket has not been sent to an upstream, but earlier attempts of the
@@ -61,6 +63,8 @@
 	NoOwner Reason = "no-owner"
 	// Quarantined means that several upstreams have ended while they ran the request.
 	Quarantined Reason = "crashes-upstreams"
+	// OverQuota means that the quota of the workspace is used up.
+	OverQuota Reason = "quota"
 )
 
 // Decision is the result for a ticket: either the upstream to send it to, or a refusal.
--- a/internal/gateway/coordinator.go
+++ b/internal/gateway/coordinator.go
@@ -12,6 +12,7 @@
 	"cuminlift/core/dispatch"
 	"cuminlift/core/keyspace"
 	"cuminlift/core/paths"
+	"cuminlift/core/quota"
 	"cuminlift/core/roster"
 	"cuminlift/schema"
 )
@@ -68,7 +69,9 @@
 	relaysDueAt time.Duration
 	lastRelays  []paths.Relay
 	// suspects are shared by the pools of all services.
-	suspects  *dispatch.Suspects
+	suspects *dispatch.Suspects
+	// quota counts the requests of workspaces for the pools of all services.
+	quota     *quota.Ledger
 	cancel    context.CancelFunc
 	ctx       context.Context
 	lastProbe time.Duration
@@ -149,6 +152,7 @@
 		links:         map[string]*link{},
 		services:      map[string]*serviceState{},
 		suspects:      &dispatch.Suspects{},
+		quota:         quota.NewLedger(config.Clock.Now(), quotaLimits(currentView)),
 		ctx:           ctx,
 		cancel:        cancel,
 	}
@@ -322,6 +326,7 @@
 	c.announceRelays(now)
 	c.comparePaths(now)
 	c.pruneInstances(now)
+	c.quota.ForgetLost(now)
 	v := c.view()
 	if v.table == nil || !v.listed {
 		return
@@ -377,6 +382,7 @@
 		}
 		config := poolConfig(c.config.Settings, dispatch.Share{})
 		config.Suspects = c.suspects
+		config.Quota = c.quota
 		if keyed {
 			config.Owners = s
 			c.loadAssignment(s)
--- a/internal/gateway/coordinator_conn.go
+++ b/internal/gateway/coordinator_conn.go
@@ -114,6 +114,7 @@
 	t.instanceCount = int(beat.GetInstances())
 	t.index = int(beat.GetPlace())
 	t.maxCPUPermille = beat.GetLargestCpuPermille()
+	t.shares.SetPlace(t.index, max(1, t.instanceCount), time.Duration(beat.GetSequence())-now)
 	if beat.GetStoreFails() {
 		t.requestStoreProbe()
 		// Rows forwarded by a coordinator that can't reach the store are outdated.
@@ -158,6 +159,7 @@
 	}).Info("coordinator found")
 	now := t.clock.Now()
 	t.sendNotices(now)
+	t.sendUsage(now)
 	for _, w := range t.waiters {
 		if pool := t.localPools[w.request.GetService()]; pool != nil {
 			pool.Cancel(now, w.request.GetId())
@@ -189,6 +191,12 @@
 		return
 	}
 	delete(t.waiters, result.id)
+	if result.upstream != "" && !reply.GetCounted() {
+		result = t.countReply(result, w.request)
+	}
+	if result.upstream != "" {
+		t.noteGranted(t.clock.Now(), w.request)
+	}
 	w.result <- result
 }
 
@@ -239,6 +247,7 @@
 	}).Warn("coordinator lost")
 	now := t.clock.Now()
 	t.coordinatorLostAt = now
+	t.shares.Reset(now)
 	for _, w := range t.waiters {
 		t.refreshRequest(now, w)
 		t.submit(now, w)
--- a/internal/gateway/election.go
+++ b/internal/gateway/election.go
@@ -168,6 +168,9 @@
 	if t.instanceCount <= others {
 		t.instanceCount, t.index = others+1, index
 	}
+	if t.frameConn == nil {
+		t.shares.SetPlace(t.index, t.instanceCount, 0)
+	}
 	return version, upToDate
 }
 
--- a/internal/gateway/instances.go
+++ b/internal/gateway/instances.go
@@ -99,6 +99,7 @@
 		}
 		if old != nil {
 			old.close()
+			c.quota.Leave(now, old.name)
 		}
 		c.addLink(now, instance)
 	}
@@ -109,6 +110,7 @@
 		}
 	}
 	c.leadership.SetMembers(others)
+	c.quota.SetMembers(now, slices.Collect(maps.Keys(c.links)))
 	if len(c.links) >= manyInstances {
 		debug.SetGCPercent(coordinatorGCPercent)
 	}
--- a/internal/gateway/links.go
+++ b/internal/gateway/links.go
@@ -180,6 +180,9 @@
 	}
 	l.current = nil
 	l.downSince = now
+	if c.links[l.name] == l {
+		c.quota.Leave(now, l.name)
+	}
 	for id, s := range l.ticketServices {
 		globalID := l.globalID(id)
 		if origin := s.tickets[globalID]; origin.expires == 0 {
--- a/internal/gateway/queue.go
+++ b/internal/gateway/queue.go
@@ -31,6 +31,7 @@
 					Born:         decision.Incarnation,
 					Reason:       string(decision.Reason),
 					RetryAfterMs: uint32(decision.RetryAfter.Milliseconds()),
+					Counted:      c.quota.Counts(decision.Ticket.Workspace),
 				},
 			},
 		})
@@ -79,6 +80,8 @@
 	switch body := frame.GetBody().(type) {
 	case *schema.Frame_Suspicions:
 		c.suspects.Merge(now, decodeSuspicions(now, body.Suspicions))
+	case *schema.Frame_QuotaUsage:
+		c.quota.Join(now, l.name, time.Duration(body.QuotaUsage.GetCountedMs())*time.Millisecond, decodeUsage(body.QuotaUsage))
 	case *schema.Frame_Head:
 		c.handleHead(now, l, body.Head)
 	case *schema.Frame_End:
--- /dev/null
+++ b/internal/gateway/quota_test.go
@@ -0,0 +1,138 @@
+package gateway_test
+
+import (
+	"fmt"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"cuminlift/io/frames"
+	"cuminlift/schema"
+)
+
+// flood sends requests with a key to all instances in turn for a while, and returns the number of answers by status and the different
+// times after which refused callers were told to come back.
+func (k *cluster) flood(key string, pause, length time.Duration) (statuses map[int]int, retryAfter map[string]bool) {
+	statuses, retryAfter = map[int]int{}, map[string]bool{}
+	var mutex sync.Mutex
+	var group sync.WaitGroup
+	for start := time.Now(); time.Since(start) < length; time.Sleep(pause) {
+		for name := range k.instances {
+			front := k.front(name)
+			k.requestCount++
+			group.Go(func() {
+				request, err := http.NewRequest(http.MethodGet, "http://"+front+"/read/x", nil)
+				k.c.Check(err, qt.IsNil)
+				request.Host = "a.example"
+				request.Header.Set("Request-Id", fmt.Sprint("flood-", start.UnixNano(), time.Now().UnixNano()))
+				request.Header.Set("Deadline-Ms", "2000")
+				request.Header.Set("Api-Key", key)
+				response, err := http.DefaultClient.Do(request)
+				if err != nil {
+					return
+				}
+				response.Body.Close()
+				mutex.Lock()
+				defer mutex.Unlock()
+				statuses[response.StatusCode]++
+				if response.StatusCode == http.StatusTooManyRequests {
+					retryAfter[response.Header.Get("Retry-After")] = true
+				}
+			})
+		}
+	}
+	group.Wait()
+	return statuses, retryAfter
+}
+
+const limitedWorkspaces = `[{"name":"limited","api_keys":["key-1"],"rate_per_s":4,"burst":2},{"name":"free","api_keys":["key-2"]}]`
+
+// A workspace is sent more than its quota over all instances, with a coordinator or without, or another one pays for it.
+func TestQuotaIsSharedByInstances(t *testing.T) {
+	for _, lease := range []bool{true, false} {
+		c := qt.New(t)
+		k := newCluster(c, 0)
+		if !lease {
+			k.rows = &noLeaseStore{
+				Store: k.store,
+			}
+		}
+		r := k.record()
+		k.configureWorkspaces(1, limitedWorkspaces)
+		for i := range 3 {
+			k.start(fmt.Sprint("n", i))
+		}
+		for name := range k.instances {
+			eventually(func() bool {
+				status, _ := k.call(k.front(name), "/read/x", "Api-Key", "key-2")
+				return status == http.StatusOK
+			})
+		}
+		before := r.count()
+		statuses, retryAfter := k.flood("key-1", 20*time.Millisecond, 5*time.Second)
+		// In 5 s and the second that the flood may last longer, (4 x 6 + 2) x 1.1 + 20.
+		sent := r.count() - before
+		c.Check(sent <= 48, qt.IsTrue, qt.Commentf("coordinator %v: %d sent, %v", lease, sent, statuses))
+		c.Check(sent >= 8, qt.IsTrue, qt.Commentf("coordinator %v: %d sent, %v", lease, sent, statuses))
+		c.Check(statuses[http.StatusOK], qt.Equals, sent)
+		c.Check(statuses[http.StatusTooManyRequests] > 100, qt.IsTrue, qt.Commentf("%v", statuses))
+		c.Check(statuses[http.StatusServiceUnavailable], qt.Equals, 0)
+		c.Check(len(retryAfter) > 20, qt.IsTrue, qt.Commentf("%v", retryAfter))
+		c.Check(retryAfter[""], qt.IsFalse)
+		status, _ := k.call(k.front("n0"), "/read/x", "Api-Key", "key-2")
+		c.Check(status, qt.Equals, http.StatusOK)
+	}
+}
+
+// A coordinator of the previous build, which counts nothing, leaves a workspace without its quota.
+func TestInstanceCountsWhatTheCoordinatorDoesNot(t *testing.T) {
+	for _, counted := range []bool{false, true} {
+		c := qt.New(t)
+		k := newCluster(c, 1)
+		r := k.record()
+		k.configureWorkspaces(1, limitedWorkspaces)
+		eventually(func() bool {
+			status, _ := k.call(k.front("n0"), "/read/x", "Api-Key", "key-2")
+			return status == http.StatusOK
+		})
+		f, received := k.coordinate("n0")
+		reported := make(chan bool, 1)
+		go func() {
+			seen := false
+			for frame := range received {
+				seen = seen || frame.GetQuotaUsage() != nil
+				if request := frame.GetRequest(); request != nil {
+					select {
+					case reported <- seen:
+					default:
+					}
+					grant(f, request, r, counted)
+				}
+			}
+		}()
+		status, _ := k.call(k.front("n0"), "/read/x", "Api-Key", "key-2")
+		c.Check(status, qt.Equals, http.StatusOK)
+		c.Check(<-reported, qt.IsTrue)
+		statuses, _ := k.flood("key-1", 10*time.Millisecond, time.Second)
+		c.Check(statuses[http.StatusTooManyRequests] == 0, qt.Equals, counted, qt.Commentf("%v", statuses))
+		c.Check(statuses[http.StatusOK] <= 20, qt.Equals, !counted, qt.Commentf("%v", statuses))
+	}
+}
+
+// grant grants the recorder to a request, as a coordinator does.
+func grant(f *frames.Connection, request *schema.TicketRequest, r *recorder, counted bool) {
+	f.Send(&schema.Frame{
+		Body: &schema.Frame_Reply{
+			Reply: &schema.TicketReply{
+				Id:       request.GetId(),
+				Upstream: "recorder",
+				Address:  r.address,
+				Born:     1,
+				Counted:  counted,
+			},
+		},
+	})
+}
--- a/internal/gateway/response.go
+++ b/internal/gateway/response.go
@@ -9,6 +9,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"cuminlift/core/dispatch"
 	"cuminlift/core/request"
 	"cuminlift/internal/mutant"
 	"cuminlift/io/upstream"
@@ -72,6 +73,9 @@
 			status = http.StatusGatewayTimeout
 		}
 	}
+	if status == http.StatusServiceUnavailable && reason == string(dispatch.OverQuota) {
+		status = http.StatusTooManyRequests
+	}
 	h.log.WithFields(logrus.Fields{
 		"request":  c.requestID,
 		"content":  formatFingerprint(c.identity.Content),
@@ -90,7 +94,7 @@
 
 // respondError responds with an error of the instance itself.
 func (h *requestHandler) respondError(w http.ResponseWriter, status int, reason string, retryDelay time.Duration) {
-	if status == http.StatusServiceUnavailable {
+	if status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests {
 		name, text := h.config.RetryAfterHeader(max(retryDelay, time.Millisecond))
 		w.Header().Set(name, text)
 	}
--- a/internal/gateway/tickets.go
+++ b/internal/gateway/tickets.go
@@ -12,6 +12,7 @@
 	"cuminlift/core/dispatch"
 	"cuminlift/core/keyspace"
 	"cuminlift/core/paths"
+	"cuminlift/core/quota"
 	"cuminlift/core/request"
 	"cuminlift/schema"
 )
@@ -82,6 +83,11 @@
 	notices dispatch.Notices
 	// suspects are used by the local pools, and told to new coordinators.
 	suspects *dispatch.Suspects
+	// shares are the parts of the workspaces' quotas that this instance uses without a coordinator. usage counts what it sends, for the
+	// next coordinator, since startedAt.
+	shares    *quota.Shares
+	usage     quota.Usage
+	startedAt time.Duration
 	// relays are the instances that may send requests for this one.
 	relays paths.Relays
 	// failedUpstreams returns the number of upstreams that this instance does not reach.
@@ -97,7 +103,11 @@
 }
 
 func newTicketClient(config Config, log *logrus.Entry, currentView func() *view) *ticketClient {
+	now := config.Clock.Now()
 	return &ticketClient{
+		shares:    quota.NewShares(now, quotaLimits(currentView)),
+		startedAt: now,
+
 		config:        config,
 		clock:         config.Clock,
 		log:           log,
@@ -219,6 +229,7 @@
 	if created {
 		config := poolConfig(t.config.Settings, share)
 		config.Suspects = t.suspects
+		config.Quota = t.shares
 		if keyed {
 			config.Owners = t.keyOwners(service)
 		}
@@ -260,6 +271,9 @@
 			continue
 		}
 		delete(t.waiters, decision.Ticket.ID)
+		if decision.Upstream != "" {
+			t.noteGranted(now, w.request)
+		}
 		w.result <- ticketResult{
 			id:          decision.Ticket.ID,
 			upstream:    decision.Upstream,
--- a/internal/gateway/workspace_test.go
+++ b/internal/gateway/workspace_test.go
@@ -10,6 +10,7 @@
 	"strings"
 	"sync"
 	"testing"
+	"time"
 
 	qt "github.com/frankban/quicktest"
 
@@ -19,6 +20,7 @@
 
 // recorder is an upstream that records the headers of the requests that it got.
 type recorder struct {
+	address string
 	mutex   sync.Mutex
 	headers []http.Header
 }
@@ -48,6 +50,7 @@
 	r := &recorder{}
 	server := httptest.NewServer(r)
 	k.c.Cleanup(server.Close)
+	r.address = server.Listener.Addr().String()
 	k.put("servers", "recorder", fmt.Sprintf(`{"service":"plain","addr":%q,"zone":"z1","slots":20,"state":"ready","warmup_left":"0ms","born":1}`,
 		server.Listener.Addr().String()))
 	return r
@@ -223,32 +226,45 @@
 	c.Check(r.last().Values("Api-Key"), qt.HasLen, 0)
 }
 
-// coordinate connects to an instance as its coordinator and passes on what it sends.
+// coordinate connects to an instance as its coordinator, and passes on what it sends except replies to heartbeats.
 func (k *cluster) coordinate(instance string) (f *frames.Connection, received chan *schema.Frame) {
 	conn, err := net.Dial("tcp4", k.instances[instance].settings.PeerAddress)
 	k.c.Assert(err, qt.IsNil)
 	f = frames.NewConnection(conn)
 	k.c.Cleanup(f.Close)
 	received = make(chan *schema.Frame, 100)
-	f.Send(&schema.Frame{
-		Body: &schema.Frame_Beat{
-			Beat: &schema.Beat{
-				Name:      "test",
-				Term:      1 << 40,
-				Instances: 1,
+	beat := func() {
+		f.Send(&schema.Frame{
+			Body: &schema.Frame_Beat{
+				Beat: &schema.Beat{
+					Name:      "test",
+					Term:      1 << 40,
+					Instances: 1,
+				},
 			},
-		},
-	})
+		})
+	}
+	beat()
+	attached := make(chan struct{}, 1)
 	go func() {
+		defer close(received)
 		for {
 			frame, err := f.Receive()
 			if err != nil {
-				close(received)
 				return
 			}
-			received <- frame
+			if frame.GetBeatReply() == nil {
+				received <- frame
+				continue
+			}
+			select {
+			case attached <- struct{}{}:
+			default:
+			}
+			time.AfterFunc(50*time.Millisecond, beat)
 		}
 	}()
+	<-attached
 	return f, received
 }
 
@@ -274,10 +290,8 @@
 			return status == http.StatusOK
 		})
 		f, received := k.coordinate("n0")
+		go k.call(front, "/read/x", "Api-Key", key)
 		for frame := range received {
-			if frame.GetBeatReply() != nil {
-				go k.call(front, "/read/x", "Api-Key", key)
-			}
 			if request := frame.GetRequest(); request != nil {
 				c.Check(request.GetWorkspace(), qt.Equals, want.GetWorkspace())
 				c.Check(request.GetPriority(), qt.Equals, want.GetPriority())
