--- a/core/dispatch/decide.go
+++ b/core/dispatch/decide.go
@@ -131,6 +131,7 @@
 }
 
 func (p *Pool) send(now time.Duration, t *Ticket, u *upstream, suspected bool) Decision {
+	workspace := p.chargeQuota(now, t)
 	p.dequeue(t)
 	granted := assignment{
 		upstream:    u,
@@ -139,6 +140,7 @@
 		instance:    t.Instance,
 		identity:    t.Identity,
 		trial:       suspected,
+		workspace:   workspace,
 	}
 	p.predict(now, t, &granted)
 	u.recordSend(now, t.ID, p)
--- a/core/dispatch/pool.go
+++ b/core/dispatch/pool.go
@@ -27,6 +27,8 @@
 	Owners Owners
 	// Suspects is shared by the pools of all services. If it is nil, the pool has its own.
 	Suspects *Suspects
+	// Quota is shared by the pools of all services. It is nil if workspaces have no quotas.
+	Quota Quota
 }
 
 // Pool queues the requests of one service and assigns them to its upstreams. It is not safe for concurrent use.
@@ -83,6 +85,8 @@
 	work, wait, predicted time.Duration
 	key                   uint32
 	bytes                 int
+	// workspace was charged for the request; it is empty for none.
+	workspace string
 }
 
 // NewPool returns a pool without upstreams.
@@ -197,6 +201,10 @@
 		p.refuse(now, t, Quarantined, v.Quarantine, 0)
 		return
 	}
+	if wait, ok := p.reserveQuota(now, t); !ok {
+		p.refuse(now, t, OverQuota, wait, 0)
+		return
+	}
 	q := p.queueFor(now, t)
 	if p.mixed {
 		q.countArrival(now, t)
@@ -318,6 +326,7 @@
 		p.dequeue(t)
 		return
 	}
+	p.keepCharge(id)
 	p.End(now, id, Abandoned, 0, nil)
 }
 
@@ -327,6 +336,7 @@
 		t.queue.remove(t)
 	}
 	delete(p.tickets, t.ID)
+	p.cancelQuota(t)
 }
 
 // Waiting returns the number of queued tickets.
@@ -335,6 +345,7 @@
 }
 
 func (p *Pool) refuse(now time.Duration, t *Ticket, reason Reason, wait, work time.Duration) {
+	p.cancelQuota(t)
 	delay := retryAfter(wait, work)
 	switch {
 	case reason == NoOwner:
--- a/internal/gateway/coordinator.go
+++ b/internal/gateway/coordinator.go
@@ -13,6 +13,7 @@
 	"cuminlift/core/dispatch"
 	"cuminlift/core/keyspace"
 	"cuminlift/core/paths"
+	"cuminlift/core/quota"
 	"cuminlift/core/replica"
 	"cuminlift/core/roster"
 	"cuminlift/schema"
@@ -79,7 +80,9 @@
 	// withheld are the upstreams for which single instances get no tickets, because they have returned one.
 	withheld map[withheldKey]*withheldTickets
 	// suspects are shared by the pools of all services.
-	suspects  *dispatch.Suspects
+	suspects *dispatch.Suspects
+	// quota counts the requests of workspaces for the pools of all services.
+	quota     *quota.Ledger
 	cancel    context.CancelFunc
 	ctx       context.Context
 	lastProbe time.Duration
@@ -156,6 +159,7 @@
 		suspects:      &dispatch.Suspects{},
 		withheld:      map[withheldKey]*withheldTickets{},
 		catchUps:      map[string]*replica.CatchUp{},
+		quota:         quota.NewLedger(config.Clock.Now(), quotaLimits(currentView)),
 		ctx:           ctx,
 		cancel:        cancel,
 	}
@@ -329,6 +333,7 @@
 	c.comparePaths(now)
 	c.pruneInstances(now)
 	c.measureDemand(now)
+	c.quota.ForgetLost(now)
 	v := c.view()
 	if v.table == nil || !v.listed {
 		return
@@ -388,6 +393,7 @@
 		}
 		config := poolConfig(c.config.Settings, dispatch.Share{})
 		config.Suspects = c.suspects
+		config.Quota = c.quota
 		if keyed {
 			config.Owners = s
 			c.loadAssignment(s)
--- a/internal/gateway/coordinator_conn.go
+++ b/internal/gateway/coordinator_conn.go
@@ -124,6 +124,7 @@
 	t.maxCPUPermille = beat.GetLargestCpuPermille()
 	t.learnResources(beat)
 	t.storeReaders = 0
+	t.shares.SetPlace(t.index, max(1, t.instanceCount), time.Duration(beat.GetSequence())-now)
 	if beat.GetStoreFails() {
 		t.storeReaders = int(beat.GetStoreReaders())
 		probing := t.storeReaders
@@ -177,6 +178,7 @@
 	now := t.clock.Now()
 	t.sendNotices(now)
 	t.sendState(now)
+	t.sendUsage(now)
 	for _, w := range t.waiters {
 		if pool := t.localPools[w.request.GetService()]; pool != nil {
 			pool.Cancel(now, w.request.GetId())
@@ -210,6 +212,12 @@
 		return
 	}
 	delete(t.waiters, result.id)
+	if result.upstream != "" && !reply.GetCounted() {
+		result = t.countReply(result, w.request)
+	}
+	if result.upstream != "" {
+		t.noteGranted(t.clock.Now(), w.request)
+	}
 	t.grant(t.clock.Now(), w, result)
 }
 
@@ -261,6 +269,7 @@
 	}).Warn("coordinator lost")
 	now := t.clock.Now()
 	t.coordinatorLostAt = now
+	t.shares.Reset(now)
 	for _, w := range t.waiters {
 		t.refreshRequest(now, w)
 		t.submit(now, w)
--- a/internal/gateway/queue.go
+++ b/internal/gateway/queue.go
@@ -34,6 +34,7 @@
 					Born:         decision.Incarnation,
 					Reason:       string(decision.Reason),
 					RetryAfterMs: uint32(decision.RetryAfter.Milliseconds()),
+					Counted:      c.quota.Counts(decision.Ticket.Workspace),
 				},
 			},
 		})
@@ -85,6 +86,8 @@
 		c.handleOpenTickets(now, l, body.OpenTickets)
 	case *schema.Frame_CostEstimates:
 		c.learnLatencies(now, body.CostEstimates.GetUpstreams())
+	case *schema.Frame_QuotaUsage:
+		c.quota.Join(now, l.name, time.Duration(body.QuotaUsage.GetCountedMs())*time.Millisecond, decodeUsage(body.QuotaUsage))
 	case *schema.Frame_Head:
 		c.handleHead(now, l, body.Head)
 	case *schema.Frame_End:
--- a/internal/gateway/tickets.go
+++ b/internal/gateway/tickets.go
@@ -12,6 +12,7 @@
 	"cuminlift/core/dispatch"
 	"cuminlift/core/keyspace"
 	"cuminlift/core/paths"
+	"cuminlift/core/quota"
 	"cuminlift/core/replica"
 	"cuminlift/core/request"
 	"cuminlift/schema"
@@ -99,6 +100,11 @@
 	// retries and latencies hold, by service, what this instance has sent and measured, for a new coordinator.
 	retries   map[string]dispatch.RetryHistory
 	latencies map[string]*dispatch.Latencies
+	// shares are the parts of the workspaces' quotas that this instance uses without a coordinator. usage counts what it sends, for the
+	// next coordinator, since startedAt.
+	shares    *quota.Shares
+	usage     quota.Usage
+	startedAt time.Duration
 	// relays are the instances that may send requests for this one.
 	relays paths.Relays
 	// failedUpstreams returns the number of upstreams that this instance does not reach.
@@ -114,7 +120,11 @@
 }
 
 func newTicketClient(config Config, log *logrus.Entry, currentView func() *view) *ticketClient {
+	now := config.Clock.Now()
 	return &ticketClient{
+		shares:    quota.NewShares(now, quotaLimits(currentView)),
+		startedAt: now,
+
 		config:        config,
 		clock:         config.Clock,
 		log:           log,
@@ -253,6 +263,7 @@
 	if created {
 		config := poolConfig(t.config.Settings, share)
 		config.Suspects = t.suspects
+		config.Quota = t.shares
 		if keyed {
 			config.Owners = t.keyOwners(service)
 		}
@@ -294,6 +305,9 @@
 			continue
 		}
 		delete(t.waiters, decision.Ticket.ID)
+		if decision.Upstream != "" {
+			t.noteGranted(now, w.request)
+		}
 		t.grant(now, w, ticketResult{
 			id:          decision.Ticket.ID,
 			upstream:    decision.Upstream,
