io/caller: a server for callers that send further requests before the first is answered

Cause: net/http reads one request of a connection at a time, so requests that callers send ahead run one after the other.

Change: a server loop over http.ReadRequest, behind a strict check of the header section. A reader for each connection and one goroutine for each request; the goroutine of the first request in line writes its response and those behind it that have finished. Short responses out of turn are held within a budget of the process, longer ones wait in their handler. Shutdown, half-closed and reset connections, and responses that are cut short follow core/pipeline. A caller that closed its side and does not read is found by an interim response, which makes its system reset the connection. Nothing uses the package yet.

--- a/core/pipeline/head.go
+++ b/core/pipeline/head.go
@@ -32,11 +32,13 @@
 		return badHead("no empty line at the end")
 	}
 	line, rest := cutLine(head)
-	minor, err := checkRequestLine(line)
+	minor, authority, err := checkRequestLine(line)
 	if err != nil {
 		return err
 	}
-	var seen fields
+	seen := fields{
+		authority: authority,
+	}
 	for {
 		line, rest = cutLine(rest)
 		if len(line) == 0 {
@@ -62,32 +64,42 @@
 	return text[:i-1], text[i+1:]
 }
 
-func checkRequestLine(line []byte) (minor byte, err error) {
+// checkRequestLine returns the minor version, and the authority that the target names, empty for none.
+func checkRequestLine(line []byte) (minor byte, authority string, err error) {
 	method, rest, _ := bytes.Cut(line, []byte(" "))
 	target, version, found := bytes.Cut(rest, []byte(" "))
 	switch {
 	case !found || !isToken(method):
-		return 0, badHead("malformed request line")
+		return 0, "", badHead("malformed request line")
 	case len(target) == 0 || bytes.ContainsFunc(target, func(r rune) bool { return r <= ' ' || r == 0x7f }):
-		return 0, badHead("malformed target")
-	case target[0] != '/' && string(target) != "*":
-		// The authority of such a target could differ from the Host header.
-		return 0, badHead("target is not a path")
+		return 0, "", badHead("malformed target")
+	}
+	if target[0] != '/' && string(target) != "*" {
+		full, isFull := bytes.CutPrefix(target, []byte("http://"))
+		name, _, _ := bytes.Cut(full, []byte("/"))
+		if !isFull || len(name) == 0 || !isHost(name) {
+			return 0, "", badHead("target is not a path")
+		}
+		authority = string(name)
+	}
+	switch {
 	case string(version) == "HTTP/1.1":
-		return 1, nil
+		return 1, authority, nil
 	case string(version) == "HTTP/1.0":
-		return 0, nil
+		return 0, authority, nil
 	case len(version) == len("HTTP/1.1") && bytes.HasPrefix(version, []byte("HTTP/")) && version[6] == '.' && isDigits(version[5:6]) && isDigits(version[7:]):
-		return 0, &HeadError{
+		return 0, "", &HeadError{
 			Status:  http.StatusHTTPVersionNotSupported,
 			Problem: "unsupported version",
 		}
 	}
-	return 0, badHead("malformed version")
+	return 0, "", badHead("malformed version")
 }
 
 // fields holds what matters of the header fields seen so far.
 type fields struct {
+	// authority is that of the target, which Host must repeat.
+	authority                               string
 	hosts, lengths, encodings, expectations int
 }
 
@@ -105,7 +117,7 @@
 	switch {
 	case len(name) == 4 && strings.EqualFold(string(name), "Host"):
 		f.hosts++
-		if !isHost(value) {
+		if !isHost(value) || (f.authority != "" && f.authority != string(value)) {
 			return badHead("malformed Host")
 		}
 	case len(name) == 14 && strings.EqualFold(string(name), "Content-Length"):
--- a/core/pipeline/pipeline.go
+++ b/core/pipeline/pipeline.go
@@ -135,11 +135,12 @@
 	}
 }
 
-// Head records that the head of the response to the first request is sent, and reports whether it must announce that the connection
-// closes.
-func (l *Line) Head() (closes bool) {
-	l.entries[0].headSent = true
-	return l.ended && len(l.entries) == 1
+// Head records that the head of the response to a request is sent, after the responses to all requests before it, and reports
+// whether it must announce that the connection closes.
+func (l *Line) Head(number uint64) (closes bool) {
+	i := int(number - l.first)
+	l.entries[i].headSent = true
+	return l.ended && i == len(l.entries)-1
 }
 
 // Answered removes the first request, whose response has been sent.
--- a/core/pipeline/pipeline_test.go
+++ b/core/pipeline/pipeline_test.go
@@ -116,7 +116,7 @@
 func (r *run) head() {
 	r.c.Assert(r.announced, qt.IsFalse, qt.Commentf("response after the one that closes"))
 	r.headSent = true
-	r.announced = r.line.Head()
+	r.announced = r.line.Head(r.line.First())
 }
 
 // TestEveryStartedRequestIsAnsweredAndTheLastOneCloses interrupts a connection with five requests, of each combination of kinds, at
@@ -168,14 +168,14 @@
 	}
 	_, ok := l.Start()
 	c.Assert(ok, qt.IsTrue)
-	c.Assert(l.Head(), qt.IsFalse)
+	c.Assert(l.Head(0), qt.IsFalse)
 	c.Check(l.Stop(), qt.Equals, 1)
 	l.Finish(0, pipeline.Outcome{})
 	l.Answered()
 	number, ok := l.Start()
 	c.Assert(ok, qt.IsTrue)
 	c.Check(number, qt.Equals, uint64(1))
-	c.Check(l.Head(), qt.IsTrue)
+	c.Check(l.Head(number), qt.IsTrue)
 }
 
 // TestRefusalsLeaveOneRequestRunning guards against a connection that takes more capacity than a caller with a single request while
@@ -201,7 +201,7 @@
 		l.Finish(number, pipeline.Outcome{
 			Refused: refused,
 		})
-		l.Head()
+		l.Head(number)
 		l.Answered()
 	}
 	c.Check(started(), qt.Equals, 4)
@@ -265,6 +265,7 @@
 var acceptedHeads = []string{
 	"GET / HTTP/1.1\r\nHost: a\r\n\r\n",
 	"GET / HTTP/1.0\r\n\r\n",
+	"GET http://a:80/x HTTP/1.1\r\nHost: a:80\r\n\r\n",
 	"OPTIONS * HTTP/1.1\r\nHost: a\r\n\r\n",
 	"POST /x?y=%20 HTTP/1.1\r\nhost:a.example:80\r\nContent-Length: 12\r\nExpect: 100-Continue\r\n\r\n",
 	"POST / HTTP/1.1\r\nHost: [::1]:80\r\nTransfer-Encoding: Chunked\r\nX-Empty:\r\n\r\n",
--- /dev/null
+++ b/io/caller/leave.go
@@ -0,0 +1,108 @@
+package caller
+
+import (
+	"time"
+
+	"golang.org/x/sys/unix"
+)
+
+const (
+	// watchInterval is the interval at which the state of a connection is looked at while its reader does not read. What runs for a
+	// caller that has left must end within half a second.
+	watchInterval = 150 * time.Millisecond
+	// tcpClose and tcpCloseWait are states of a connection: reset, and closed by the other side for sending.
+	tcpClose     = 7
+	tcpCloseWait = 8
+	continueHead = "HTTP/1.1 100 Continue\r\n\r\n"
+)
+
+// waitUntil waits until condition, which is called under the connection's lock, holds. It reports false if the connection is over
+// before, or after limit unless that is zero.
+func (c *connection) waitUntil(condition func() bool, limit time.Duration) bool {
+	var timer *time.Timer
+	var until time.Time
+	for {
+		c.mutex.Lock()
+		holds, over := false, c.over
+		if !over {
+			holds = condition()
+		}
+		c.waiting = !over && !holds
+		c.mutex.Unlock()
+		if over || holds {
+			return holds
+		}
+		if timer == nil {
+			timer = time.NewTimer(watchInterval)
+			defer timer.Stop()
+			if limit > 0 {
+				until = time.Now().Add(limit)
+			}
+		}
+		select {
+		case <-c.wake:
+		case <-timer.C:
+			if limit > 0 && time.Now().After(until) {
+				return false
+			}
+			c.watch()
+			timer.Reset(watchInterval)
+		}
+	}
+}
+
+// watch ends the connection if the caller has left. A reset shows in the state of the connection, also while input waits in it. A
+// caller that has closed its side is either still reading, or has left: an interim response, which the protocol allows at any time,
+// makes the system of one that has left reset the connection.
+func (c *connection) watch() {
+	switch c.state() {
+	case tcpClose:
+		c.leave("left")
+	case tcpCloseWait:
+		c.closedTicks++
+		if c.closedTicks&(c.closedTicks-1) == 0 { // Less and less often.
+			c.probe()
+		}
+	}
+}
+
+// state returns the system's state of the connection, 0 if it is unknown.
+func (c *connection) state() uint8 {
+	if c.raw == nil {
+		return 0
+	}
+	state := uint8(0)
+	err := c.raw.Control(func(fd uintptr) {
+		if info, err := unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO); err == nil {
+			state = info.State
+		}
+	})
+	if err != nil {
+		return 0
+	}
+	return state
+}
+
+// probe sends an interim response if the first response has not begun.
+func (c *connection) probe() {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	if c.over || c.raw == nil || len(c.queue) == 0 {
+		return
+	}
+	first := c.queue[0]
+	if !first.turn || first.finished || first.headSent || !first.request.ProtoAtLeast(1, 1) {
+		return
+	}
+	written := len(continueHead)
+	err := c.raw.Write(func(fd uintptr) bool {
+		n, err := unix.Write(int(fd), []byte(continueHead))
+		if err == nil {
+			written = n
+		}
+		return true // A full send buffer means that the caller has yet to read.
+	})
+	if err == nil && written != len(continueHead) {
+		c.leaveLocked("left") // Part of it was sent, which would spoil the response.
+	}
+}
