--- a/internal/gateway/body.go
+++ b/internal/gateway/body.go
@@ -2,8 +2,8 @@
 
 import (
 	"io"
-	"sync/atomic"
 
+	"cuminlift/io/caller"
 	"cuminlift/io/upstream"
 )
 
@@ -19,18 +19,19 @@
 	defaultBufferMemory = 32 << 20
 )
 
-// bodyBuffers bounds the memory of buffered responses.
+// bodyBuffers bounds the memory of buffered responses. They share the budget with what is read ahead from callers.
 type bodyBuffers struct {
-	free atomic.Int64
+	budget *caller.Budget
 }
 
 func newBodyBuffers(memoryLimit int64) *bodyBuffers {
-	b := &bodyBuffers{}
-	b.free.Store(defaultBufferMemory)
+	total := int64(defaultBufferMemory)
 	if memoryLimit > 0 {
-		b.free.Store(memoryLimit / bufferMemoryShare)
+		total = memoryLimit / bufferMemoryShare
+	}
+	return &bodyBuffers{
+		budget: caller.NewBudget(total),
 	}
-	return b
 }
 
 // reserve returns how many bytes of a response of the given length, -1 if it is not known, may be buffered. The caller must release
@@ -40,17 +41,16 @@
 	if length >= 0 && length < wanted {
 		wanted = length
 	}
-	if b.free.Add(-wanted) >= 0 {
+	if b.budget.Reserve(caller.Responses, wanted) {
 		return wanted
 	}
-	b.free.Add(wanted)
 	reserved := min(wanted, minBufferedBody)
-	b.free.Add(-reserved)
+	b.budget.Take(reserved)
 	return reserved
 }
 
 func (b *bodyBuffers) release(reserved int64) {
-	b.free.Add(reserved)
+	b.budget.Release(caller.Responses, reserved)
 }
 
 // readBody reads at most limit bytes of the body; complete is true if that is the whole body.
--- a/internal/gateway/config.go
+++ b/internal/gateway/config.go
@@ -38,6 +38,8 @@
 	RetryRatio  float64
 	RetryWindow time.Duration
 	RetrySlack  float64
+	// ReadAhead serves requests that callers send on a connection before the first has been answered concurrently.
+	ReadAhead bool
 }
 
 // Registry decodes the rows that operators and upstreams write.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -151,11 +151,7 @@
 		}
 	}
 	g.log.Info("instance starts")
-	callerServer := &http.Server{
-		Handler:           g.requestHandler,
-		ReadHeaderTimeout: headerTimeout,
-		IdleTimeout:       idleTimeout,
-	}
+	callerServer := g.newCallerServer()
 	readinessServer := &http.Server{
 		Handler:           g.readinessHandler(),
 		ReadHeaderTimeout: headerTimeout,
@@ -203,7 +199,7 @@
 }
 
 // shutdown reports not ready, keeps serving until new connections go elsewhere, and lets requests in progress finish.
-func (g *Gateway) shutdown(callerServer, relayServer, readinessServer *http.Server) {
+func (g *Gateway) shutdown(callerServer callerServer, relayServer, readinessServer *http.Server) {
 	start := time.Now()
 	g.log.Info("instance is stopping")
 	g.requestHandler.stopping.Store(true)
@@ -252,6 +248,7 @@
 	vars := new(expvar.Map).Init()
 	vars.Set("events", g.counters.events)
 	vars.Set("latency-us", expvar.Func(g.counters.latencies))
+	vars.Set("buffered-bytes", expvar.Func(func() any { return g.requestHandler.buffers.budget.Used() }))
 	vars.Set("upstream-connections", expvar.Func(func() any { return g.requestHandler.upstreamClient.Dials() }))
 	server := &http.Server{
 		Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -42,6 +42,12 @@
 	done     chan struct{}
 }
 
+// readAhead and memoryBytes are the settings of instances that are started from now on.
+var (
+	readAhead   bool
+	memoryBytes int64
+)
+
 func newCluster(c *qt.C, instances int) *cluster {
 	k := &cluster{
 		c:         c,
@@ -89,6 +95,8 @@
 		RetryRatio:       0.2,
 		RetryWindow:      10 * time.Second,
 		RetrySlack:       58,
+		ReadAhead:        readAhead,
+		MemoryBytes:      memoryBytes,
 	}
 	if k.paths[name] == nil {
 		k.paths[name] = &paths{}
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -17,6 +17,7 @@
 	"cuminlift/core/request"
 	"cuminlift/core/route"
 	"cuminlift/internal/mutant"
+	"cuminlift/io/caller"
 	"cuminlift/io/upstream"
 	"cuminlift/schema"
 )
@@ -70,7 +71,10 @@
 
 // ServeHTTP implements http.Handler.
 func (h *requestHandler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	receivedAt := time.Now()
+	receivedAt, concurrent, _ := caller.Arrived(r.Context())
+	if receivedAt.IsZero() {
+		receivedAt = time.Now()
+	}
 	if h.stopping.Load() {
 		w.Header().Set("Connection", "close")
 	}
@@ -84,6 +88,11 @@
 		h.respondError(w, http.StatusNotFound, "no route for this host and path", 0)
 		return
 	}
+	if concurrent && matched.Kind == route.AtMostOnce {
+		// The configuration has changed since the request was read.
+		h.respondError(w, http.StatusServiceUnavailable, "route has changed", defaultRetryAfter)
+		return
+	}
 	c, status := h.readCall(w, r, v, matched, receivedAt)
 	if status != 0 {
 		if status > 0 {
@@ -97,17 +106,18 @@
 // readCall reads the whole request. It returns the status to respond with, 0 to continue, or -1 if the caller has
 // disconnected.
 func (h *requestHandler) readCall(w http.ResponseWriter, r *http.Request, v *view, matched *route.Route, receivedAt time.Time) (*call, int) {
-	limit := int64(defaultMaxBodyBytes)
-	if v.table.Limits.BodyBytes > 0 {
-		limit = v.table.Limits.BodyBytes
-	}
+	limit := maxBodyBytes(v)
 	c := &call{
 		route:      matched,
 		requestID:  r.Header.Get(h.config.Headers.Request),
 		receivedAt: receivedAt,
 	}
 	c.state.Idempotent = matched.Kind != route.AtMostOnce || mutant.Is(mutant.RepeatUnsafe)
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
+	body, complete := caller.BodyBytes(r)
+	var err error
+	if !complete || int64(len(body)) > limit {
+		body, err = io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
+	}
 	var tooLarge *http.MaxBytesError
 	if errors.As(err, &tooLarge) {
 		return nil, http.StatusRequestEntityTooLarge
--- a/io/caller/caller_test.go
+++ b/io/caller/caller_test.go
@@ -267,7 +267,7 @@
 	go func() { stopped <- s.server.Shutdown(context.Background()) }()
 	// The idle connection is closed once the stop has begun.
 	c.Check(responses(c, idleReader, 1), qt.DeepEquals, []string{"ends"})
-	for s.count("not-read") < 2 {
+	for s.count("caller-not-read") < 2 {
 		time.Sleep(time.Millisecond)
 	}
 	close(proceed)
@@ -384,7 +384,7 @@
 				c.Check(responses(c, reader, 1), qt.DeepEquals, []string{"/first"})
 			}
 			if path == "/endless" {
-				for s.count("write-stalled") == 0 && version == "1.1" {
+				for s.count("caller-stalled") == 0 && version == "1.1" {
 					time.Sleep(time.Millisecond)
 				}
 			}
--- a/io/caller/connection.go
+++ b/io/caller/connection.go
@@ -228,7 +228,7 @@
 			return
 		}
 		if number != c.line.First() {
-			c.server.config.Count("read-ahead")
+			c.server.config.Count("caller-read-ahead")
 		}
 		r := c.queue[number-c.line.First()]
 		r.started = true
@@ -290,7 +290,7 @@
 		c.queue[last].releaseBody()
 		c.queue[last] = nil
 		c.queue = c.queue[:last]
-		c.server.config.Count("not-read")
+		c.server.config.Count("caller-not-read")
 	}
 }
 
--- a/io/caller/leave.go
+++ b/io/caller/leave.go
@@ -57,7 +57,7 @@
 func (c *connection) watch() {
 	switch c.state() {
 	case tcpClose:
-		c.leave("left")
+		c.leave("caller-left")
 	case tcpCloseWait:
 		c.closedTicks++
 		if c.closedTicks&(c.closedTicks-1) == 0 { // Less and less often.
@@ -103,6 +103,6 @@
 		return true // A full send buffer means that the caller has yet to read.
 	})
 	if err == nil && written != len(continueHead) {
-		c.leaveLocked("left") // Part of it was sent, which would spoil the response.
+		c.leaveLocked("caller-left") // Part of it was sent, which would spoil the response.
 	}
 }
--- a/io/caller/request.go
+++ b/io/caller/request.go
@@ -61,7 +61,7 @@
 	return nil, r.Body == http.NoBody
 }
 
-// unreadBody is a body that is not read because it is too large.
+// unreadBody is a body that is not read because it is too large or not needed.
 type unreadBody struct {
 	limit int64
 }
@@ -96,7 +96,7 @@
 	}
 	request, err := c.parse()
 	if err != nil {
-		c.server.config.Count("bad-head")
+		c.server.config.Count("caller-bad-head")
 		var rejected *pipeline.HeadError
 		if errors.As(err, &rejected) {
 			return c.refuse(rejected.Status, rejected.Problem)
@@ -119,8 +119,9 @@
 	}
 	request.RemoteAddr = c.remote
 	r.request = request.WithContext(&requestContext{
-		Context:   c.ctx,
-		arrivedAt: c.headStart,
+		Context:    c.ctx,
+		arrivedAt:  c.headStart,
+		concurrent: class.Concurrent,
 	})
 	c.lastPost = request.Method == http.MethodPost
 	kind := pipeline.Exclusive
@@ -134,7 +135,7 @@
 	})
 	if !added {
 		r.releaseBody()
-		c.server.config.Count("not-read")
+		c.server.config.Count("caller-not-read")
 	}
 	return added && !closes && !request.Close
 }
@@ -194,7 +195,7 @@
 	switch {
 	case errors.Is(err, io.EOF), errors.Is(err, io.ErrUnexpectedEOF), errors.Is(err, net.ErrClosed), errors.Is(err, os.ErrDeadlineExceeded):
 	case errors.As(err, &network):
-		c.leave("left") // The connection was reset.
+		c.leave("caller-left") // The connection was reset.
 	}
 	return false
 }
@@ -229,6 +230,7 @@
 	expects := request.ProtoAtLeast(1, 1) && strings.EqualFold(request.Header.Get("Expect"), "100-continue")
 	c.setPhase(phaseBody)
 	if class.MaxBodyBytes < 0 {
+		request.Body = &unreadBody{}
 		if expects || request.ContentLength < 0 || request.ContentLength > maxDiscardedBody {
 			return true, true
 		}
@@ -248,7 +250,7 @@
 	}
 	if expects {
 		if err := c.write(time.Time{}, []byte(continueHead)); err != nil {
-			c.leave("left")
+			c.leave("caller-left")
 			return true, false
 		}
 	}
@@ -266,7 +268,7 @@
 	case c.readError != nil:
 		return true, c.endInput(err)
 	default:
-		c.server.config.Count("bad-head")
+		c.server.config.Count("caller-bad-head")
 		return true, c.refuse(http.StatusBadRequest, "malformed body")
 	}
 	b := &body{
--- a/io/caller/response.go
+++ b/io/caller/response.go
@@ -255,10 +255,11 @@
 // giveUp ends a connection that can't be written to.
 func (c *connection) giveUp(err error) {
 	if errors.Is(err, os.ErrDeadlineExceeded) {
-		c.leave("write-stalled")
+		c.server.config.Log.WithField("caller", c.remote).Info("answer is not read")
+		c.leave("caller-stalled")
 		return
 	}
-	c.leave("left")
+	c.leave("caller-left")
 }
 
 // write writes all parts. It fails at the deadline, if there is one, or when the caller has read nothing for the write timeout.
--- a/io/caller/server.go
+++ b/io/caller/server.go
@@ -212,27 +212,29 @@
 	return nil
 }
 
-// requestContext ends with the connection and carries the time at which the request arrived.
+// requestContext ends with the connection and carries what the server knows of the request.
 type requestContext struct {
 	context.Context
-	arrivedAt time.Time
+	arrivedAt  time.Time
+	concurrent bool
 }
 
-type arrivedKey struct{}
+type requestKey struct{}
 
 // Value implements context.Context.
 func (c *requestContext) Value(key any) any {
-	if key == (arrivedKey{}) {
-		return &c.arrivedAt
+	if key == (requestKey{}) {
+		return c
 	}
 	return c.Context.Value(key)
 }
 
-// Arrived returns the time at which the header section of a Server's request had arrived, and false for a request of another server.
-func Arrived(ctx context.Context) (time.Time, bool) {
-	at, ok := ctx.Value(arrivedKey{}).(*time.Time)
+// Arrived returns the time at which the header section of a Server's request arrived, and whether the request was classified as
+// concurrent. It returns false for a request of another server.
+func Arrived(ctx context.Context) (at time.Time, concurrent, ok bool) {
+	c, ok := ctx.Value(requestKey{}).(*requestContext)
 	if !ok {
-		return time.Time{}, false
+		return time.Time{}, false, false
 	}
-	return *at, true
+	return c.arrivedAt, c.concurrent, true
 }
