--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -44,6 +44,12 @@
 	done     chan struct{}
 }
 
+// readAhead and memoryBytes are the settings of instances that are started from now on.
+var (
+	readAhead   bool
+	memoryBytes int64
+)
+
 func newCluster(c *qt.C, instances int) *cluster {
 	k := &cluster{
 		c:         c,
@@ -91,6 +97,8 @@
 		RetryRatio:       0.2,
 		RetryWindow:      10 * time.Second,
 		RetrySlack:       58,
+		ReadAhead:        readAhead,
+		MemoryBytes:      memoryBytes,
 	}
 	if k.adjust != nil {
 		k.adjust(&settings)
