--- a/core/dispatch/decide.go
+++ b/core/dispatch/decide.go
@@ -70,6 +70,9 @@
 
 // dispatchQueue sends as many tickets of a queue as the upstreams have capacity for.
 func (p *Pool) dispatchQueue(now time.Duration, q *queue, decisions []Decision) []Decision {
+	if p.mixed {
+		return p.dispatchMixed(now, q, decisions)
+	}
 	saturated := p.saturated(now, q)
 	for _, late := range []bool{false, true} {
 		for i := 0; i < len(q.tickets) && !saturated; {
@@ -95,7 +98,7 @@
 			if u == nil {
 				u = p.selectUpstream(now, t, v.Suspected)
 			}
-			if u == nil || (v.Suspected && !p.mayTry(t, u)) || u.pauses.remaining(now, t.Instance) > 0 || now+time.Duration(minRemainingShare*float64(u.typicalLatency())) >= t.Deadline {
+			if u == nil || (v.Suspected && !p.mayTry(t, u)) || u.closedFor(now, t.Instance) > 0 || now+time.Duration(minRemainingShare*float64(u.typicalLatency())) >= t.Deadline {
 				i++
 				continue
 			}
@@ -128,16 +131,20 @@
 }
 
 func (p *Pool) send(now time.Duration, t *Ticket, u *upstream, suspected bool) Decision {
+	workspace := p.chargeQuota(now, t)
 	p.dequeue(t)
-	u.recordSend(now, t.ID, p)
-	p.running[t.ID] = assignment{
+	granted := assignment{
 		upstream:    u,
 		incarnation: u.state.Incarnation,
 		sent:        now,
 		instance:    t.Instance,
 		identity:    t.Identity,
 		trial:       suspected,
+		workspace:   workspace,
 	}
+	p.predict(now, t, &granted)
+	u.recordSend(now, t.ID, p)
+	p.running[t.ID] = granted
 	if suspected {
 		u.trials++
 		p.config.Suspects.beginTrial(t.Identity)
@@ -167,6 +174,9 @@
 			wait, work := p.expectedWait(now, t, q)
 			_, others := p.pauseOf(now, t, q)
 			decision.RetryAfter = retryAfter(max(wait, others), work)
+			if p.mixed {
+				decision.RetryAfter = p.returnDelay(now, t, q, decision.RetryAfter)
+			}
 		default:
 			i++
 			continue
@@ -179,6 +189,9 @@
 
 // late reports whether t would miss its objective if it were sent now to owner, or to any upstream if owner is nil.
 func (p *Pool) late(now time.Duration, t *Ticket, owner *upstream) bool {
+	if p.mixed {
+		return p.lateMixed(now, t, owner)
+	}
 	return now+time.Duration(lateMargin*float64(p.expectedLatency(now, owner))) > t.Objective
 }
 
@@ -199,7 +212,11 @@
 // overdue reports whether t must be refused: either it can no longer be answered before its deadline, or it is late and
 // has used up the time that a late request may wait for a slot.
 func (p *Pool) overdue(now time.Duration, t *Ticket, owner *upstream) bool {
-	if now+p.expectedLatency(now, owner) > t.Deadline {
+	expected := p.expectedLatency(now, owner)
+	if p.mixed {
+		expected = p.expectedAt(now, t, owner)
+	}
+	if now+expected > t.Deadline {
 		return true
 	}
 	return p.late(now, t, owner) && now-t.arrived > time.Duration(lateWaitShare*float64(t.Deadline-t.arrived))
@@ -213,7 +230,7 @@
 	medianLatency := p.medianLatency(now)
 	localOnly := t.Bulk && p.waitsForLocalZone(now, t)
 	for _, u := range p.sorted {
-		if u.freeSlots(now, p) <= 0 || (suspected && u.trials > 0) || (localOnly && u.state.Zone != t.Zone) || u.pauses.remaining(now, t.Instance) > 0 {
+		if u.freeSlots(now, p) <= 0 || (suspected && u.trials > 0) || (localOnly && u.state.Zone != t.Zone) || u.closedFor(now, t.Instance) > 0 {
 			continue
 		}
 		cost := float64(u.estimateLatency(now, medianLatency))
--- a/core/dispatch/pool.go
+++ b/core/dispatch/pool.go
@@ -4,6 +4,7 @@
 	"sort"
 	"time"
 
+	"cuminlift/core/cost"
 	"cuminlift/core/request"
 	"cuminlift/core/route"
 )
@@ -26,6 +27,8 @@
 	Owners Owners
 	// Suspects is shared by the pools of all services. If it is nil, the pool has its own.
 	Suspects *Suspects
+	// Quota is shared by the pools of all services. It is nil if workspaces have no quotas.
+	Quota Quota
 }
 
 // Pool queues the requests of one service and assigns them to its upstreams. It is not safe for concurrent use.
@@ -56,6 +59,14 @@
 	pausedUntil time.Duration
 	// median caches the result of medianLatency, 0 for none, and medianAt is when it was computed.
 	median, medianAt time.Duration
+	// mixed is true if the service gets requests of different kinds, which are then told apart in kinds.
+	mixed bool
+	kinds kinds
+	// factor and capacity cache the results of usualFactor, computed at factorAt, 0 for none.
+	factor, capacity float64
+	factorAt         time.Duration
+	// stretches is a buffer.
+	stretches []float64
 }
 
 // assignment is what a running ticket was granted.
@@ -68,6 +79,14 @@
 	identity    request.Identity
 	// trial is true if the request was suspected to crash upstreams when it was sent.
 	trial bool
+	// kind is set on services with mixed kinds. work is the expected work of the request, wait the expected time in the queue of the
+	// upstream, and predicted the time in which it was expected to be answered.
+	kind                  *kind
+	work, wait, predicted time.Duration
+	key                   uint32
+	bytes                 int
+	// workspace was charged for the request; it is empty for none.
+	workspace string
 }
 
 // NewPool returns a pool without upstreams.
@@ -98,6 +117,7 @@
 // SetService sets the service configuration.
 func (p *Pool) SetService(service route.Service) {
 	p.service = service
+	p.setMixed(service.Mixed)
 }
 
 // SetShare changes the pool's share of the service-wide limits.
@@ -148,7 +168,9 @@
 	}
 	if newIncarnation {
 		u.blockCount, u.blockedUntil, u.failureRate, u.suspect, u.latency = 0, 0, 0, false, 0
-		u.limiter, u.pauses = limiter{}, pauses{}
+		u.learned, u.learnedSamples = 0, 0
+		u.limiter, u.pauses, u.withheld = limiter{}, pauses{}, pauses{}
+		u.speed, u.backlog = cost.Speed{}, backlog{}
 	}
 	if (newIncarnation && p.initialized) || returned {
 		u.coldUntil = now + max(state.ColdRemaining, p.service.ColdDuration)
@@ -171,26 +193,30 @@
 // Submit adds a ticket to the pool. A later call of Decide returns the decision.
 func (p *Pool) Submit(now time.Duration, t *Ticket) {
 	t.arrived = now
-	t.rank = now + time.Duration(t.Priority)*priorityStep
-	if t.Bulk {
-		t.rank += bulkDelay
-	}
-	if t.Attempt == 0 {
+	p.order(now, t)
+	if t.Attempt == 0 && !t.Returned {
 		p.budget.countRequest(now)
 	}
 	if v := p.verdict(now, t); v.Quarantine > 0 {
-		p.refuse(t, Quarantined, v.Quarantine, 0)
+		p.refuse(now, t, Quarantined, v.Quarantine, 0)
+		return
+	}
+	if wait, ok := p.reserveQuota(now, t); !ok {
+		p.refuse(now, t, OverQuota, wait, 0)
 		return
 	}
 	q := p.queueFor(now, t)
+	if p.mixed {
+		q.countArrival(now, t)
+	}
 	wait, work := p.expectedWait(now, t, q)
 	own, others := p.pauseOf(now, t, q)
-	if t.Attempt > 0 && !t.Unsent && !p.budget.take(now) {
-		p.refuse(t, NoBudget, max(wait, others), work)
+	if t.Attempt > 0 && !t.Unsent && !t.Returned && !p.budget.take(now) {
+		p.refuse(now, t, NoBudget, max(wait, others), work)
 		return
 	}
 	if reason, ok := p.admit(now, t, q, max(wait, own), work); !ok {
-		p.refuse(t, reason, max(wait, others), work)
+		p.refuse(now, t, reason, max(wait, others), work)
 		return
 	}
 	q.insert(t)
@@ -198,6 +224,18 @@
 	p.markDirty(q)
 }
 
+// order sets the rank of a ticket, which alone orders the queues.
+func (p *Pool) order(now time.Duration, t *Ticket) {
+	if p.mixed {
+		p.setOrder(now, t)
+		return
+	}
+	t.rank = t.arrived + time.Duration(t.Priority)*priorityStep
+	if t.Bulk {
+		t.rank += bulkDelay
+	}
+}
+
 // admit reports whether t may be queued, which requires that it is expected to be answered in time.
 func (p *Pool) admit(now time.Duration, t *Ticket, q *queue, wait, work time.Duration) (Reason, bool) {
 	if !p.anyUsable() {
@@ -209,6 +247,9 @@
 	if wait == 0 {
 		return "", true
 	}
+	if p.mixed {
+		return TooLate, p.admitMixed(now, t, wait, work)
+	}
 	finish := now + wait + work
 	if finish <= t.Objective {
 		return "", true
@@ -243,6 +284,14 @@
 // expectedWait estimates how long t, which is or would be in q, waits for a slot, and how long it then takes to be
 // answered.
 func (p *Pool) expectedWait(now time.Duration, t *Ticket, q *queue) (wait, work time.Duration) {
+	if p.mixed {
+		return p.expectedMixed(now, t, q)
+	}
+	return p.uniformWait(now, t, q)
+}
+
+// uniformWait is expectedWait for requests that all take the typical latency of their upstream.
+func (p *Pool) uniformWait(now time.Duration, t *Ticket, q *queue) (wait, work time.Duration) {
 	if q.unowned {
 		return 0, defaultLatency
 	}
@@ -277,6 +326,7 @@
 		p.dequeue(t)
 		return
 	}
+	p.keepCharge(id)
 	p.End(now, id, Abandoned, 0, nil)
 }
 
@@ -286,6 +336,7 @@
 		t.queue.remove(t)
 	}
 	delete(p.tickets, t.ID)
+	p.cancelQuota(t)
 }
 
 // Waiting returns the number of queued tickets.
@@ -293,10 +344,14 @@
 	return len(p.tickets)
 }
 
-func (p *Pool) refuse(t *Ticket, reason Reason, wait, work time.Duration) {
+func (p *Pool) refuse(now time.Duration, t *Ticket, reason Reason, wait, work time.Duration) {
+	p.cancelQuota(t)
 	delay := retryAfter(wait, work)
-	if reason == NoOwner {
+	switch {
+	case reason == NoOwner:
 		delay = DefaultOwnerWait
+	case reason == TooLate && p.mixed:
+		delay = p.returnDelay(now, t, p.queueFor(now, t), delay)
 	}
 	p.refusals = append(p.refusals, Decision{
 		Ticket:     t,
--- a/core/dispatch/ticket.go
+++ b/core/dispatch/ticket.go
@@ -29,6 +29,8 @@
 	Avoid   string
 	// Unsent is true if no earlier attempt was sent, so that this one takes nothing of the retry budget.
 	Unsent bool
+	// Returned is true if the last ticket of the request was returned unused. It was counted as a request or a retry then.
+	Returned bool
 	// Workspace is the workspace of the caller, empty for none.
 	Workspace string
 	// Class is the same for requests that are taken to cost alike.
@@ -41,8 +43,15 @@
 	arrived time.Duration
 	// rank orders the tickets of a queue: arrived plus a delay for bulk requests and for those of low priority.
 	rank time.Duration
+	// kind and level are set on services with mixed kinds. level is the priority, or 0 if promoted is true: the kind of the ticket
+	// was starved when it arrived.
+	kind     *kind
+	level    int
+	promoted bool
 	// queue is the queue that holds the ticket, nil if it is not waiting.
 	queue *queue
+	// reserved is true while a request of the workspace is reserved for the ticket.
+	reserved bool
 }
 
 // Reason is why a ticket was refused. A refused ticket has not been sent to an upstream, but earlier attempts of the
@@ -61,6 +70,8 @@
 	NoOwner Reason = "no-owner"
 	// Quarantined means that several upstreams have ended while they ran the request.
 	Quarantined Reason = "crashes-upstreams"
+	// OverQuota means that the quota of the workspace is used up.
+	OverQuota Reason = "quota"
 )
 
 // Decision is the result for a ticket: either the upstream to send it to, or a refusal.
--- a/core/dispatch/upstream.go
+++ b/core/dispatch/upstream.go
@@ -1,6 +1,10 @@
 package dispatch
 
-import "time"
+import (
+	"time"
+
+	"cuminlift/core/cost"
+)
 
 // UpstreamState is the registered state of an upstream.
 type UpstreamState struct {
@@ -26,6 +30,9 @@
 	lastAnswered time.Duration
 	// latency is the moving average of the response time, 0 before the first response.
 	latency time.Duration
+	// learned is the latency while it is that of learnedSamples answers that instances have told of, see LearnLatency.
+	learned        time.Duration
+	learnedSamples int
 	// failureRate is the moving average of the fraction of failed attempts, 0 to 1.
 	failureRate float64
 	// coldUntil is the end of the cold start. coldSends holds the times of the last sends during it.
@@ -48,8 +55,13 @@
 	// limiter holds the limit that the upstream has named, and pauses the instances from which it wants nothing for now.
 	limiter limiter
 	pauses  pauses
+	// withheld holds the instances that get no ticket for the upstream, because they have returned one.
+	withheld pauses
 	// trials is the number of running tickets that were suspected to crash upstreams when they were sent, at most one.
 	trials int
+	// speed and backlog are used on services with mixed kinds.
+	speed   cost.Speed
+	backlog backlog
 }
 
 const (
@@ -184,6 +196,7 @@
 	if len(load) > 3 {
 		u.slowness = load[3]
 		u.slownessAt = now
+		u.speed.Report(now, load[3])
 	}
 	slots := u.state.Slots
 	if slots == 0 || len(u.running) < slots {
@@ -221,6 +234,7 @@
 		u.limiter.spend(now, share)
 	}
 	u.running[id] = now
+	u.backlog.valid = false
 	u.lastSent = now
 	if !u.isCold(now) {
 		u.coldSends = u.coldSends[:0]
--- a/internal/gateway/coordinator.go
+++ b/internal/gateway/coordinator.go
@@ -13,6 +13,8 @@
 	"cuminlift/core/dispatch"
 	"cuminlift/core/keyspace"
 	"cuminlift/core/paths"
+	"cuminlift/core/quota"
+	"cuminlift/core/replica"
 	"cuminlift/core/roster"
 	"cuminlift/schema"
 )
@@ -57,9 +59,11 @@
 	links          map[string]*link
 	nextLinkNumber uint64
 	services       map[string]*serviceState
-	// tables are forwarded to all instances. storeFailed is the last result of storeFails.
-	tables      []*tableFeed
-	storeFailed bool
+	// tables are forwarded to all instances. While the store fails, readers read it, and catchUps gets the rows of each table that the
+	// coordinator lacks.
+	tables   []*tableFeed
+	readers  replica.Readers
+	catchUps map[string]*replica.CatchUp
 	// spread holds the upstreams of which all instances have been told that they leave.
 	departures departureKeeper
 	spread     roster.Departures
@@ -72,8 +76,13 @@
 	requests  atomic.Uint64
 	demand    authority.Demand
 	resources peerResources
+	handover  handoverState
+	// withheld are the upstreams for which single instances get no tickets, because they have returned one.
+	withheld map[withheldKey]*withheldTickets
 	// suspects are shared by the pools of all services.
-	suspects  *dispatch.Suspects
+	suspects *dispatch.Suspects
+	// quota counts the requests of workspaces for the pools of all services.
+	quota     *quota.Ledger
 	cancel    context.CancelFunc
 	ctx       context.Context
 	lastProbe time.Duration
@@ -148,6 +157,9 @@
 		links:         map[string]*link{},
 		services:      map[string]*serviceState{},
 		suspects:      &dispatch.Suspects{},
+		withheld:      map[withheldKey]*withheldTickets{},
+		catchUps:      map[string]*replica.CatchUp{},
+		quota:         quota.NewLedger(config.Clock.Now(), quotaLimits(currentView)),
 		ctx:           ctx,
 		cancel:        cancel,
 	}
@@ -180,6 +192,9 @@
 	c.log.Info("coordinator starts")
 	defer debug.SetGCPercent(gcPercent)
 	// Load services and upstreams before the first ticket is requested.
+	for _, feed := range c.tables {
+		c.catchUps[feed.table] = &replica.CatchUp{}
+	}
 	c.tick(c.clock.Now())
 	ticker := time.NewTicker(coordinatorInterval)
 	defer ticker.Stop()
@@ -256,10 +271,13 @@
 				Sequence:     uint64(c.clock.Now()),
 				Resigned:     resigned,
 				Instances:    uint32(len(c.links)),
-				StoreFails:   c.storeFails(),
+				StoreFails:   to.readsStore,
+				StoreReaders: uint32(c.readers.Count()),
 				LeaseVersion: c.leaseVersion,
 				Era:          c.leaseEra,
 
+				Tables: c.lastChanges(),
+
 				LargestCpuPermille: c.maxCPUPermille(),
 				Place:              to.index,
 
@@ -300,18 +318,6 @@
 	}
 }
 
-// resendTables sends the tables to all instances once the store works again. They began to read it themselves.
-func (c *coordinator) resendTables() {
-	failed := c.storeFails()
-	if c.storeFailed && !failed {
-		for _, l := range c.links {
-			l.tablesSent = false
-			c.sendTables(l)
-		}
-	}
-	c.storeFailed = failed
-}
-
 // tick runs time-driven work.
 func (c *coordinator) tick(now time.Duration) {
 	if c.store.currentEra() == c.leaseEra {
@@ -320,12 +326,14 @@
 		c.rewriteLease(now)
 	}
 	c.forwardPages()
-	c.resendTables()
+	c.updateReaders(now)
+	c.requestRows(now)
 	c.announceSuspicions(now)
 	c.announceRelays(now)
 	c.comparePaths(now)
 	c.pruneInstances(now)
 	c.measureDemand(now)
+	c.quota.ForgetLost(now)
 	v := c.view()
 	if v.table == nil || !v.listed {
 		return
@@ -340,6 +348,7 @@
 		c.decide(now, s)
 		c.reclaimExpired(now, s)
 	}
+	c.renewWithheld(now)
 	c.probeUnreachable(now, v)
 	c.logQueues(now)
 }
@@ -384,6 +393,7 @@
 		}
 		config := poolConfig(c.config.Settings, dispatch.Share{})
 		config.Suspects = c.suspects
+		config.Quota = c.quota
 		if keyed {
 			config.Owners = s
 			c.loadAssignment(s)
--- a/internal/gateway/coordinator_conn.go
+++ b/internal/gateway/coordinator_conn.go
@@ -73,6 +73,10 @@
 		if conn == t.frameConn && t.coordinatorName != t.config.Settings.Name {
 			t.handleRows(conn, body.Rows)
 		}
+	case *schema.Frame_TableRequest:
+		if conn == t.frameConn && t.coordinatorName != t.config.Settings.Name {
+			t.handleTableRequest(conn, body.TableRequest)
+		}
 	case *schema.Frame_Notice:
 		if body.Notice.GetLeaving() {
 			t.departures.noteLeaving(body.Notice.GetUpstream(), body.Notice.GetBorn())
@@ -119,20 +123,30 @@
 	t.index = int(beat.GetPlace())
 	t.maxCPUPermille = beat.GetLargestCpuPermille()
 	t.learnResources(beat)
+	t.storeReaders = 0
+	t.shares.SetPlace(t.index, max(1, t.instanceCount), time.Duration(beat.GetSequence())-now)
 	if beat.GetStoreFails() {
-		t.requestStoreProbe()
-		// Rows forwarded by a coordinator that can't reach the store are outdated.
+		t.storeReaders = int(beat.GetStoreReaders())
+		probing := t.storeReaders
+		if probing == 0 {
+			probing = t.instanceCount
+		}
+		t.requestStoreProbe(probing)
+		// Rows forwarded by a coordinator that can't reach the store may be outdated.
 		t.resumeStoreReads(conn)
 	}
 	if t.frameConn != conn {
 		t.attach(conn, beat)
 	}
 	t.term = beat.GetTerm()
+	t.coordinatorTables = decodePositions(beat.GetTables())
 	reply := &schema.BeatReply{
 		Era:          t.store.currentEra(),
 		Sequence:     beat.GetSequence(),
 		StoreReached: t.storeReachable(),
 
+		AnswersTableRequests: true,
+
 		FailedUpstreams: uint32(t.failedUpstreams()),
 	}
 	for _, feed := range t.tables {
@@ -163,6 +177,8 @@
 	}).Info("coordinator found")
 	now := t.clock.Now()
 	t.sendNotices(now)
+	t.sendState(now)
+	t.sendUsage(now)
 	for _, w := range t.waiters {
 		if pool := t.localPools[w.request.GetService()]; pool != nil {
 			pool.Cancel(now, w.request.GetId())
@@ -187,6 +203,8 @@
 		incarnation: reply.GetBorn(),
 		reason:      reply.GetReason(),
 		retryAfter:  time.Duration(reply.GetRetryAfterMs()) * time.Millisecond,
+		// The coordinator has sent the last heartbeat before this.
+		tables: t.coordinatorTables,
 	}
 	w := t.waiters[result.id]
 	if w == nil {
@@ -194,7 +212,13 @@
 		return
 	}
 	delete(t.waiters, result.id)
-	w.result <- result
+	if result.upstream != "" && !reply.GetCounted() {
+		result = t.countReply(result, w.request)
+	}
+	if result.upstream != "" {
+		t.noteGranted(t.clock.Now(), w.request)
+	}
+	t.grant(t.clock.Now(), w, result)
 }
 
 func (t *ticketClient) handleOwners(owners *schema.Owners) {
@@ -236,6 +260,7 @@
 		return
 	}
 	t.frameConn = nil
+	t.storeReaders = 0
 	t.resumeStoreReads(conn)
 	t.log.WithFields(logrus.Fields{
 		"coordinator": t.coordinatorName,
@@ -244,6 +269,7 @@
 	}).Warn("coordinator lost")
 	now := t.clock.Now()
 	t.coordinatorLostAt = now
+	t.shares.Reset(now)
 	for _, w := range t.waiters {
 		t.refreshRequest(now, w)
 		t.submit(now, w)
--- a/internal/gateway/links.go
+++ b/internal/gateway/links.go
@@ -8,6 +8,7 @@
 	"cuminlift"
 	"cuminlift/core/authority"
 	"cuminlift/core/dispatch"
+	"cuminlift/core/replica"
 	"cuminlift/io/frames"
 	"cuminlift/io/upstream"
 	"cuminlift/schema"
@@ -32,18 +33,16 @@
 	// current is nil while disconnected. Only the coordinator's goroutine accesses it.
 	current frameConn
 	// tableVersions are the versions of the tables that the instance has, and tablesSent is true once it was sent what it lacks.
-	tableVersions map[string]tableVersion
+	tableVersions map[string]replica.Position
 	tablesSent    bool
+	// readsStore is true while the instance is told that the store fails for the coordinator, so that it reads the store itself, and
+	// storeReached is true if it reaches the store. handsUpRows is true if it answers requests for rows.
+	readsStore, storeReached, handsUpRows bool
 	// ticketServices holds the service of each open ticket, by the instance's ID of the ticket.
 	ticketServices map[uint64]*serviceState
 	cancel         context.CancelFunc
 }
 
-// tableVersion is a version and the era of the store in which it was given out.
-type tableVersion struct {
-	era, version uint64
-}
-
 // globalID turns an instance's ticket ID into one that is unique among all instances.
 func (l *link) globalID(id uint64) uint64 {
 	return l.number<<40 | id&(1<<40-1)
@@ -76,7 +75,7 @@
 		downSince:      now,
 		number:         c.nextLinkNumber,
 		coordinator:    c,
-		tableVersions:  map[string]tableVersion{},
+		tableVersions:  map[string]replica.Position{},
 		ticketServices: map[uint64]*serviceState{},
 		cancel:         cancel,
 	}
@@ -110,7 +109,9 @@
 			}
 			l.send(suspicionsFrame(now, l.coordinator.suspects.List(now)))
 			l.send(relaysFrame(l.coordinator.lastRelays, l))
-			l.tablesSent = false
+			// What the instance has, it tells in its first heartbeat reply: it may have restarted.
+			l.tablesSent, l.storeReached, l.handsUpRows = false, false, false
+			clear(l.tableVersions)
 		})
 		l.serve(ctx, f)
 		stop()
@@ -184,6 +185,9 @@
 	l.current = nil
 	l.downSince = now
 	c.forgetOwners(f)
+	if c.links[l.name] == l {
+		c.quota.Leave(now, l.name)
+	}
 	for id, s := range l.ticketServices {
 		globalID := l.globalID(id)
 		if origin := s.tickets[globalID]; origin.expires == 0 {
@@ -241,16 +245,16 @@
 	}
 }
 
-// sendTables sends an instance the rows it lacks, once its first heartbeat reply has told its versions. While the store
-// fails, the coordinator's rows may be outdated, and the instance reads the store itself.
+// sendTables sends an instance the rows it lacks, once its first heartbeat reply has told its versions, unless it reads the store
+// itself because the store fails for the coordinator.
 func (c *coordinator) sendTables(l *link) {
-	if l.tablesSent || c.storeFails() {
+	if l.tablesSent || l.readsStore || len(l.tableVersions) == 0 {
 		return
 	}
 	l.tablesSent = true
 	for _, feed := range c.tables {
 		known := l.tableVersions[feed.table]
-		if frame, ok := feed.frameSince(known.era, known.version); ok {
+		if frame, ok := feed.frameSince(known.Era, known.Version); ok {
 			l.send(frame)
 		} else {
 			l.tablesSent = false
--- a/internal/gateway/queue.go
+++ b/internal/gateway/queue.go
@@ -9,6 +9,9 @@
 
 // decide sends the pool's decisions to the instances that requested the tickets.
 func (c *coordinator) decide(now time.Duration, s *serviceState) {
+	if c.settles(now) {
+		return
+	}
 	for _, decision := range s.pool.Decide(now) {
 		id := decision.Ticket.ID
 		origin, known := s.tickets[id]
@@ -31,6 +34,7 @@
 					Born:         decision.Incarnation,
 					Reason:       string(decision.Reason),
 					RetryAfterMs: uint32(decision.RetryAfter.Milliseconds()),
+					Counted:      c.quota.Counts(decision.Ticket.Workspace),
 				},
 			},
 		})
@@ -49,15 +53,14 @@
 
 // handleBeatReply handles an instance's acknowledgement of a heartbeat.
 func (c *coordinator) handleBeatReply(l *link, reply *schema.BeatReply) {
-	for _, t := range reply.GetTables() {
-		l.tableVersions[t.GetTable()] = tableVersion{
-			era:     t.GetEra(),
-			version: t.GetVersion(),
-		}
+	for table, position := range decodePositions(reply.GetTables()) {
+		l.tableVersions[table] = position
 	}
+	l.storeReached, l.handsUpRows = reply.GetStoreReached(), reply.GetAnswersTableRequests()
 	l.failedUpstreams = int(reply.GetFailedUpstreams())
 	c.store.learnEra(reply.GetEra())
 	c.sendTables(l)
+	c.noteWithheld(l)
 	c.leadership.Acknowledged(l.name, time.Duration(reply.GetSequence()), reply.GetStoreReached())
 }
 
@@ -79,6 +82,12 @@
 	switch body := frame.GetBody().(type) {
 	case *schema.Frame_Suspicions:
 		c.suspects.Merge(now, decodeSuspicions(now, body.Suspicions))
+	case *schema.Frame_OpenTickets:
+		c.handleOpenTickets(now, l, body.OpenTickets)
+	case *schema.Frame_CostEstimates:
+		c.learnLatencies(now, body.CostEstimates.GetUpstreams())
+	case *schema.Frame_QuotaUsage:
+		c.quota.Join(now, l.name, time.Duration(body.QuotaUsage.GetCountedMs())*time.Millisecond, decodeUsage(body.QuotaUsage))
 	case *schema.Frame_Head:
 		c.handleHead(now, l, body.Head)
 	case *schema.Frame_End:
@@ -87,6 +96,8 @@
 		c.handleCancel(now, l, body.Cancel)
 	case *schema.Frame_Notice:
 		c.handleNotice(now, l, body.Notice)
+	case *schema.Frame_Rows:
+		c.handleRows(l, body.Rows)
 	}
 }
 
@@ -105,7 +116,9 @@
 		id:   request.GetId(),
 	}
 	l.ticketServices[request.GetId()] = s
-	if s.assigner != nil && request.GetKey() > 0 && request.GetAttempt() == 0 {
+	if request.GetReturned() {
+		c.withhold(now, l, s, request.GetAvoid())
+	} else if s.assigner != nil && request.GetKey() > 0 && request.GetAttempt() == 0 {
 		s.assigner.Count(request.GetKey() - 1)
 	}
 	s.pool.Submit(now, newTicket(request, id, l.name, l.zone, deadline, objective))
--- a/internal/gateway/tickets.go
+++ b/internal/gateway/tickets.go
@@ -12,6 +12,8 @@
 	"cuminlift/core/dispatch"
 	"cuminlift/core/keyspace"
 	"cuminlift/core/paths"
+	"cuminlift/core/quota"
+	"cuminlift/core/replica"
 	"cuminlift/core/request"
 	"cuminlift/schema"
 )
@@ -39,8 +41,10 @@
 	// incarnation is the start of the upstream that the ticket is for.
 	incarnation int64
 	identity    request.Identity
-	reason      string
-	retryAfter  time.Duration
+	// tables are the latest changes that the coordinator knew of when it granted the ticket, by table; nil if it doesn't tell.
+	tables     map[string]replica.Position
+	reason     string
+	retryAfter time.Duration
 	// local is true if a local pool granted the ticket, while there was no coordinator.
 	local bool
 }
@@ -51,9 +55,10 @@
 	clock  cuminlift.Clock
 	log    *logrus.Entry
 	view   func() *view
-	// storeReachable reports whether the store replied recently, and requestStoreProbe starts a probe of it.
+	// storeReachable reports whether the store answered the last probe, and requestStoreProbe starts one if it is due while a number of
+	// instances do so.
 	storeReachable    func() bool
-	requestStoreProbe func()
+	requestStoreProbe func(instances int)
 	// store tells the era.
 	store *watchedStore
 	// departures keeps the upstreams that have said that they leave.
@@ -68,6 +73,9 @@
 	frameConn       frameConn
 	term            uint64
 	coordinatorName string
+	// coordinatorTables are the latest changes that the coordinator knows of, by table; nil if it doesn't tell. The map is replaced,
+	// not changed.
+	coordinatorTables map[string]replica.Position
 	// coordinatorLostAt is when the last coordinator was lost, or when this instance started.
 	coordinatorLostAt time.Duration
 	nextID            uint64
@@ -76,6 +84,9 @@
 	localPools           map[string]*syncedPool
 	owners               map[string]*keyspace.HolderMap
 	instanceCount, index int
+	// storeReaders is the number of instances that read the store for a coordinator that can't reach it, with this one among them, and 0
+	// if all do so or none needs to.
+	storeReaders int
 	// maxCPUPermille is the largest CPU share of an instance as last reported, in thousandths of a core, 0 if unknown.
 	maxCPUPermille uint32
 	resources      peerResources
@@ -83,6 +94,17 @@
 	notices dispatch.Notices
 	// suspects are used by the local pools, and told to new coordinators.
 	suspects *dispatch.Suspects
+	// open holds the granted tickets that have not ended, and coldSends those that have left the slot of a cold upstream lately.
+	open      map[uint64]*openTicket
+	coldSends []*openTicket
+	// retries and latencies hold, by service, what this instance has sent and measured, for a new coordinator.
+	retries   map[string]dispatch.RetryHistory
+	latencies map[string]*dispatch.Latencies
+	// shares are the parts of the workspaces' quotas that this instance uses without a coordinator. usage counts what it sends, for the
+	// next coordinator, since startedAt.
+	shares    *quota.Shares
+	usage     quota.Usage
+	startedAt time.Duration
 	// relays are the instances that may send requests for this one.
 	relays paths.Relays
 	// failedUpstreams returns the number of upstreams that this instance does not reach.
@@ -98,7 +120,11 @@
 }
 
 func newTicketClient(config Config, log *logrus.Entry, currentView func() *view) *ticketClient {
+	now := config.Clock.Now()
 	return &ticketClient{
+		shares:    quota.NewShares(now, quotaLimits(currentView)),
+		startedAt: now,
+
 		config:        config,
 		clock:         config.Clock,
 		log:           log,
@@ -109,6 +135,9 @@
 		owners:        map[string]*keyspace.HolderMap{},
 		instanceCount: 1,
 		suspects:      &dispatch.Suspects{},
+		open:          map[uint64]*openTicket{},
+		retries:       map[string]dispatch.RetryHistory{},
+		latencies:     map[string]*dispatch.Latencies{},
 		wake:          make(chan struct{}, 1),
 
 		coordinatorLostAt: config.Clock.Now(),
@@ -122,6 +151,16 @@
 	return t.instanceCount
 }
 
+// readingInstances returns the number of instances that may read the tables from the store at the same time.
+func (t *ticketClient) readingInstances() int {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	if t.storeReaders > 0 {
+		return t.storeReaders
+	}
+	return t.instanceCount
+}
+
 // acquire waits for a ticket. It returns an error only if ctx ends first; the request has then not been sent to an upstream.
 func (t *ticketClient) acquire(ctx context.Context, request *schema.TicketRequest) (ticketResult, error) {
 	w := &waiter{
@@ -135,6 +174,9 @@
 	w.deadline = now + time.Duration(request.GetRemainingMs())*time.Millisecond
 	w.objective = now + time.Duration(request.GetObjectiveMs())*time.Millisecond
 	t.waiters[request.Id] = w
+	if request.GetAttempt() == 0 {
+		t.retryHistory(request.GetService()).Request(now)
+	}
 	t.submit(now, w)
 	t.mutex.Unlock()
 	select {
@@ -192,6 +234,7 @@
 		Attempt:    int(request.GetAttempt()),
 		Avoid:      request.GetAvoid(),
 		Unsent:     request.GetUnsent(),
+		Returned:   request.GetReturned(),
 		Workspace:  request.GetWorkspace(),
 		Class:      request.GetRouteClass(),
 		BodyBytes:  int(request.GetBodyBytes()),
@@ -220,6 +263,7 @@
 	if created {
 		config := poolConfig(t.config.Settings, share)
 		config.Suspects = t.suspects
+		config.Quota = t.shares
 		if keyed {
 			config.Owners = t.keyOwners(service)
 		}
@@ -261,7 +305,10 @@
 			continue
 		}
 		delete(t.waiters, decision.Ticket.ID)
-		w.result <- ticketResult{
+		if decision.Upstream != "" {
+			t.noteGranted(now, w.request)
+		}
+		t.grant(now, w, ticketResult{
 			id:          decision.Ticket.ID,
 			upstream:    decision.Upstream,
 			address:     decision.Address,
@@ -269,7 +316,7 @@
 			reason:      string(decision.Reason),
 			retryAfter:  decision.RetryAfter,
 			local:       true,
-		}
+		})
 	}
 }
 
@@ -312,7 +359,7 @@
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
 	t.note(result, service, took, report)
-	t.report(result, service, func(now time.Duration, pool *dispatch.Pool) { pool.Head(now, result.id, took, report) }, &schema.Frame{
+	head := &schema.Frame{
 		Body: &schema.Frame_Head{
 			Head: &schema.TicketHead{
 				Id:     result.id,
@@ -321,7 +368,10 @@
 				Report: encodeReport(report),
 			},
 		},
-	})
+	}
+	t.freeTicket(t.clock.Now(), result.id, took)
+	t.announceEvent(result, head)
+	t.report(result, service, func(now time.Duration, pool *dispatch.Pool) { pool.Head(now, result.id, took, report) }, head)
 }
 
 // report passes an event of a ticket to whoever granted it: the local pool or, if still connected, the coordinator.
@@ -363,9 +413,7 @@
 	if result.upstream == "" {
 		return
 	}
-	t.report(result, service, func(now time.Duration, pool *dispatch.Pool) {
-		pool.End(now, result.id, dispatch.Outcome(outcome), took, report)
-	}, &schema.Frame{
+	end := &schema.Frame{
 		Body: &schema.Frame_End{
 			End: &schema.TicketEnd{
 				Id:      result.id,
@@ -375,7 +423,11 @@
 				Report:  encodeReport(report),
 			},
 		},
-	})
+	}
+	t.closeTicket(t.clock.Now(), result, outcome, took, end)
+	t.report(result, service, func(now time.Duration, pool *dispatch.Pool) {
+		pool.End(now, result.id, dispatch.Outcome(outcome), took, report)
+	}, end)
 }
 
 func (t *ticketClient) cancelLocked(request *schema.TicketRequest) {
--- a/io/upstream/client.go
+++ b/io/upstream/client.go
@@ -35,6 +35,10 @@
 	NotRun string
 	// Key carries the number of the request's key.
 	Key string
+	// APIKey carries a caller's API key, which is not sent on.
+	APIKey string
+	// Workspace carries the name of the workspace that a request belongs to. It is never taken from a caller.
+	Workspace string
 }
 
 // Request is one attempt at one upstream.
@@ -48,6 +52,8 @@
 	Host   string
 	Header http.Header
 	Body   []byte
+	// Workspace is the workspace that the request belongs to, empty for none.
+	Workspace string
 	// RequestID is the ID that the response must repeat. It is empty if the caller gave none.
 	RequestID string
 	// Timeout is the time that the upstream has to respond.
@@ -55,6 +61,9 @@
 	// AtMostOnce is true for a request that must not run twice. It is not sent on a connection that was idle for long: if
 	// such a connection is reset, it is unknown whether the upstream had read the request.
 	AtMostOnce bool
+	// Confirm is called once there is a connection, just before the request is written. If it returns false, nothing is sent. It may
+	// be nil.
+	Confirm func() bool
 }
 
 // Response is the response to an attempt. The caller must read its body to the end and close it.
@@ -83,6 +92,9 @@
 // Unwrap returns the cause.
 func (e *NotSentError) Unwrap() error { return e.Cause }
 
+// ErrNotConfirmed is the cause of a NotSentError if Confirm returned false.
+var ErrNotConfirmed = errors.New("the upstream may no longer be used")
+
 // UnknownOutcomeError reports an attempt that was sent and got no valid response. The request may have run.
 type UnknownOutcomeError struct {
 	Upstream string
@@ -157,6 +169,13 @@
 			Cause:    err,
 		}
 	}
+	if request.Confirm != nil && !request.Confirm() {
+		cl.pool.putBack(request.Address, c)
+		return nil, &NotSentError{
+			Upstream: request.Upstream,
+			Cause:    ErrNotConfirmed,
+		}
+	}
 	stop := context.AfterFunc(ctx, c.abort)
 	written := make(chan error, 1)
 	head := cl.encodeHead(request)
@@ -196,6 +215,11 @@
 	header.Del("Expect")
 	header.Set(cl.headers.Deadline, strconv.FormatInt(max(1, request.Timeout.Milliseconds()), 10))
 	header.Set(cl.headers.ExpectedUpstream, request.Upstream)
+	// After the removal of the headers that a caller lists as those of its connection, which may name this one.
+	header.Del(cl.headers.Workspace)
+	if request.Workspace != "" {
+		header.Set(cl.headers.Workspace, request.Workspace)
+	}
 	if len(request.Body) > 0 || (request.Method != http.MethodGet && request.Method != http.MethodHead) {
 		header.Set("Content-Length", strconv.Itoa(len(request.Body)))
 	}
