internal/gateway: the coordinator is told why a ticket for a leaving upstream comes back

Cause: an upstream that has said that it leaves is also draining in the instance's own view, so that its tickets were returned without the notice that takes it out of use everywhere. Change: what the upstream itself has said is looked at first, also for a request that waited for a connection. Result: TestTicketForALeavingUpstreamIsReturned now checks that each return tells the coordinator, and passes with the tests of returned and relayed requests.

--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -194,14 +194,15 @@
 		if err != nil || result.upstream == "" {
 			return result, err
 		}
-		if reason := h.ticketClient.exclusion(result); reason != "" {
-			h.returnTicket(c, result, reason)
+		if h.ticketClient.returnUnwanted(result, c.service) {
+			unwanted++
 			continue
 		}
-		if !h.ticketClient.returnUnwanted(result, c.service) {
+		reason := h.ticketClient.exclusion(result)
+		if reason == "" {
 			return result, nil
 		}
-		unwanted++
+		h.returnTicket(c, result, reason)
 	}
 	return ticketResult{
 		reason:     "upstream wants no requests",
@@ -224,6 +225,16 @@
 	}).Info("ticket returned")
 }
 
+// returnUnsent returns a ticket whose upstream was excluded, or said that it wants no request, while the request waited for a connection.
+func (h *requestHandler) returnUnsent(c *call, result ticketResult) {
+	if !h.ticketClient.returnUnwanted(result, c.service) {
+		h.returnTicket(c, result, h.ticketClient.exclusion(result))
+		return
+	}
+	c.returned = result.upstream
+	c.returns++
+}
+
 // advance moves the call's state on. An invalid transition is a bug and is logged.
 func (c *call) advance(h *requestHandler, states ...request.State) {
 	for _, s := range states {
@@ -269,7 +280,7 @@
 	response, relay, err := h.send(ctx, r, c, result)
 	if errors.Is(err, upstream.ErrNotConfirmed) {
 		c.advance(h, request.Refused)
-		h.returnTicket(c, result, h.ticketClient.exclusion(result))
+		h.returnUnsent(c, result)
 		return false
 	}
 	c.avoid = result.upstream
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -69,7 +69,9 @@
 // send sends the call to the upstream of its ticket, through another instance if there is no path.
 func (h *requestHandler) send(ctx context.Context, r *http.Request, c *call, result ticketResult) (response *upstream.Response, relay string, err error) {
 	attempt := newAttempt(r, c, result)
-	attempt.Confirm = func() bool { return h.ticketClient.exclusion(result) == "" }
+	attempt.Confirm = func() bool {
+		return h.ticketClient.exclusion(result) == "" && !h.ticketClient.unwanted(result.upstream, result.incarnation)
+	}
 	if c.pathFailed || h.paths.avoid(c.service, result.upstream) {
 		if other, ok := h.ticketClient.nextRelay(); ok {
 			response, err = h.sendThrough(ctx, attempt, result, other)
--- a/internal/gateway/return_test.go
+++ b/internal/gateway/return_test.go
@@ -41,7 +41,7 @@
 		},
 	})
 	status := make(chan int, 1)
-	returned := 0
+	returned, told := 0, 0
 	asked := false
 	for {
 		frame, err := f.Receive()
@@ -65,6 +65,10 @@
 				},
 			})
 		}
+		if notice := frame.GetNotice(); notice.GetLeaving() {
+			c.Check(notice.GetUpstream(), qt.Equals, "p0")
+			told++
+		}
 		if end := frame.GetEnd(); end != nil {
 			c.Check(end.GetOutcome(), qt.Equals, schema.TicketOutcome_abandoned)
 			if returned++; returned == 3 {
@@ -72,6 +76,7 @@
 			}
 		}
 	}
+	c.Check(told >= returned, qt.IsTrue, qt.Commentf("the coordinator is told %d times that the upstream leaves", told))
 	c.Check(<-status, qt.Equals, http.StatusServiceUnavailable)
 	c.Check(u.Arrivals(), qt.HasLen, arrived)
 }
