core/dispatch: workspaces share capacity that is short

Cause: requests are queued in the order of arrival and priority, so that a workspace at ten times its usual takes the capacity of all others. Change: a request of a workspace that exceeds its part of the pool's capacity is ranked as if it had arrived when it would have been within it, and is refused on arrival if it would have to wait too long until then. Parts follow the promised rates up to twice what a workspace usually sends. Tickets without a workspace are ranked as before.

--- a/core/dispatch/decide.go
+++ b/core/dispatch/decide.go
@@ -129,6 +129,7 @@
 
 func (p *Pool) send(now time.Duration, t *Ticket, u *upstream, suspected bool) Decision {
 	workspace := p.chargeQuota(now, t)
+	t.fairGap = 0
 	p.dequeue(t)
 	u.recordSend(now, t.ID, p)
 	p.running[t.ID] = assignment{
--- a/core/dispatch/pool.go
+++ b/core/dispatch/pool.go
@@ -28,6 +28,8 @@
 	Suspects *Suspects
 	// Quota is shared by the pools of all services. It is nil if workspaces have no quotas.
 	Quota Quota
+	// Promised returns the rate promised to a workspace. It is nil if none is.
+	Promised func(workspace string) (rate, burst float64, limited bool)
 }
 
 // Pool queues the requests of one service and assigns them to its upstreams. It is not safe for concurrent use.
@@ -46,6 +48,7 @@
 	lastSweep   time.Duration
 	running     map[uint64]assignment
 	budget      *budget
+	fair        fairShares
 	initialized bool
 	refusals    []Decision
 	// ownerWait is how long a request waits for its key to get an owner.
@@ -179,6 +182,8 @@
 	if t.Bulk {
 		t.rank += bulkDelay
 	}
+	behind := p.putBack(now, t)
+	t.rank += behind
 	if t.Attempt == 0 {
 		p.budget.countRequest(now)
 	}
@@ -192,6 +197,9 @@
 	}
 	q := p.queueFor(now, t)
 	wait, work := p.expectedWait(now, t, q)
+	if wait > 0 {
+		wait = max(wait, behind) // Others use the capacity until then.
+	}
 	own, others := p.pauseOf(now, t, q)
 	if t.Attempt > 0 && !t.Unsent && !p.budget.take(now) {
 		p.refuse(t, NoBudget, max(wait, others), work)
@@ -296,6 +304,7 @@
 	}
 	delete(p.tickets, t.ID)
 	p.cancelQuota(t)
+	p.uncountFair(t)
 }
 
 // Waiting returns the number of queued tickets.
@@ -305,6 +314,7 @@
 
 func (p *Pool) refuse(t *Ticket, reason Reason, wait, work time.Duration) {
 	p.cancelQuota(t)
+	p.uncountFair(t)
 	delay := retryAfter(wait, work)
 	if reason == NoOwner {
 		delay = DefaultOwnerWait
--- a/core/dispatch/ticket.go
+++ b/core/dispatch/ticket.go
@@ -45,6 +45,8 @@
 	queue *queue
 	// reserved is true while a request of the workspace is reserved for the ticket.
 	reserved bool
+	// fairGap is the time by which the next ticket of the workspace is put back for this one, 0 if it was sent or refused.
+	fairGap time.Duration
 }
 
 // Reason is why a ticket was refused. A refused ticket has not been sent to an upstream, but earlier attempts of the
--- a/internal/gateway/coordinator.go
+++ b/internal/gateway/coordinator.go
@@ -383,6 +383,7 @@
 		config := poolConfig(c.config.Settings, dispatch.Share{})
 		config.Suspects = c.suspects
 		config.Quota = c.quota
+		config.Promised = quotaLimits(c.view)
 		if keyed {
 			config.Owners = s
 			c.loadAssignment(s)
--- a/internal/gateway/tickets.go
+++ b/internal/gateway/tickets.go
@@ -230,6 +230,7 @@
 		config := poolConfig(t.config.Settings, share)
 		config.Suspects = t.suspects
 		config.Quota = t.shares
+		config.Promised = quotaLimits(t.view)
 		if keyed {
 			config.Owners = t.keyOwners(service)
 		}
