io/caller: bounds on what the system buffers, small bodies near the budget, memory test, benchmark with a service time

Cause: the send buffer of a connection grows to megabytes for a caller that reads slowly, which the budget does not count. Bodies of any size waited once responses took half of the budget, which happens without any shortage.

Change: at most 128 KB wait unsent in a send buffer (TCP_NOTSENT_LOWAT). Bodies may take half of the budget while a quarter is free, 4 KB of each without waiting; read-ahead stops at the last eighth.

--- a/internal/gateway/body.go
+++ b/internal/gateway/body.go
@@ -45,7 +45,7 @@
 		return wanted
 	}
 	reserved := min(wanted, minBufferedBody)
-	b.budget.Take(reserved)
+	b.budget.Take(caller.Responses, reserved)
 	return reserved
 }
 
--- a/internal/gateway/readahead_test.go
+++ b/internal/gateway/readahead_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"runtime"
 	"runtime/debug"
 	"strings"
 	"sync"
@@ -53,7 +54,8 @@
 	time.Sleep(30 * time.Millisecond)
 	w.Header().Set("Request-Id", name)
 	w.Header().Set("Response-Signature", "s")
-	io.WriteString(w, name+u.body)
+	io.WriteString(w, name)
+	io.WriteString(w, u.body)
 	u.mutex.Lock()
 	u.running--
 	u.mutex.Unlock()
@@ -183,8 +185,12 @@
 	k.configure(1, "plain")
 	k.slowUpstream("p0", strings.Repeat("x", 600<<10))
 	k.waitPlain("n0")
+	var before, during runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&before)
 	for i := range 200 {
 		conn := k.dial("n0")
+		c.Assert(conn.(*net.TCPConn).SetReadBuffer(4<<10), qt.IsNil)
 		for j := range 4 {
 			_, err := io.WriteString(conn, requestText(http.MethodGet, "/read/x", fmt.Sprint("unread-", i, "-", j)))
 			c.Assert(err, qt.IsNil)
@@ -217,7 +223,25 @@
 			}
 		})
 	}
-	group.Wait()
+	done := make(chan struct{})
+	go func() {
+		group.Wait()
+		close(done)
+	}()
+	highest := uint64(0)
+	for running := true; running; {
+		select {
+		case <-done:
+			running = false
+		case <-time.After(50 * time.Millisecond):
+			runtime.GC()
+			runtime.ReadMemStats(&during)
+			highest = max(highest, during.HeapAlloc)
+		}
+	}
+	// The upstream and the callers run in this process, too; without a bound, 200 callers would take 480 MB.
+	t.Logf("%d KB more", (highest-before.HeapAlloc)>>10)
+	c.Check(highest < before.HeapAlloc+32<<20, qt.IsTrue, qt.Commentf("%d MB more", (highest-before.HeapAlloc)>>20))
 }
 
 // TestEndToEndWithReadAhead runs tests of callers' requests with ReadAhead. It guards against differences between the two servers.
--- a/io/caller/benchmark_test.go
+++ b/io/caller/benchmark_test.go
@@ -8,17 +8,21 @@
 	"net/http/httptest"
 	"sync"
 	"testing"
+	"time"
 )
 
-// serveBenchmark answers with 200 bytes, as an upstream's response is passed on.
-func serveBenchmark(w http.ResponseWriter, _ *http.Request) {
+// serveBenchmark answers with 200 bytes, as an upstream's response is passed on, for /wait after a millisecond.
+func serveBenchmark(w http.ResponseWriter, r *http.Request) {
+	if r.URL.Path == "/wait" {
+		time.Sleep(time.Millisecond)
+	}
 	w.Header()["Content-Type"] = nil
 	w.Header().Set("Content-Length", "200")
 	w.Write(make([]byte, 200))
 }
 
 // drive sends b.N requests over connections with ahead requests in flight on each.
-func drive(b *testing.B, address string, connections, ahead int) {
+func drive(b *testing.B, address, path string, connections, ahead int) {
 	var group sync.WaitGroup
 	b.ReportAllocs()
 	b.ResetTimer()
@@ -34,7 +38,7 @@
 				n++
 			}
 			reader := bufio.NewReader(conn)
-			request := get("/work")
+			request := get(path)
 			sent, received := 0, 0
 			for received < n {
 				for sent < n && sent-received < ahead {
@@ -66,9 +70,11 @@
 	reference := httptest.NewServer(http.HandlerFunc(serveBenchmark))
 	defer reference.Close()
 	address := reference.Listener.Addr().String()
-	b.Run("1x16", func(b *testing.B) { drive(b, s.address, 1, 16) })
-	b.Run("16x1", func(b *testing.B) { drive(b, s.address, 16, 1) })
-	b.Run("1x1", func(b *testing.B) { drive(b, s.address, 1, 1) })
-	b.Run("net-http-16x1", func(b *testing.B) { drive(b, address, 16, 1) })
-	b.Run("net-http-1x1", func(b *testing.B) { drive(b, address, 1, 1) })
+	for _, path := range []string{"/", "/wait"} {
+		b.Run("1x16"+path, func(b *testing.B) { drive(b, s.address, path, 1, 16) })
+		b.Run("16x1"+path, func(b *testing.B) { drive(b, s.address, path, 16, 1) })
+		b.Run("1x1"+path, func(b *testing.B) { drive(b, s.address, path, 1, 1) })
+		b.Run("net-http-16x1"+path, func(b *testing.B) { drive(b, address, path, 16, 1) })
+		b.Run("net-http-1x1"+path, func(b *testing.B) { drive(b, address, path, 1, 1) })
+	}
 }
--- a/io/caller/budget.go
+++ b/io/caller/budget.go
@@ -6,9 +6,9 @@
 type Use int
 
 const (
-	// Bodies are callers' request bodies. They may take half of the budget.
+	// Bodies are callers' request bodies. They may take half of the budget, and are refused when less than a quarter of it is free.
 	Bodies Use = iota
-	// ReadAhead is what is held for requests that are not first in line. It is refused when less than a quarter of the budget is free.
+	// ReadAhead is what is held for requests that are not first in line. It is refused when less than an eighth of the budget is free.
 	ReadAhead
 	// Responses are the buffered parts of upstreams' responses. They may take all.
 	Responses
@@ -34,40 +34,41 @@
 func (b *Budget) Reserve(use Use, n int64) bool {
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
-	limit := b.total
+	fits := true
 	switch use {
 	case Bodies:
-		if b.bodies > 0 && (b.bodies+n > b.total/2 || b.used+n > b.total/2) {
-			return false
-		}
-		if b.bodies == 0 && b.used > b.total/2 {
-			return false
-		}
-		b.bodies += n
-		b.used += n
-		return true
+		fits = b.bodies+n <= b.total/2 && b.used+n <= b.total-b.total/4
+		fits = fits || (b.bodies == 0 && b.used <= b.total/2)
 	case ReadAhead:
-		limit -= b.total / 4
+		fits = b.used+n <= b.total-b.total/8
+	case Responses:
+		fits = b.used+n <= b.total
 	}
-	if b.used+n > limit {
-		return false
+	if fits {
+		b.take(use, n)
 	}
+	return fits
+}
+
+func (b *Budget) take(use Use, n int64) {
 	b.used += n
-	return true
+	if use == Bodies {
+		b.bodies += n
+	}
 }
 
 // mayReadAhead reports whether read-ahead may go on.
 func (b *Budget) mayReadAhead() bool {
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
-	return b.used <= b.total-b.total/4
+	return b.used <= b.total-b.total/8
 }
 
 // Take reserves n bytes for a use that can't do without them.
-func (b *Budget) Take(n int64) {
+func (b *Budget) Take(use Use, n int64) {
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
-	b.used += n
+	b.take(use, n)
 }
 
 // Release returns n bytes that were reserved or taken for a use.
--- a/io/caller/leave.go
+++ b/io/caller/leave.go
@@ -13,7 +13,9 @@
 	// tcpClose and tcpCloseWait are states of a connection: reset, and closed by the other side for sending.
 	tcpClose     = 7
 	tcpCloseWait = 8
-	continueHead = "HTTP/1.1 100 Continue\r\n\r\n"
+	// maxUnsentBytes is the size of the unsent data in a connection's send buffer.
+	maxUnsentBytes = 128 << 10
+	continueHead   = "HTTP/1.1 100 Continue\r\n\r\n"
 )
 
 // waitUntil waits until condition, which is called under the connection's lock, holds. It reports false if the connection is over
@@ -66,6 +68,13 @@
 	}
 }
 
+// limitUnsent bounds what the system buffers for a caller that reads slowly. It would grow to megabytes, which no budget counts.
+func (c *connection) limitUnsent() {
+	_ = c.raw.Control(func(fd uintptr) { // Without it, only more is buffered.
+		_ = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_NOTSENT_LOWAT, maxUnsentBytes)
+	})
+}
+
 // state returns the system's state of the connection, 0 if it is unknown.
 func (c *connection) state() uint8 {
 	if c.raw == nil {
--- a/io/caller/request.go
+++ b/io/caller/request.go
@@ -25,6 +25,8 @@
 	maxDiscardedBody = 256 << 10
 	// firstBodyBytes is the initial size of a body's buffer, which grows as the body arrives.
 	firstBodyBytes = 16 << 10
+	// freeBodyBytes is the size of a body that is read also near the memory budget, since waiting would take as much.
+	freeBodyBytes = 4 << 10
 	// maxTrailerBytes bounds the trailer section of a chunked body, which is discarded.
 	maxTrailerBytes = 4 << 10
 )
@@ -327,6 +329,11 @@
 // reserveBody reserves memory for a body. Near the budget it waits, and gives up after the time that a caller has for a header section.
 func (c *connection) reserveBody(r *response, n int64) bool {
 	budget := c.server.config.Budget
+	if r.bodyBytes+n <= freeBodyBytes {
+		budget.Take(Bodies, n)
+		r.bodyBytes += n
+		return true
+	}
 	reserve := func() bool { return budget.Reserve(Bodies, n) }
 	if !reserve() && !c.waitUntil(reserve, c.server.config.Limits().HeaderTimeout) {
 		return false
--- a/io/caller/server.go
+++ b/io/caller/server.go
@@ -143,6 +143,7 @@
 	if descriptor, ok := conn.(syscall.Conn); ok {
 		if raw, err := descriptor.SyscallConn(); err == nil {
 			c.raw = raw
+			c.limitUnsent()
 		}
 	}
 	c.idleSince = c.openedAt
