internal/gateway, core/dispatch: predicted against observed times of requests

Cause: nothing shows whether the cost model is right. Change: the coordinator publishes, by service and class, the sums of predicted and observed times and of their differences, and the work; the queue statistics have the sums of a service. Nothing is published for services that are not mixed.

--- a/core/cost/class.go
+++ b/core/cost/class.go
@@ -34,6 +34,8 @@
 	Samples uint64
 	// Predicted and Observed add up what requests were expected to take when they were sent, and what they took.
 	Predicted, Observed time.Duration
+	// Error adds up the absolute differences between the two.
+	Error time.Duration
 
 	sizes [sizeCount]ratio
 	keys  []keyRatio
@@ -105,6 +107,23 @@
 	c.Work.Add(now, work)
 }
 
+// Compare records in what time a request was expected to be answered when it was sent, and the time that it took.
+func (c *Class) Compare(predicted, observed time.Duration) {
+	c.Predicted += predicted
+	c.Observed += observed
+	c.Error += (observed - predicted).Abs()
+}
+
+// Classes calls yield with each class, in no particular order.
+func (m *Model) Classes(yield func(class *Class)) {
+	for _, class := range m.classes {
+		yield(class)
+	}
+	if m.others != nil {
+		yield(m.others)
+	}
+}
+
 const (
 	// sizeCount is the number of ranges of body sizes, each eight times as large as the one before.
 	sizeCount = 9
--- a/core/dispatch/expected.go
+++ b/core/dispatch/expected.go
@@ -282,8 +282,7 @@
 	if k == nil {
 		return
 	}
-	k.cost.Predicted += granted.predicted
-	k.cost.Observed += took
+	k.cost.Compare(granted.predicted, took)
 	// Time spent in the queue of the upstream is no work.
 	net := max(took-granted.wait, took/3)
 	speed := &granted.upstream.speed
@@ -312,9 +311,10 @@
 	return u.workRate(now, p)
 }
 
-// Costs calls yield with each class of requests that the pool tells apart.
+// Costs calls yield with each class of requests that the pool tells apart, in no particular order. There are none on services that
+// are not mixed.
 func (p *Pool) Costs(yield func(class *cost.Class)) {
-	for _, k := range p.kinds.list {
-		yield(k.cost)
+	if p.mixed {
+		p.kinds.model.Classes(yield)
 	}
 }
--- a/core/dispatch/mixed_test.go
+++ b/core/dispatch/mixed_test.go
@@ -8,6 +8,7 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"cuminlift/core/cost"
 	"cuminlift/core/dispatch"
 	"cuminlift/core/route"
 )
@@ -281,3 +282,25 @@
 		}
 	}
 }
+
+// TestPredictionsAreCompared guards against a metric that says nothing of the model: expected and observed times agree within a
+// fifth on average, also with an upstream that is slower than the others.
+func TestPredictionsAreCompared(t *testing.T) {
+	c := qt.New(t)
+	s := openReplay(0.8)
+	s.mixed = true
+	s.run()
+	stats := s.pool.Stats(s.now)
+	c.Check(math.Abs(stats.Predicted.Seconds()/stats.Observed.Seconds()-1) < 0.2, qt.IsTrue, qt.Commentf("%v, observed %v", stats.Predicted, stats.Observed))
+	c.Check(stats.PredictionError < stats.Observed/2, qt.IsTrue, qt.Commentf("%v of %v", stats.PredictionError, stats.Observed))
+	classes := 0
+	s.pool.Costs(func(class *cost.Class) {
+		classes++
+		c.Check(class.Samples > 300, qt.IsTrue)
+		c.Logf("%s: predicted %v, observed %v, error %v", class.Name, class.Predicted, class.Observed, class.Error)
+	})
+	c.Check(classes, qt.Equals, 2)
+	plain := openReplay(0.8)
+	plain.run()
+	c.Check(plain.pool.Stats(plain.now).Predicted, qt.Equals, time.Duration(0))
+}
--- a/core/dispatch/stats.go
+++ b/core/dispatch/stats.go
@@ -3,6 +3,8 @@
 import (
 	"sort"
 	"time"
+
+	"cuminlift/core/cost"
 )
 
 // Stats describes the state of a pool.
@@ -16,6 +18,9 @@
 	Overcommit float64
 	// Sent and Refused count decisions since the pool was created.
 	Sent, Refused uint64
+	// Predicted and Observed add up in what times requests were expected to be answered when they were sent, and what they took.
+	// PredictionError adds up the absolute differences. They are 0 on services that are not mixed.
+	Predicted, Observed, PredictionError time.Duration
 }
 
 // Stats returns the state of the pool at now.
@@ -28,6 +33,11 @@
 		Sent:          p.sent,
 		Refused:       p.refused,
 	}
+	p.Costs(func(class *cost.Class) {
+		stats.Predicted += class.Predicted
+		stats.Observed += class.Observed
+		stats.PredictionError += class.Error
+	})
 	for _, u := range p.sorted {
 		if !u.state.Usable {
 			continue
--- a/internal/gateway/coordinator.go
+++ b/internal/gateway/coordinator.go
@@ -62,8 +62,9 @@
 	// spread holds the upstreams of which all instances have been told that they leave.
 	departures departureKeeper
 	spread     roster.Departures
-	// paths are those of this instance.
-	paths *pathMonitor
+	// paths are those of this instance, and counters its metrics.
+	paths    *pathMonitor
+	counters *counters
 	// relaysDueAt is when instances may next be told of relays, and lastRelays are those that they were told of.
 	relaysDueAt time.Duration
 	lastRelays  []paths.Relay
@@ -363,7 +364,11 @@
 			"sent":        stats.Sent,
 			"refused":     stats.Refused,
 			"events":      len(c.ticketEvents),
+			"predicted":   stats.Predicted,
+			"observed":    stats.Observed,
+			"error":       stats.PredictionError,
 		}).Info("queue statistics")
+		c.counters.setCosts(s.name, s.pool.Pool)
 	}
 }
 
--- a/internal/gateway/counters.go
+++ b/internal/gateway/counters.go
@@ -2,10 +2,14 @@
 
 import (
 	"expvar"
+	"maps"
 	"sync"
 	"time"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"cuminlift/core/cost"
+	"cuminlift/core/dispatch"
 )
 
 // counters holds the metrics of one instance in expvar form. They are listed in docs/METRICS.md.
@@ -13,6 +17,8 @@
 	events     *expvar.Map
 	mutex      sync.Mutex
 	histograms map[string]*hdrhistogram.Histogram
+	// costs holds the cost of requests by service and class, as last set by the coordinator.
+	costs map[string]map[string]map[string]int64
 }
 
 // Range and precision of the latency histograms, in microseconds and digits.
@@ -47,6 +53,42 @@
 	}
 }
 
+// setCosts replaces what is published of the cost of a service's requests.
+func (c *counters) setCosts(service string, pool *dispatch.Pool) {
+	classes := map[string]map[string]int64{}
+	pool.Costs(func(class *cost.Class) {
+		name := class.Name
+		if name == "" {
+			name = "others"
+		}
+		classes[name] = map[string]int64{
+			"requests":     int64(class.Samples),
+			"predicted-ms": class.Predicted.Milliseconds(),
+			"observed-ms":  class.Observed.Milliseconds(),
+			"error-ms":     class.Error.Milliseconds(),
+			"work-ms":      class.Work.Mean().Milliseconds(),
+			"work-p99-ms":  class.Work.Quantile(0.99).Milliseconds(),
+		}
+	})
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	delete(c.costs, service)
+	if len(classes) == 0 {
+		return
+	}
+	if c.costs == nil {
+		c.costs = map[string]map[string]map[string]int64{}
+	}
+	c.costs[service] = classes
+}
+
+// requestCosts returns what the coordinator has learned of the cost of requests, by service and class.
+func (c *counters) requestCosts() any {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	return maps.Clone(c.costs)
+}
+
 // latencies returns quantiles of the response time per service, in microseconds.
 func (c *counters) latencies() any {
 	c.mutex.Lock()
--- a/internal/gateway/election.go
+++ b/internal/gateway/election.go
@@ -19,6 +19,7 @@
 	config       Config
 	clock        cuminlift.Clock
 	log          *logrus.Entry
+	counters     *counters
 	ticketClient *ticketClient
 	view         func() *view
 	// tables are forwarded by the coordinator.
@@ -303,6 +304,7 @@
 	c.tables = e.tables
 	c.departures = e.departures
 	c.paths = e.paths
+	c.counters = e.counters
 	c.run()
 }
 
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -107,6 +107,7 @@
 		config:       config,
 		clock:        config.Clock,
 		log:          loggers.For("ownership"),
+		counters:     g.counters,
 		ticketClient: g.ticketClient,
 		view:         g.follower.view,
 		tables:       g.ticketClient.tables,
@@ -252,6 +253,7 @@
 	vars := new(expvar.Map).Init()
 	vars.Set("events", g.counters.events)
 	vars.Set("latency-us", expvar.Func(g.counters.latencies))
+	vars.Set("cost", expvar.Func(g.counters.requestCosts))
 	vars.Set("upstream-connections", expvar.Func(func() any { return g.requestHandler.upstreamClient.Dials() }))
 	server := &http.Server{
 		Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
