--- a/core/dispatch/refuse.go
+++ b/core/dispatch/refuse.go
@@ -17,15 +17,13 @@
 	fullReturn = 1.5
 )
 
-// admitMixed reports whether a ticket that must wait may be queued. Those that would be late are refused on arrival: under overload
-// they would take capacity from others or be refused after they have waited. A request whose work alone takes longer than its
-// objective may wait as long as a late one.
+// admitMixed reports whether a ticket that must wait may be queued: it is expected to be in time, or it is late but likely to be answered
+// within the time that a late request may wait. Late ones get only what those in time leave.
 func (p *Pool) admitMixed(now time.Duration, t *Ticket, wait, work time.Duration) bool {
-	wait = scale(wait, waitMargin)
-	if now+work > t.Objective {
-		return wait <= scale(t.Deadline-now, lateWaitShare) && now+wait+work < t.Deadline
+	if now+scale(wait, waitMargin)+work <= t.Objective {
+		return true
 	}
-	return now+wait+work <= t.Objective
+	return wait <= scale(t.Deadline-now, lateWaitShare) && now+wait+2*work < t.Deadline
 }
 
 // load returns the recently offered work of the queue's kinds up to a level of urgency, in multiples of the capacity.
