--- a/internal/gateway/outdated_test.go
+++ b/internal/gateway/outdated_test.go
@@ -203,6 +203,48 @@
 	}
 }
 
+// TestUpstreamLeavesWhileTheStoreRefusesTheCoordinator guards against requests to an upstream that leaves while the store refuses the
+// coordinator alone, by the instances that know it and by the coordinator's own one (DRAIN).
+func TestUpstreamLeavesWhileTheStoreRefusesTheCoordinator(t *testing.T) {
+	c := qt.New(t)
+	c.Check(retryIfStalled(func() string { return playUpstreamThatLeaves(c) }), qt.Equals, "")
+}
+
+// playUpstreamThatLeaves returns what is wrong, empty for nothing.
+func playUpstreamThatLeaves(c *qt.C) string {
+	k := newCluster(c, 0)
+	k.configure(1, "plain")
+	leaving := k.upstream("p0", "plain", "z1")
+	k.upstream("p1", "plain", "z1")
+	store := &switchedStore{
+		Store: k.store,
+	}
+	k.rows = store
+	k.start("n0")
+	eventually(func() bool { return k.leaseTerm() == 1 })
+	k.rows = k.store
+	for _, name := range []string{"n1", "n2"} {
+		k.start(name)
+	}
+	for name := range k.instances {
+		k.waitServing(name)
+	}
+	eventually(func() bool { return len(k.instanceRows()) == 3 && k.servedBy("n0", 0) == "p0" })
+	store.refused.Store(true)
+	k.register("p0", "plain", "z1", "draining")
+	left := time.Now()
+	for time.Since(left) < 4*time.Second {
+		for name := range k.instances {
+			k.send(name, http.MethodGet, "/read/x", 0, "")
+		}
+	}
+	// The limit in small deployments.
+	if late := lastArrival(leaving.Arrivals()).Sub(left); late > 2*time.Second {
+		return fmt.Sprintf("the last request arrives %v after the upstream leaves", late)
+	}
+	return ""
+}
+
 // switchedStore refuses all calls while refused, or doesn't answer them if it is silent.
 type switchedStore struct {
 	*rowstore.Store
@@ -259,57 +301,162 @@
 	k.start("n0")
 	k.waitServing("n0")
 	eventually(func() bool { return k.leaseTerm() == 1 })
+	told := make(chan *schema.Beat, 1)
+	k.testFollower("earlier", func(f *frames.Connection, frame *schema.Frame) {
+		beat := frame.GetBeat()
+		if beat == nil {
+			return
+		}
+		if beat.GetStoreFails() {
+			select {
+			case told <- beat:
+			default:
+			}
+		}
+		acknowledge(f, beat, &schema.BeatReply{})
+	})
+	k.rows = k.store
+	for i := range 4 {
+		k.start(fmt.Sprint("n", i+1))
+	}
+	eventually(func() bool { return len(k.instanceRows()) == 6 })
+	first.refused.Store(true)
+	beat := <-told
+	c.Check(beat.GetStoreReaders(), qt.Equals, uint32(0))
+	k.put("op", "evacuate/z1", "{}")
+	for name := range k.instances {
+		eventually(func() bool {
+			_, outcome, _, err := k.relay(name, "p0", "1", "2000")
+			return err == nil && outcome == "abandoned"
+		})
+	}
+}
+
+// testFollower registers an instance whose messages the test handles.
+func (k *cluster) testFollower(name string, handle func(f *frames.Connection, frame *schema.Frame)) {
 	listener, err := net.Listen("tcp4", "127.0.0.1:0")
-	c.Assert(err, qt.IsNil)
-	c.Cleanup(func() { listener.Close() })
+	k.c.Assert(err, qt.IsNil)
+	k.c.Cleanup(func() { listener.Close() })
 	row, err := proto.Marshal(&schema.InstanceRow{
-		Name:    "earlier",
+		Name:    name,
 		Address: listener.Addr().String(),
 	})
-	c.Assert(err, qt.IsNil)
-	k.put("gateway-instances", "earlier", string(row))
-	told := make(chan *schema.Beat, 1)
+	k.c.Assert(err, qt.IsNil)
+	k.put("gateway-instances", name, string(row))
 	go func() {
 		for {
 			conn, err := listener.Accept()
 			if err != nil {
 				return
 			}
-			f := frames.NewConnection(conn)
-			for frame, err := f.Receive(); err == nil; frame, err = f.Receive() {
-				beat := frame.GetBeat()
-				if beat == nil {
-					continue
+			go func() {
+				f := frames.NewConnection(conn)
+				for frame, err := f.Receive(); err == nil; frame, err = f.Receive() {
+					handle(f, frame)
 				}
-				if beat.GetStoreFails() {
-					select {
-					case told <- beat:
-					default:
-					}
-				}
-				f.Send(&schema.Frame{
-					Body: &schema.Frame_BeatReply{
-						BeatReply: &schema.BeatReply{
-							Sequence: beat.GetSequence(),
-						},
-					},
-				})
-			}
+			}()
 		}
 	}()
-	k.rows = k.store
-	for i := range 4 {
-		k.start(fmt.Sprint("n", i+1))
+}
+
+func acknowledge(f *frames.Connection, beat *schema.Beat, reply *schema.BeatReply) {
+	reply.Sequence = beat.GetSequence()
+	f.Send(&schema.Frame{
+		Body: &schema.Frame_BeatReply{
+			BeatReply: reply,
+		},
+	})
+}
+
+func evacuation(zone string, era, since, version uint64) *schema.Frame {
+	return &schema.Frame{
+		Body: &schema.Frame_Rows{
+			Rows: &schema.TableRows{
+				Table:   "op",
+				Era:     era,
+				Since:   since,
+				Version: version,
+				Rows: []*schema.TableRow{{
+					Key:     "evacuate/" + zone,
+					Value:   []byte("{}"),
+					Version: version,
+				}},
+			},
+		},
 	}
-	eventually(func() bool { return len(k.instanceRows()) == 6 })
+}
+
+// TestNewerRowsOfOneInstanceAreUsed guards against a refused coordinator that stays behind because the first instance that it asks says
+// nothing, that uses rows of an older era, or that keeps what it has got to itself.
+func TestNewerRowsOfOneInstanceAreUsed(t *testing.T) {
+	c := qt.New(t)
+	k := newCluster(c, 0)
+	k.configure(1, "plain")
+	k.upstream("p0", "plain", "z1")
+	k.upstream("p1", "plain", "z2")
+	first := &switchedStore{
+		Store: k.store,
+	}
+	k.rows = first
+	k.start("n0")
+	k.waitServing("n0")
+	eventually(func() bool { return k.leaseTerm() == 1 })
+	k.store.Restore(k.store.Copy())
+	k.put("op", "evacuate/z3", "{}")
+	k.start("n1")
+	k.waitServing("n1")
+	page, err := k.store.Rows(context.Background(), "op", "")
+	c.Assert(err, qt.IsNil)
+	c.Assert(page.Era > 0, qt.IsTrue)
+	const newer = 1 << 40
+	ahead := &schema.TableVersion{
+		Table:   "op",
+		Era:     page.Era,
+		Version: newer,
+	}
+	var silent atomic.Int64
+	k.testFollower("a-silent", func(f *frames.Connection, frame *schema.Frame) {
+		if beat := frame.GetBeat(); beat != nil && first.refused.Load() {
+			acknowledge(f, beat, &schema.BeatReply{
+				Tables:               []*schema.TableVersion{ahead},
+				AnswersTableRequests: true,
+				Era:                  page.Era,
+			})
+		} else if beat != nil {
+			acknowledge(f, beat, &schema.BeatReply{
+				AnswersTableRequests: true,
+			})
+		}
+		if frame.GetTableRequest() != nil {
+			silent.Add(1)
+		}
+	})
+	k.testFollower("b-newer", func(f *frames.Connection, frame *schema.Frame) {
+		if beat := frame.GetBeat(); beat != nil {
+			reply := &schema.BeatReply{
+				AnswersTableRequests: true,
+			}
+			if first.refused.Load() {
+				reply.Tables = []*schema.TableVersion{ahead}
+			}
+			acknowledge(f, beat, reply)
+		}
+		if request := frame.GetTableRequest(); request != nil {
+			f.Send(evacuation("z2", page.Era-1, request.GetSince(), newer+1))
+			f.Send(evacuation("z1", page.Era, request.GetSince(), newer))
+		}
+	})
+	eventually(func() bool { return len(k.instanceRows()) == 4 })
+	time.Sleep(time.Second) // The instances are connected; if not, the rows come later.
 	first.refused.Store(true)
-	beat := <-told
-	c.Check(beat.GetStoreReaders(), qt.Equals, uint32(0))
-	k.put("op", "evacuate/z1", "{}")
 	for name := range k.instances {
 		eventually(func() bool {
 			_, outcome, _, err := k.relay(name, "p0", "1", "2000")
 			return err == nil && outcome == "abandoned"
 		})
+		status, _, _, err := k.relay(name, "p1", "1", "2000")
+		c.Check(err, qt.IsNil)
+		c.Check(status, qt.Equals, http.StatusOK, qt.Commentf("rows of an older era are used at %s", name))
 	}
+	c.Check(silent.Load() > 0, qt.IsTrue)
 }
