internal/gateway, core/quota, core/workspace: metrics and log lines of workspaces

Cause: a 429 can't be traced to its cause, and each refusal of a workspace far beyond its quota writes a line. Change: counts for the ten largest workspaces and the rest; one line a second for each workspace or route with status 429 or 401; once a second what was refused on which quota and count. Measured: TestRefusalsAreToldByLogAndMetrics, 1,200 refusals in 6 s write at most 10 lines of each kind; it does not compile before.

--- a/core/quota/ledger.go
+++ b/core/quota/ledger.go
@@ -22,6 +22,7 @@
 	history map[string]*counts
 	// complete is true once all instances have reported before the end of the first Window.
 	complete bool
+	refusals refusalLog
 }
 
 type member struct {
@@ -218,9 +219,14 @@
 		return 0, true
 	}
 	if m := l.members[instance]; m == nil || !m.joined {
+		l.refusals.add(workspace)
 		return Window / 2, false // It reports before its first request, unless it is of the previous build.
 	}
-	return l.bucket(now, workspace, rate, burst).reserve(now, rate*l.part(rate, burst))
+	wait, ok = l.bucket(now, workspace, rate, burst).reserve(now, rate*l.part(rate, burst))
+	if !ok {
+		l.refusals.add(workspace)
+	}
+	return wait, ok
 }
 
 // Send counts a reserved request as sent.
@@ -229,7 +235,7 @@
 	if b == nil {
 		return // It has no limit.
 	}
-	b.send()
+	b.send(now)
 	if l.history != nil {
 		l.historyOf(now, workspace).add(0, 1)
 	}
--- a/core/quota/quota.go
+++ b/core/quota/quota.go
@@ -46,6 +46,8 @@
 	owed    float64
 	owedAt  time.Duration
 	refused uint64
+	// sent counts the requests of the last Window.
+	sent counts
 }
 
 // refill brings the level up to date. now must not be before the last call.
@@ -83,7 +85,9 @@
 	return time.Duration(seconds * float64(time.Second))
 }
 
-func (b *bucket) send() {
+func (b *bucket) send(now time.Duration) {
+	b.sent.advance(now)
+	b.sent.add(0, 1)
 	b.level--
 	b.reserved = max(0, b.reserved-1)
 }
--- a/core/quota/shares.go
+++ b/core/quota/shares.go
@@ -26,6 +26,8 @@
 	// first is true if one request may be sent at once: the coordinator that was lost had been there for a Window.
 	first   bool
 	buckets map[string]*shareBucket
+
+	refusals refusalLog
 }
 
 type shareBucket struct {
@@ -104,15 +106,19 @@
 	}
 	b, share := s.bucket(now, workspace, rate, burst)
 	if b == nil {
+		s.refusals.add(workspace)
 		return Window / 2, false
 	}
-	return b.reserve(now, share)
+	if wait, ok = b.reserve(now, share); !ok {
+		s.refusals.add(workspace)
+	}
+	return wait, ok
 }
 
 // Send counts a reserved request as sent.
-func (s *Shares) Send(_ time.Duration, workspace, _ string) {
+func (s *Shares) Send(now time.Duration, workspace, _ string) {
 	if b := s.buckets[workspace]; b != nil {
-		b.send()
+		b.send(now)
 	}
 }
 
--- a/core/quota/usage.go
+++ b/core/quota/usage.go
@@ -45,6 +45,16 @@
 	return list
 }
 
+// total returns the number of requests in the last Window.
+func (c *counts) total(now time.Duration) int {
+	c.advance(now)
+	total := 0
+	for _, n := range c.list() {
+		total += int(n)
+	}
+	return total
+}
+
 // Usage counts what an instance has sent for each workspace in the last Window. The zero value is ready for use.
 type Usage struct {
 	workspaces map[string]*counts
--- a/internal/gateway/authenticate.go
+++ b/internal/gateway/authenticate.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"time"
 
 	"github.com/sirupsen/logrus"
 
@@ -10,7 +11,7 @@
 )
 
 // authenticate returns the workspace that a request's API key belongs to, nil for none, and whether the request may be served. It
-// removes the key from the headers that are sent on.
+// removes the key from the headers of one that may.
 func (h *requestHandler) authenticate(r *http.Request, v *view, matched *route.Route) (caller *workspace.Workspace, authorized bool) {
 	directory := v.table.Workspaces
 	if directory == nil {
@@ -20,16 +21,23 @@
 	if keys := r.Header.Values(h.config.Headers.APIKey); len(keys) == 1 {
 		caller = directory.Find(keys[0])
 	}
+	if caller == nil && !matched.AllowAnonymous {
+		return nil, false
+	}
 	r.Header.Del(h.config.Headers.APIKey)
-	return caller, caller != nil || matched.AllowAnonymous
+	return caller, true
 }
 
 // rejectKey responds to a request without a valid API key.
 func (h *requestHandler) rejectKey(w http.ResponseWriter, r *http.Request, matched *route.Route) {
-	h.log.WithFields(logrus.Fields{
-		"request": r.Header.Get(h.config.Headers.Request),
-		"route":   matched.Name,
-	}).Info("request without a valid API key")
+	if skipped, logs := h.refusals.take(time.Now(), matched.Name, http.StatusUnauthorized); logs {
+		h.log.WithFields(logrus.Fields{
+			"request": r.Header.Get(h.config.Headers.Request),
+			"route":   matched.Name,
+			"given":   r.Header.Values(h.config.Headers.APIKey) != nil,
+			"skipped": skipped,
+		}).Info("request without a valid API key")
+	}
 	if r.ContentLength != 0 {
 		// To keep the connection open, the server would read the body before it sends the response, and a caller may take its time.
 		w.Header().Set("Connection", "close")
--- a/internal/gateway/coordinator.go
+++ b/internal/gateway/coordinator.go
@@ -351,6 +351,7 @@
 		return
 	}
 	c.lastQueueLog = now
+	logRefusals(c.log, c.quota.Refusals(now), false)
 	for _, s := range c.services {
 		stats := s.pool.Stats(now)
 		c.log.WithFields(logrus.Fields{
--- a/internal/gateway/counters.go
+++ b/internal/gateway/counters.go
@@ -2,10 +2,13 @@
 
 import (
 	"expvar"
+	"net/http"
 	"sync"
 	"time"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"cuminlift/core/workspace"
 )
 
 // counters holds the metrics of one instance in expvar form. They are listed in docs/METRICS.md.
@@ -13,6 +16,7 @@
 	events     *expvar.Map
 	mutex      sync.Mutex
 	histograms map[string]*hdrhistogram.Histogram
+	workspaces workspace.Tally
 }
 
 // Range and precision of the latency histograms, in microseconds and digits.
@@ -37,6 +41,9 @@
 	c.events.Add("answered", 1)
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
+	if request.workspace != "" {
+		c.workspaces.Of(request.workspace).Answered++
+	}
 	h := c.histograms[request.service]
 	if h == nil {
 		h = hdrhistogram.New(minLatencyUs, maxLatencyUs, significantDigits)
@@ -62,3 +69,35 @@
 	}
 	return quantiles
 }
+
+// recordUnanswered counts a request of a workspace that got no answer of an upstream, by the status it got.
+func (c *counters) recordUnanswered(name string, status int) {
+	if name == "" {
+		return
+	}
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	counts := c.workspaces.Of(name)
+	switch status {
+	case http.StatusTooManyRequests:
+		counts.OverQuota++
+	case http.StatusServiceUnavailable:
+		counts.Refused++
+	default:
+		counts.Failed++
+	}
+}
+
+// largestWorkspaces is the number of workspaces with metrics of their own.
+const largestWorkspaces = 10
+
+// workspaceCounts returns the counts of the workspaces with the most requests, and the sum of the others.
+func (c *counters) workspaceCounts() any {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	largest, rest := c.workspaces.Largest(largestWorkspaces)
+	return map[string]any{
+		"largest": largest,
+		"rest":    rest,
+	}
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -252,6 +252,7 @@
 	vars := new(expvar.Map).Init()
 	vars.Set("events", g.counters.events)
 	vars.Set("latency-us", expvar.Func(g.counters.latencies))
+	vars.Set("workspaces", expvar.Func(g.counters.workspaceCounts))
 	vars.Set("upstream-connections", expvar.Func(func() any { return g.requestHandler.upstreamClient.Dials() }))
 	server := &http.Server{
 		Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -34,6 +34,8 @@
 	upstreams    map[string]*keyholder.Upstream
 	paths        map[string]*paths
 	requestCount int
+	// log receives the log lines of instances that are started from now on, nil for the default.
+	log io.Writer
 }
 
 type instance struct {
@@ -109,7 +111,7 @@
 		ParsePause:       platform.ParsePause,
 		ParseLeaving:     platform.ParseLeaving,
 		ProbeClient:      k.paths[name].client(),
-		Log:              testLog(),
+		Log:              k.logWriter(),
 	})
 	k.c.Assert(err, qt.IsNil)
 	ctx, stop := context.WithCancel(context.Background())
@@ -531,6 +533,13 @@
 }
 
 // testLog returns the log output of instances: standard error if CUMINLIFT_TEST_LOG is set, else none.
+func (k *cluster) logWriter() io.Writer {
+	if k.log != nil {
+		return k.log
+	}
+	return testLog()
+}
+
 func testLog() io.Writer {
 	if os.Getenv("CUMINLIFT_TEST_LOG") != "" {
 		return os.Stderr
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -33,6 +33,7 @@
 	paths       *pathMonitor
 	counters    *counters
 	buffers     *bodyBuffers
+	refusals    refusalSampler
 	// stopping is true once shutdown has begun.
 	stopping atomic.Bool
 
--- a/internal/gateway/quota.go
+++ b/internal/gateway/quota.go
@@ -3,6 +3,8 @@
 import (
 	"time"
 
+	"github.com/sirupsen/logrus"
+
 	"cuminlift/core/dispatch"
 	"cuminlift/core/quota"
 	"cuminlift/schema"
@@ -39,6 +41,7 @@
 		t.shares.Send(now, workspace, name)
 		return result
 	}
+	t.logRefusals(now)
 	t.reportEndLocked(result, request.GetService(), schema.TicketOutcome_abandoned, 0, nil)
 	return ticketResult{
 		id:         result.id,
@@ -47,6 +50,30 @@
 	}
 }
 
+// logRefusals logs which workspaces have exceeded their quotas. shares is true if the instance decided by its own shares.
+func logRefusals(log *logrus.Entry, refusals []quota.Refusal, shares bool) {
+	for _, r := range refusals {
+		log.WithFields(logrus.Fields{
+			"reason":    string(dispatch.OverQuota),
+			"workspace": r.Workspace,
+			"rate":      r.Rate,
+			"burst":     r.Burst,
+			"refused":   r.Refused,
+			"count":     r.Sent,
+			"age":       r.Age,
+			"shares":    shares,
+		}).Info("requests beyond the quota refused")
+	}
+}
+
+// logRefusals does so for this instance's shares, once per queueLogInterval.
+func (t *ticketClient) logRefusals(now time.Duration) {
+	if now-t.refusalsLoggedAt >= queueLogInterval {
+		t.refusalsLoggedAt = now
+		logRefusals(t.log, t.shares.Refusals(now), true)
+	}
+}
+
 // sendUsage tells a new coordinator what this instance has sent for each workspace. It must go before the first request.
 func (t *ticketClient) sendUsage(now time.Duration) {
 	message := &schema.QuotaUsage{
--- a/internal/gateway/quota_test.go
+++ b/internal/gateway/quota_test.go
@@ -1,8 +1,11 @@
 package gateway_test
 
 import (
+	"encoding/json"
 	"fmt"
+	"io"
 	"net/http"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -87,6 +90,70 @@
 	}
 }
 
+// lockedBuffer is a buffer for several writers.
+type lockedBuffer struct {
+	mutex sync.Mutex
+	data  strings.Builder
+}
+
+func (b *lockedBuffer) Write(data []byte) (int, error) {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	return b.data.Write(data)
+}
+
+func (b *lockedBuffer) String() string {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	return b.data.String()
+}
+
+// A workspace beyond its quota fills the log, or neither log nor metrics tell why it was refused, or they disclose its key.
+func TestRefusalsAreToldByLogAndMetrics(t *testing.T) {
+	c := qt.New(t)
+	k := newCluster(c, 0)
+	log := &lockedBuffer{}
+	k.log = log
+	k.record()
+	k.configureWorkspaces(1, strings.ReplaceAll(limitedWorkspaces, "key-1", "secret-key"))
+	metrics := freeAddress(c)
+	k.startWithMetrics("n0", metrics)
+	eventually(func() bool {
+		status, _ := k.call(k.front("n0"), "/read/x", "Api-Key", "key-2")
+		return status == http.StatusOK
+	})
+	const length = 3 * time.Second
+	statuses, _ := k.flood("secret-key", 5*time.Millisecond, length)
+	unknown, _ := k.flood("unknown-key", 5*time.Millisecond, length)
+	eventually(func() bool { return strings.Contains(log.String(), "requests beyond the quota refused") })
+	lines := log.String()
+	for _, message := range []string{"requests beyond the quota refused", "request given up", "request without a valid API key"} {
+		n := strings.Count(lines, message)
+		c.Check(n > 0 && n <= 10, qt.IsTrue, qt.Commentf("%d lines %q", n, message))
+	}
+	for _, detail := range []string{"workspace=limited", "rate=4", "burst=2", "status=429", "given=true"} {
+		c.Check(strings.Contains(lines, detail), qt.IsTrue, qt.Commentf("%s", detail))
+	}
+	response, err := http.Get("http://" + metrics)
+	c.Assert(err, qt.IsNil)
+	defer response.Body.Close()
+	text, err := io.ReadAll(response.Body)
+	c.Assert(err, qt.IsNil)
+	c.Check(strings.Contains(lines+string(text), "secret-key"), qt.IsFalse)
+	c.Check(strings.Contains(lines+string(text), "unknown-key"), qt.IsFalse)
+	var decoded struct {
+		Events     map[string]int
+		Workspaces struct {
+			Largest map[string]map[string]int
+		}
+	}
+	c.Assert(json.Unmarshal(text, &decoded), qt.IsNil)
+	c.Check(decoded.Events["refused-401"], qt.Equals, unknown[http.StatusUnauthorized])
+	c.Check(decoded.Events["refused-429"], qt.Equals, statuses[http.StatusTooManyRequests])
+	c.Check(decoded.Workspaces.Largest["limited"]["over-quota"], qt.Equals, statuses[http.StatusTooManyRequests])
+	c.Check(decoded.Workspaces.Largest["limited"]["answered"], qt.Equals, statuses[http.StatusOK])
+}
+
 // A coordinator of the previous build, which counts nothing, leaves a workspace without its quota.
 func TestInstanceCountsWhatTheCoordinatorDoesNot(t *testing.T) {
 	for _, counted := range []bool{false, true} {
--- a/internal/gateway/response.go
+++ b/internal/gateway/response.go
@@ -76,7 +76,13 @@
 	if status == http.StatusServiceUnavailable && reason == string(dispatch.OverQuota) {
 		status = http.StatusTooManyRequests
 	}
-	h.log.WithFields(logrus.Fields{
+	h.counters.recordUnanswered(c.workspace, status)
+	skipped, logs := h.refusals.take(time.Now(), c.workspace, status)
+	if !logs {
+		h.respondError(w, status, reason, retryDelay)
+		return
+	}
+	fields := logrus.Fields{
 		"request":  c.requestID,
 		"content":  formatFingerprint(c.identity.Content),
 		"route":    c.route.Name,
@@ -88,7 +94,11 @@
 		"status":   status,
 		"after":    retryDelay,
 		"held":     time.Since(c.receivedAt),
-	}).Warn("request given up")
+	}
+	if c.workspace != "" {
+		fields["workspace"], fields["skipped"] = c.workspace, skipped
+	}
+	h.log.WithFields(fields).Warn("request given up")
 	h.respondError(w, status, reason, retryDelay)
 }
 
--- a/internal/gateway/tickets.go
+++ b/internal/gateway/tickets.go
@@ -88,6 +88,8 @@
 	shares    *quota.Shares
 	usage     quota.Usage
 	startedAt time.Duration
+	// refusalsLoggedAt is when requests beyond the shares were last logged.
+	refusalsLoggedAt time.Duration
 	// relays are the instances that may send requests for this one.
 	relays paths.Relays
 	// failedUpstreams returns the number of upstreams that this instance does not reach.
@@ -275,6 +277,9 @@
 		if decision.Upstream != "" {
 			t.noteGranted(now, w.request)
 		}
+		if decision.Reason == dispatch.OverQuota {
+			t.logRefusals(now)
+		}
 		w.result <- ticketResult{
 			id:          decision.Ticket.ID,
 			upstream:    decision.Upstream,
