--- a/internal/gateway/counters.go
+++ b/internal/gateway/counters.go
@@ -3,6 +3,7 @@
 import (
 	"expvar"
 	"maps"
+	"net/http"
 	"sync"
 	"time"
 
@@ -10,6 +11,7 @@
 
 	"cuminlift/core/cost"
 	"cuminlift/core/dispatch"
+	"cuminlift/core/workspace"
 )
 
 // counters holds the metrics of one instance in expvar form. They are listed in docs/METRICS.md.
@@ -18,7 +20,8 @@
 	mutex      sync.Mutex
 	histograms map[string]*hdrhistogram.Histogram
 	// costs holds the cost of requests by service and class, as last set by the coordinator.
-	costs map[string]map[string]map[string]int64
+	costs      map[string]map[string]map[string]int64
+	workspaces workspace.Tally
 }
 
 // Range and precision of the latency histograms, in microseconds and digits.
@@ -43,6 +46,9 @@
 	c.events.Add("answered", 1)
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
+	if request.workspace != "" {
+		c.workspaces.Of(request.workspace).Answered++
+	}
 	h := c.histograms[request.service]
 	if h == nil {
 		h = hdrhistogram.New(minLatencyUs, maxLatencyUs, significantDigits)
@@ -104,3 +110,35 @@
 	}
 	return quantiles
 }
+
+// recordUnanswered counts a request of a workspace that got no answer of an upstream, by the status it got.
+func (c *counters) recordUnanswered(name string, status int) {
+	if name == "" {
+		return
+	}
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	counts := c.workspaces.Of(name)
+	switch status {
+	case http.StatusTooManyRequests:
+		counts.OverQuota++
+	case http.StatusServiceUnavailable:
+		counts.Refused++
+	default:
+		counts.Failed++
+	}
+}
+
+// largestWorkspaces is the number of workspaces with metrics of their own.
+const largestWorkspaces = 10
+
+// workspaceCounts returns the counts of the workspaces with the most requests, and the sum of the others.
+func (c *counters) workspaceCounts() any {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	largest, rest := c.workspaces.Largest(largestWorkspaces)
+	return map[string]any{
+		"largest": largest,
+		"rest":    rest,
+	}
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -251,6 +251,7 @@
 	vars.Set("latency-us", expvar.Func(g.counters.latencies))
 	vars.Set("buffered-bytes", expvar.Func(func() any { return g.requestHandler.buffers.budget.Used() }))
 	vars.Set("cost", expvar.Func(g.counters.requestCosts))
+	vars.Set("workspaces", expvar.Func(g.counters.workspaceCounts))
 	vars.Set("upstream-connections", expvar.Func(func() any { return g.requestHandler.upstreamClient.Dials() }))
 	server := &http.Server{
 		Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
