core/dispatch: the requests that one upstream holds are bounded in bytes

Cause: an upstream ends when the requests that it holds exceed its memory. Slots bound their number only, and each such end makes innocent requests suspects, which are then tried one at a time and rejected.

Change: with Config.BoundHeldBytes (Settings.ReadAhead), bodies sent to a start of an upstream are summed up to a bound that starts at 4 MB, grows with what was answered, and is learned anew at each start. An end under more than was proven bounds the service's upstreams for a minute at 80% of it, and is not attributed to its requests where the tickets are granted. The statistics line names the bound.

Requests without a body or of 4 KB are served as before.

--- a/core/dispatch/decide.go
+++ b/core/dispatch/decide.go
@@ -95,7 +95,7 @@
 			if u == nil {
 				u = p.selectUpstream(now, t, v.Suspected)
 			}
-			if u == nil || (v.Suspected && !p.mayTry(t, u)) || u.pauses.remaining(now, t.Instance) > 0 || now+time.Duration(minRemainingShare*float64(u.typicalLatency())) >= t.Deadline {
+			if u == nil || (v.Suspected && !p.mayTry(t, u)) || u.pauses.remaining(now, t.Instance) > 0 || !p.mayHold(now, t, u) || now+time.Duration(minRemainingShare*float64(u.typicalLatency())) >= t.Deadline {
 				i++
 				continue
 			}
@@ -137,6 +137,7 @@
 		instance:    t.Instance,
 		identity:    t.Identity,
 		trial:       suspected,
+		held:        u.hold(t),
 	}
 	if suspected {
 		u.trials++
@@ -213,7 +214,7 @@
 	medianLatency := p.medianLatency(now)
 	localOnly := t.Bulk && p.waitsForLocalZone(now, t)
 	for _, u := range p.sorted {
-		if u.freeSlots(now, p) <= 0 || (suspected && u.trials > 0) || (localOnly && u.state.Zone != t.Zone) || u.pauses.remaining(now, t.Instance) > 0 {
+		if u.freeSlots(now, p) <= 0 || (suspected && u.trials > 0) || (localOnly && u.state.Zone != t.Zone) || u.pauses.remaining(now, t.Instance) > 0 || !p.mayHold(now, t, u) {
 			continue
 		}
 		cost := float64(u.estimateLatency(now, medianLatency))
--- a/core/dispatch/end.go
+++ b/core/dispatch/end.go
@@ -39,6 +39,7 @@
 	}
 	heldSlot := p.releaseSlot(now, granted, id, report)
 	delete(p.running, id)
+	p.endHeld(now, granted, outcome)
 	if granted.trial {
 		u.trials--
 		p.config.Suspects.endTrial(granted.identity)
--- a/core/dispatch/pool.go
+++ b/core/dispatch/pool.go
@@ -26,6 +26,8 @@
 	Owners Owners
 	// Suspects is shared by the pools of all services. If it is nil, the pool has its own.
 	Suspects *Suspects
+	// BoundHeldBytes bounds the size of the requests that one upstream holds.
+	BoundHeldBytes bool
 }
 
 // Pool queues the requests of one service and assigns them to its upstreams. It is not safe for concurrent use.
@@ -56,6 +58,8 @@
 	pausedUntil time.Duration
 	// median caches the result of medianLatency, 0 for none, and medianAt is when it was computed.
 	median, medianAt time.Duration
+	// heldCeiling bounds what upstreams hold after one has ended.
+	heldCeiling heldCeiling
 }
 
 // assignment is what a running ticket was granted.
@@ -68,6 +72,7 @@
 	identity    request.Identity
 	// trial is true if the request was suspected to crash upstreams when it was sent.
 	trial bool
+	held  heldTicket
 }
 
 // NewPool returns a pool without upstreams.
@@ -140,6 +145,7 @@
 	if u == nil {
 		u = &upstream{
 			running: map[uint64]time.Duration{},
+			held:    &heldBytes{},
 		}
 		u.queue = &queue{
 			owner: u,
@@ -148,7 +154,7 @@
 	}
 	if newIncarnation {
 		u.blockCount, u.blockedUntil, u.failureRate, u.suspect, u.latency = 0, 0, 0, false, 0
-		u.limiter, u.pauses = limiter{}, pauses{}
+		u.limiter, u.pauses, u.held = limiter{}, pauses{}, &heldBytes{}
 	}
 	if (newIncarnation && p.initialized) || returned {
 		u.coldUntil = now + max(state.ColdRemaining, p.service.ColdDuration)
--- a/core/dispatch/stats.go
+++ b/core/dispatch/stats.go
@@ -14,6 +14,8 @@
 	MedianLatency time.Duration
 	// Overcommit is the number of requests sent to an upstream beyond its slots, as a fraction of the slots.
 	Overcommit float64
+	// HeldBound is the bound on the bytes that an upstream holds after one of them has ended under more, 0 for none.
+	HeldBound int64
 	// Sent and Refused count decisions since the pool was created.
 	Sent, Refused uint64
 }
@@ -28,6 +30,9 @@
 		Sent:          p.sent,
 		Refused:       p.refused,
 	}
+	if now < p.heldCeiling.until {
+		stats.HeldBound = p.heldCeiling.bytes
+	}
 	for _, u := range p.sorted {
 		if !u.state.Usable {
 			continue
--- a/core/dispatch/suspects.go
+++ b/core/dispatch/suspects.go
@@ -52,6 +52,8 @@
 	trials map[uint64]int
 	// changed holds the fingerprints that have changed since the last call of TakeAnnouncements.
 	changed map[uint64]bool
+	// excused holds the starts of upstreams that ended for lack of memory, the latest last.
+	excused []Crash
 }
 
 type suspect struct {
@@ -269,7 +271,7 @@
 	}
 	before := len(known)
 	for _, crash := range crashes {
-		if !slices.ContainsFunc(known, crash.sameStart) {
+		if !slices.ContainsFunc(known, crash.sameStart) && !s.isExcused(crash) {
 			known = append(known, crash)
 		}
 	}
--- a/core/dispatch/upstream.go
+++ b/core/dispatch/upstream.go
@@ -50,6 +50,8 @@
 	pauses  pauses
 	// trials is the number of running tickets that were suspected to crash upstreams when they were sent, at most one.
 	trials int
+	// held is what this start of the upstream holds.
+	held *heldBytes
 }
 
 const (
--- a/internal/gateway/coordinator.go
+++ b/internal/gateway/coordinator.go
@@ -363,6 +363,7 @@
 			"sent":        stats.Sent,
 			"refused":     stats.Refused,
 			"events":      len(c.ticketEvents),
+			"held-bound":  stats.HeldBound,
 		}).Info("queue statistics")
 	}
 }
--- a/internal/gateway/pools.go
+++ b/internal/gateway/pools.go
@@ -35,6 +35,8 @@
 		RetryRatio:  settings.RetryRatio,
 		RetrySlack:  settings.RetrySlack,
 		RetryWindow: settings.RetryWindow,
+
+		BoundHeldBytes: settings.ReadAhead,
 	}
 }
 
