--- a/core/dispatch/place.go
+++ b/core/dispatch/place.go
@@ -56,7 +56,7 @@
 	if u == nil {
 		u = p.place(now, t, v.Suspected)
 	}
-	if u == nil || (v.Suspected && !p.mayTry(t, u)) || u.pauses.remaining(now, t.Instance) > 0 {
+	if u == nil || (v.Suspected && !p.mayTry(t, u)) || u.closedFor(now, t.Instance) > 0 || !p.mayHold(now, t, u) {
 		return Decision{}, false
 	}
 	mean, _ := t.kind.expect(now, t)
@@ -87,7 +87,7 @@
 	mean, usual := t.kind.expect(now, t)
 	localOnly := t.Bulk && p.waitsForLocalZone(now, t)
 	for _, u := range p.sorted {
-		if u.freeSlots(now, p) <= 0 || (suspected && u.trials > 0) || (localOnly && u.state.Zone != t.Zone) || u.pauses.remaining(now, t.Instance) > 0 {
+		if u.freeSlots(now, p) <= 0 || (suspected && u.trials > 0) || (localOnly && u.state.Zone != t.Zone) || u.closedFor(now, t.Instance) > 0 || !p.mayHold(now, t, u) {
 			continue
 		}
 		if !u.acceptsExtra(now, p, mean) {
--- a/core/dispatch/pool.go
+++ b/core/dispatch/pool.go
@@ -31,6 +31,8 @@
 	Quota Quota
 	// Promised returns the rate promised to a workspace. It is nil if none is.
 	Promised func(workspace string) (rate, burst float64, limited bool)
+	// BoundHeldBytes bounds the size of the requests that one upstream holds.
+	BoundHeldBytes bool
 }
 
 // Pool queues the requests of one service and assigns them to its upstreams. It is not safe for concurrent use.
@@ -72,6 +74,8 @@
 	shortest time.Duration
 	// stretches is a buffer.
 	stretches []float64
+	// heldCeiling bounds what upstreams hold after one has ended.
+	heldCeiling heldCeiling
 }
 
 // assignment is what a running ticket was granted.
@@ -92,6 +96,7 @@
 	bytes                 int
 	// workspace was charged for the request; it is empty for none.
 	workspace string
+	held      heldTicket
 }
 
 // NewPool returns a pool without upstreams.
@@ -165,6 +170,7 @@
 	if u == nil {
 		u = &upstream{
 			running: map[uint64]time.Duration{},
+			held:    &heldBytes{},
 		}
 		u.queue = &queue{
 			owner: u,
@@ -174,7 +180,7 @@
 	if newIncarnation {
 		u.blockCount, u.blockedUntil, u.failureRate, u.suspect, u.latency = 0, 0, 0, false, 0
 		u.learned, u.learnedSamples = 0, 0
-		u.limiter, u.pauses, u.withheld = limiter{}, pauses{}, pauses{}
+		u.limiter, u.pauses, u.withheld, u.held = limiter{}, pauses{}, pauses{}, &heldBytes{}
 		u.speed, u.backlog = cost.Speed{}, backlog{}
 	}
 	if (newIncarnation && p.initialized) || returned {
--- a/core/dispatch/stats.go
+++ b/core/dispatch/stats.go
@@ -16,6 +16,8 @@
 	MedianLatency time.Duration
 	// Overcommit is the number of requests sent to an upstream beyond its slots, as a fraction of the slots.
 	Overcommit float64
+	// HeldBound is the bound on the bytes that an upstream holds after one of them has ended under more, 0 for none.
+	HeldBound int64
 	// Sent and Refused count decisions since the pool was created.
 	Sent, Refused uint64
 	// Predicted and Observed add up in what times requests were expected to be answered when they were sent, and what they took.
@@ -38,6 +40,9 @@
 		stats.Observed += class.Observed
 		stats.PredictionError += class.Error
 	})
+	if now < p.heldCeiling.until {
+		stats.HeldBound = p.heldCeiling.bytes
+	}
 	for _, u := range p.sorted {
 		if !u.state.Usable {
 			continue
--- a/core/dispatch/upstream.go
+++ b/core/dispatch/upstream.go
@@ -64,6 +64,8 @@
 	backlog backlog
 	// expected holds the running tickets of known kinds.
 	expected []runningTicket
+	// held is what this start of the upstream holds.
+	held *heldBytes
 }
 
 const (
--- a/internal/gateway/coordinator.go
+++ b/internal/gateway/coordinator.go
@@ -381,6 +381,7 @@
 			"predicted":   stats.Predicted,
 			"observed":    stats.Observed,
 			"error":       stats.PredictionError,
+			"held-bound":  stats.HeldBound,
 		}).Info("queue statistics")
 		c.counters.setCosts(s.name, s.pool.Pool)
 	}
