--- a/core/dispatch/decide.go
+++ b/core/dispatch/decide.go
@@ -98,7 +98,7 @@
 			if u == nil {
 				u = p.selectUpstream(now, t, v.Suspected)
 			}
-			if u == nil || (v.Suspected && !p.mayTry(t, u)) || u.closedFor(now, t.Instance) > 0 || now+time.Duration(minRemainingShare*float64(u.typicalLatency())) >= t.Deadline {
+			if u == nil || (v.Suspected && !p.mayTry(t, u)) || u.closedFor(now, t.Instance) > 0 || !p.mayHold(now, t, u) || now+time.Duration(minRemainingShare*float64(u.typicalLatency())) >= t.Deadline {
 				i++
 				continue
 			}
@@ -132,6 +132,7 @@
 
 func (p *Pool) send(now time.Duration, t *Ticket, u *upstream, suspected bool) Decision {
 	workspace := p.chargeQuota(now, t)
+	t.fairGap = 0
 	p.dequeue(t)
 	granted := assignment{
 		upstream:    u,
@@ -141,6 +142,7 @@
 		identity:    t.Identity,
 		trial:       suspected,
 		workspace:   workspace,
+		held:        u.hold(t),
 	}
 	p.predict(now, t, &granted)
 	u.recordSend(now, t.ID, p)
@@ -230,7 +232,7 @@
 	medianLatency := p.medianLatency(now)
 	localOnly := t.Bulk && p.waitsForLocalZone(now, t)
 	for _, u := range p.sorted {
-		if u.freeSlots(now, p) <= 0 || (suspected && u.trials > 0) || (localOnly && u.state.Zone != t.Zone) || u.closedFor(now, t.Instance) > 0 {
+		if u.freeSlots(now, p) <= 0 || (suspected && u.trials > 0) || (localOnly && u.state.Zone != t.Zone) || u.closedFor(now, t.Instance) > 0 || !p.mayHold(now, t, u) {
 			continue
 		}
 		cost := float64(u.estimateLatency(now, medianLatency))
--- a/core/dispatch/end.go
+++ b/core/dispatch/end.go
@@ -1,6 +1,9 @@
 package dispatch
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // Head releases the slot of a ticket whose response headers have arrived, because the upstream has finished its work by
 // then. End must still be called.
@@ -27,6 +30,7 @@
 	}
 	delete(u.running, id)
 	u.backlog.valid = false
+	u.expected = slices.DeleteFunc(u.expected, func(e runningTicket) bool { return e.id == id })
 	p.markDirty(u.queue)
 	p.markDirty(p.shared)
 	return true
@@ -42,6 +46,7 @@
 	heldSlot := p.releaseSlot(now, granted, id, report)
 	delete(p.running, id)
 	p.refundQuota(granted, outcome, took)
+	p.endHeld(now, granted, outcome)
 	if granted.trial {
 		u.trials--
 		p.config.Suspects.endTrial(granted.identity)
--- a/core/dispatch/pool.go
+++ b/core/dispatch/pool.go
@@ -29,6 +29,10 @@
 	Suspects *Suspects
 	// Quota is shared by the pools of all services. It is nil if workspaces have no quotas.
 	Quota Quota
+	// Promised returns the rate promised to a workspace. It is nil if none is.
+	Promised func(workspace string) (rate, burst float64, limited bool)
+	// BoundHeldBytes bounds the size of the requests that one upstream holds.
+	BoundHeldBytes bool
 }
 
 // Pool queues the requests of one service and assigns them to its upstreams. It is not safe for concurrent use.
@@ -47,6 +51,7 @@
 	lastSweep   time.Duration
 	running     map[uint64]assignment
 	budget      *budget
+	fair        fairShares
 	initialized bool
 	refusals    []Decision
 	// ownerWait is how long a request waits for its key to get an owner.
@@ -65,8 +70,12 @@
 	// factor and capacity cache the results of usualFactor, computed at factorAt, 0 for none.
 	factor, capacity float64
 	factorAt         time.Duration
+	// shortest is the least mean work of a kind that has been used lately, computed with factor.
+	shortest time.Duration
 	// stretches is a buffer.
 	stretches []float64
+	// heldCeiling bounds what upstreams hold after one has ended.
+	heldCeiling heldCeiling
 }
 
 // assignment is what a running ticket was granted.
@@ -87,6 +96,7 @@
 	bytes                 int
 	// workspace was charged for the request; it is empty for none.
 	workspace string
+	held      heldTicket
 }
 
 // NewPool returns a pool without upstreams.
@@ -160,6 +170,7 @@
 	if u == nil {
 		u = &upstream{
 			running: map[uint64]time.Duration{},
+			held:    &heldBytes{},
 		}
 		u.queue = &queue{
 			owner: u,
@@ -169,7 +180,7 @@
 	if newIncarnation {
 		u.blockCount, u.blockedUntil, u.failureRate, u.suspect, u.latency = 0, 0, 0, false, 0
 		u.learned, u.learnedSamples = 0, 0
-		u.limiter, u.pauses, u.withheld = limiter{}, pauses{}, pauses{}
+		u.limiter, u.pauses, u.withheld, u.held = limiter{}, pauses{}, pauses{}, &heldBytes{}
 		u.speed, u.backlog = cost.Speed{}, backlog{}
 	}
 	if (newIncarnation && p.initialized) || returned {
@@ -194,6 +205,8 @@
 func (p *Pool) Submit(now time.Duration, t *Ticket) {
 	t.arrived = now
 	p.order(now, t)
+	behind := p.putBack(now, t)
+	t.rank += behind
 	if t.Attempt == 0 && !t.Returned {
 		p.budget.countRequest(now)
 	}
@@ -210,6 +223,9 @@
 		q.countArrival(now, t)
 	}
 	wait, work := p.expectedWait(now, t, q)
+	if wait > 0 {
+		wait = max(wait, behind) // Others use the capacity until then.
+	}
 	own, others := p.pauseOf(now, t, q)
 	if t.Attempt > 0 && !t.Unsent && !t.Returned && !p.budget.take(now) {
 		p.refuse(now, t, NoBudget, max(wait, others), work)
@@ -337,6 +353,7 @@
 	}
 	delete(p.tickets, t.ID)
 	p.cancelQuota(t)
+	p.uncountFair(t)
 }
 
 // Waiting returns the number of queued tickets.
@@ -346,6 +363,7 @@
 
 func (p *Pool) refuse(now time.Duration, t *Ticket, reason Reason, wait, work time.Duration) {
 	p.cancelQuota(t)
+	p.uncountFair(t)
 	delay := retryAfter(wait, work)
 	switch {
 	case reason == NoOwner:
--- a/core/dispatch/upstream.go
+++ b/core/dispatch/upstream.go
@@ -62,6 +62,10 @@
 	// speed and backlog are used on services with mixed kinds.
 	speed   cost.Speed
 	backlog backlog
+	// expected holds the running tickets of known kinds.
+	expected []runningTicket
+	// held is what this start of the upstream holds.
+	held *heldBytes
 }
 
 const (
--- a/core/dispatch/withhold_test.go
+++ b/core/dispatch/withhold_test.go
@@ -1,19 +1,29 @@
 package dispatch_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
 	qt "github.com/frankban/quicktest"
 
 	"cuminlift/core/dispatch"
+	"cuminlift/core/route"
 )
 
 // TestUpstreamOfAReturnedTicketIsNotGrantedAgain guards against a coordinator with outdated tables that grants an upstream in an evacuated
 // zone again and again to an instance that returns the tickets.
 func TestUpstreamOfAReturnedTicketIsNotGrantedAgain(t *testing.T) {
-	c := qt.New(t)
+	for _, mixed := range []bool{false, true} {
+		t.Run(fmt.Sprint("mixed ", mixed), func(t *testing.T) { checkReturnedTicket(qt.New(t), mixed) })
+	}
+}
+
+func checkReturnedTicket(c *qt.C, mixed bool) {
 	p := newPool(dispatch.Share{})
+	p.SetService(route.Service{
+		Mixed: mixed,
+	})
 	p.SetUpstreams(0, states(2))
 	grant := func(id uint64, now time.Duration, instance string) string {
 		request := ticket(id, now)
--- a/internal/gateway/coordinator.go
+++ b/internal/gateway/coordinator.go
@@ -67,8 +67,9 @@
 	// spread holds the upstreams of which all instances have been told that they leave.
 	departures departureKeeper
 	spread     roster.Departures
-	// paths are those of this instance.
-	paths *pathMonitor
+	// paths are those of this instance, and counters its metrics.
+	paths    *pathMonitor
+	counters *counters
 	// relaysDueAt is when instances may next be told of relays, and lastRelays are those that they were told of.
 	relaysDueAt time.Duration
 	lastRelays  []paths.Relay
@@ -359,6 +360,7 @@
 		return
 	}
 	c.lastQueueLog = now
+	logRefusals(c.log, c.quota.Refusals(now), false)
 	for _, s := range c.services {
 		stats := s.pool.Stats(now)
 		c.log.WithFields(logrus.Fields{
@@ -376,7 +378,12 @@
 			"sent":        stats.Sent,
 			"refused":     stats.Refused,
 			"events":      len(c.ticketEvents),
+			"predicted":   stats.Predicted,
+			"observed":    stats.Observed,
+			"error":       stats.PredictionError,
+			"held-bound":  stats.HeldBound,
 		}).Info("queue statistics")
+		c.counters.setCosts(s.name, s.pool.Pool)
 	}
 }
 
@@ -394,6 +401,7 @@
 		config := poolConfig(c.config.Settings, dispatch.Share{})
 		config.Suspects = c.suspects
 		config.Quota = c.quota
+		config.Promised = quotaLimits(c.view)
 		if keyed {
 			config.Owners = s
 			c.loadAssignment(s)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -107,6 +107,7 @@
 		config:       config,
 		clock:        config.Clock,
 		log:          loggers.For("ownership"),
+		counters:     g.counters,
 		ticketClient: g.ticketClient,
 		view:         g.follower.view,
 		tables:       g.ticketClient.tables,
@@ -249,6 +250,8 @@
 	vars.Set("events", g.counters.events)
 	vars.Set("latency-us", expvar.Func(g.counters.latencies))
 	vars.Set("buffered-bytes", expvar.Func(func() any { return g.requestHandler.buffers.budget.Used() }))
+	vars.Set("cost", expvar.Func(g.counters.requestCosts))
+	vars.Set("workspaces", expvar.Func(g.counters.workspaceCounts))
 	vars.Set("upstream-connections", expvar.Func(func() any { return g.requestHandler.upstreamClient.Dials() }))
 	server := &http.Server{
 		Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
--- a/internal/gateway/tickets.go
+++ b/internal/gateway/tickets.go
@@ -105,6 +105,8 @@
 	shares    *quota.Shares
 	usage     quota.Usage
 	startedAt time.Duration
+	// refusalsLoggedAt is when requests beyond the shares were last logged.
+	refusalsLoggedAt time.Duration
 	// relays are the instances that may send requests for this one.
 	relays paths.Relays
 	// failedUpstreams returns the number of upstreams that this instance does not reach.
@@ -264,6 +266,7 @@
 		config := poolConfig(t.config.Settings, share)
 		config.Suspects = t.suspects
 		config.Quota = t.shares
+		config.Promised = quotaLimits(t.view)
 		if keyed {
 			config.Owners = t.keyOwners(service)
 		}
@@ -308,6 +311,9 @@
 		if decision.Upstream != "" {
 			t.noteGranted(now, w.request)
 		}
+		if decision.Reason == dispatch.OverQuota {
+			t.logRefusals(now)
+		}
 		t.grant(now, w, ticketResult{
 			id:          decision.Ticket.ID,
 			upstream:    decision.Upstream,
