core/cost, core/dispatch: the scale of the work holds; figures that change slowly are kept

Factors, quantiles and decays were computed for each request. Change: the bound is divided out; an observation counts by its ratio, whatever its kind; sums over the histogram, sizes and keys are renewed after some samples.

--- a/core/cost/class.go
+++ b/core/cost/class.go
@@ -37,6 +37,11 @@
 	// Error adds up the absolute differences between the two.
 	Error time.Duration
 
+	// bounded is the mean of works relative to their mean if each counts at most maxStretch times as much. uneven is true if a size
+	// or a key stands out. Both change slowly and are computed for each of refreshSamples samples.
+	bounded float64
+	uneven  bool
+
 	sizes [sizeCount]ratio
 	keys  []keyRatio
 }
@@ -69,6 +74,7 @@
 		mean = defaultWork
 	}
 	class.Work.seed(mean, mean, priorWeight)
+	class.refresh()
 	return class
 }
 
@@ -86,6 +92,9 @@
 
 // Factor returns the work of a request with a key (0 for none) and a body of a size relative to the mean of its class.
 func (c *Class) Factor(key uint32, bytes int) float64 {
+	if !c.uneven {
+		return 1
+	}
 	factor := c.sizes[sizeOf(bytes)].factor()
 	if entry := c.key(key); entry != nil {
 		factor *= entry.factor()
@@ -105,6 +114,9 @@
 		size.add(share)
 	}
 	c.Work.Add(now, work)
+	if c.Samples%refreshSamples == 0 {
+		c.refresh()
+	}
 }
 
 // Compare records in what time a request was expected to be answered when it was sent, and the time that it took.
@@ -114,6 +126,20 @@
 	c.Error += (observed - predicted).Abs()
 }
 
+// refreshSamples is the number of samples after which slowly changing figures of a class are computed again.
+const refreshSamples = 16
+
+func (c *Class) refresh() {
+	c.bounded = c.Work.boundedShare(maxStretch)
+	c.uneven = false
+	for i := range c.sizes {
+		c.uneven = c.uneven || c.sizes[i].factor() != 1
+	}
+	for i := range c.keys {
+		c.uneven = c.uneven || c.keys[i].factor() != 1
+	}
+}
+
 // Classes calls yield with each class, in no particular order.
 func (m *Model) Classes(yield func(class *Class)) {
 	for _, class := range m.classes {
--- a/core/cost/distribution.go
+++ b/core/cost/distribution.go
@@ -18,6 +18,8 @@
 	maxWeight = 200
 	// memory is the time after which an observation has lost 63% of its weight.
 	memory = 60 * time.Second
+	// leastForgotten is the time after which old observations lose weight, which is not done for each new one.
+	leastForgotten = time.Second
 	// leastWeight is what remains of old observations: a class that is rarely used keeps its estimate until it is used again.
 	leastWeight = 3
 )
@@ -30,9 +32,10 @@
 	sum float64
 	// forgottenAt is when old observations last lost weight.
 	forgottenAt time.Duration
-	// above and aboveSum are the weight and the sum of the works in and above each bucket. They are valid if current is true.
+	// above and aboveSum are the weight and the sum of the works in and above each bucket. changed is the weight that was added since
+	// they were computed.
 	above, aboveSum [bucketCount + 1]float64
-	current         bool
+	changed         float64
 }
 
 func bucketOf(work time.Duration) int {
@@ -60,29 +63,23 @@
 	d.weights[bucketOf(work)] += weight
 	d.total += weight
 	d.sum += weight * work.Seconds()
-	d.current = false
+	d.changed += weight
 }
 
 // forget reduces the weight of old observations.
 func (d *Distribution) forget(now time.Duration) {
-	factor := 1.0
-	if now > d.forgottenAt {
-		factor = math.Exp(-(now - d.forgottenAt).Seconds() / memory.Seconds())
-		d.forgottenAt = now
-	}
-	factor = max(factor, min(1, leastWeight/d.total))
-	if d.total*factor > maxWeight {
-		factor = maxWeight / d.total
-	}
-	if factor > 1-1e-4 {
+	age := max(now-d.forgottenAt, 0)
+	if age < leastForgotten && d.total < maxWeight*(1+maxChanged) {
 		return
 	}
+	d.forgottenAt = now
+	factor := max(math.Exp(-age.Seconds()/memory.Seconds()), min(1, leastWeight/d.total))
+	factor = min(factor, maxWeight/d.total)
 	for i := range d.weights {
 		d.weights[i] *= factor
 	}
 	d.total *= factor
 	d.sum *= factor
-	d.current = false
 }
 
 // seedPoints are quantiles of the standard normal distribution with equal weight.
@@ -129,7 +126,7 @@
 func (d *Distribution) Quantile(fraction float64) time.Duration {
 	d.refresh()
 	for i := range d.weights {
-		if d.total-d.above[i+1] >= fraction*d.total {
+		if d.above[0]-d.above[i+1] >= fraction*d.above[0] {
 			return time.Duration(bucketWorks[i] * float64(time.Second))
 		}
 	}
@@ -152,11 +149,25 @@
 	return max(0, time.Duration(d.aboveSum[bucket]/d.above[bucket]*float64(time.Second))-done)
 }
 
+// boundedShare returns the mean of the works relative to their mean if each counts at most a multiple of it.
+func (d *Distribution) boundedShare(multiple float64) float64 {
+	d.refresh()
+	if d.aboveSum[0] == 0 {
+		return 1
+	}
+	mean := d.aboveSum[0] / d.above[0]
+	bucket := bucketOf(time.Duration(multiple * mean * float64(time.Second)))
+	return (d.aboveSum[0] - d.aboveSum[bucket] + multiple*mean*d.above[bucket]) / d.aboveSum[0]
+}
+
+// maxChanged is the part of the observations that may be new since above was computed.
+const maxChanged = 0.02
+
 func (d *Distribution) refresh() {
-	if d.current {
+	if d.changed <= maxChanged*d.total {
 		return
 	}
-	d.current = true
+	d.changed = 0
 	for i := bucketCount - 1; i >= 0; i-- {
 		d.above[i] = d.above[i+1] + d.weights[i]
 		d.aboveSum[i] = d.aboveSum[i+1] + d.weights[i]*bucketWorks[i]
--- a/core/cost/speed.go
+++ b/core/cost/speed.go
@@ -24,8 +24,8 @@
 
 // Speed describes how long work takes at one upstream, relative to an upstream of average speed. The zero value is average.
 type Speed struct {
-	// taken and expected are weighted sums over observations in seconds, and weight is their number.
-	taken, expected, weight float64
+	// sum adds up the observed times relative to the expected ones, and weight is the number of observations.
+	sum, weight float64
 	// report is the last reported time that work takes, relative to the average of the reports, and usual is that average.
 	report, usual float64
 	reportedAt    time.Duration
@@ -33,11 +33,7 @@
 
 // Factor returns the time that work takes at the upstream over some dozen requests, 1 for an upstream of average speed.
 func (s *Speed) Factor() float64 {
-	if s.weight == 0 {
-		return 1
-	}
-	prior := speedPrior * s.expected / s.weight
-	return (s.taken + prior) / (s.expected + prior)
+	return (s.sum + speedPrior) / (s.weight + speedPrior)
 }
 
 // Unknown reports whether nothing is known of the speed of the upstream.
@@ -51,13 +47,8 @@
 		return
 	}
 	trust := float64(class.Samples) / float64(class.Samples+confidence)
-	if s.weight > speedMemory {
-		keep := speedMemory / s.weight
-		s.taken, s.expected, s.weight = s.taken*keep, s.expected*keep, speedMemory
-	}
-	s.weight += trust
-	s.expected += trust * work.Seconds()
-	s.taken += trust * min(took.Seconds(), maxStretch*work.Seconds())
+	// Without the division, the bound would make all upstreams seem faster than the average that they define.
+	s.add(min(float64(took)/float64(work), maxStretch)/class.bounded, trust)
 }
 
 // Report records an upstream's own report of how long work takes at present, in percent. What it always reports is not relevant,
@@ -90,14 +81,16 @@
 // Learn adds the estimate of another instance, made from a number of samples.
 func (s *Speed) Learn(factor float64, samples uint32) {
 	weight := float64(min(samples, speedMemory))
-	if factor <= 0 || weight == 0 {
-		return
+	if factor > 0 {
+		s.add(min(factor, maxPresent), weight)
 	}
-	unit := 1.0
-	if s.weight > 0 {
-		unit = s.expected / s.weight
+}
+
+func (s *Speed) add(factor, weight float64) {
+	if s.weight > speedMemory {
+		s.sum *= speedMemory / s.weight
+		s.weight = speedMemory
 	}
+	s.sum += weight * factor
 	s.weight += weight
-	s.expected += weight * unit
-	s.taken += weight * unit * min(factor, maxPresent)
 }
--- a/core/dispatch/expected.go
+++ b/core/dispatch/expected.go
@@ -91,12 +91,6 @@
 			capacity += u.workRate(now, p)
 		}
 	}
-	p.shortest = math.MaxInt64
-	for _, k := range p.kinds.list {
-		if now-k.usedAt < shareMemory {
-			p.shortest = min(p.shortest, k.mean)
-		}
-	}
 	p.factor, p.capacity, p.factorAt = 1, capacity, max(now, 1)
 	if capacity > 0 {
 		p.factor = slots / capacity
@@ -207,6 +201,20 @@
 	return false
 }
 
+// shortestWork returns the least mean work of a kind that has been used lately. It is at most costInterval old.
+func (p *Pool) shortestWork(now time.Duration) time.Duration {
+	if p.shortestAt != 0 && now-p.shortestAt < costInterval {
+		return p.shortest
+	}
+	p.shortest, p.shortestAt = math.MaxInt64, max(now, 1)
+	for _, k := range p.kinds.list {
+		if now-k.usedAt < shareMemory {
+			p.shortest = min(p.shortest, k.mean)
+		}
+	}
+	return p.shortest
+}
+
 // openSlots returns the number of the upstream's slots that are free, or 1 if one will soon be: a request may then wait there.
 func (u *upstream) openSlots(now time.Duration, p *Pool) int {
 	free := u.freeSlots(now, p)
@@ -216,7 +224,7 @@
 	if unused := u.state.Slots - len(u.running); unused > 0 {
 		return min(free, unused)
 	}
-	if u.acceptsExtra(now, p, p.shortest) {
+	if u.acceptsExtra(now, p, p.shortestWork(now)) {
 		return 1
 	}
 	return 0
--- a/core/dispatch/kinds.go
+++ b/core/dispatch/kinds.go
@@ -115,12 +115,21 @@
 	}
 }
 
+// decay returns the weight that is left after an age. Most ages are short, for which the series is precise enough and faster.
+func decay(age, memory time.Duration) float64 {
+	x := float64(age) / float64(memory)
+	if x < 0.02 {
+		return 1 - x + x*x/2
+	}
+	return math.Exp(-x)
+}
+
 // count makes older requests count less.
 func (k *kind) count(now time.Duration) {
 	if now <= k.countedAt {
 		return
 	}
-	factor := math.Exp(-(now - k.countedAt).Seconds() / shareMemory.Seconds())
+	factor := decay(now-k.countedAt, shareMemory)
 	k.arrived *= factor
 	k.sent *= factor
 	k.countedAt = now
@@ -219,9 +228,8 @@
 	if now <= f.ratedAt {
 		return
 	}
-	age := (now - f.ratedAt).Seconds()
-	f.rate *= math.Exp(-age / rateMemory.Seconds())
-	f.peak *= math.Exp(-age / peakMemory.Seconds())
+	f.rate *= decay(now-f.ratedAt, rateMemory)
+	f.peak *= decay(now-f.ratedAt, peakMemory)
 	f.ratedAt = now
 }
 
--- a/core/dispatch/place.go
+++ b/core/dispatch/place.go
@@ -7,7 +7,6 @@
 
 // dispatchMixed sends as many tickets of a queue as the upstreams have capacity for, in the order that setOrder describes.
 func (p *Pool) dispatchMixed(now time.Duration, q *queue, decisions []Decision) []Decision {
-	p.usualFactor(now)
 	for begin := 0; begin < len(q.tickets); {
 		level := q.tickets[begin].level
 		if !p.hasOpenSlot(now, q, level) {
@@ -31,7 +30,7 @@
 					continue
 				}
 				decisions = append(decisions, decision)
-				if !p.hasOpenSlot(now, q, level) {
+				if len(q.tickets) == 0 || !p.hasOpenSlot(now, q, level) {
 					return decisions
 				}
 			}
--- a/core/dispatch/pool.go
+++ b/core/dispatch/pool.go
@@ -63,8 +63,8 @@
 	// factor and capacity cache the results of usualFactor, computed at factorAt, 0 for none.
 	factor, capacity float64
 	factorAt         time.Duration
-	// shortest is the least mean work of a kind that has been used lately, computed with factor.
-	shortest time.Duration
+	// shortest caches the result of shortestWork, computed at shortestAt, 0 for none.
+	shortest, shortestAt time.Duration
 	// stretches is a buffer.
 	stretches []float64
 }
