internal/gateway, core/cost: a new coordinator learns the cost of requests from followers

Cause: a coordinator that takes over knows neither the work of requests nor the speed of upstreams. Change: each instance keeps what the answers to its own requests say (classes, and at most 32 upstreams of a service), and tells a new coordinator (CostEstimates) and its own local pools. Estimates of other starts of an upstream are ignored, and none weighs more than some 20 answers.

--- a/core/cost/cost_test.go
+++ b/core/cost/cost_test.go
@@ -140,3 +140,35 @@
 	c.Check(speed.Present(2*time.Second) > 2.5, qt.IsTrue)
 	c.Check(speed.Present(2500*time.Millisecond) < 1.3, qt.IsTrue)
 }
+
+// TestObserverListsWhatOthersLearn covers a coordinator that begins with the estimates of other instances.
+func TestObserverListsWhatOthersLearn(t *testing.T) {
+	c := qt.New(t)
+	random := rand.New(rand.NewPCG(5, 6))
+	var o cost.Observer
+	for i := range 3000 {
+		u := random.IntN(40)
+		took := tailed(random, 200*time.Millisecond)
+		if u == 7 {
+			took *= 2
+		}
+		o.Observe(time.Duration(i)*time.Millisecond, cost.Answer{
+			Service:     "calendar",
+			Class:       "a",
+			Upstream:    fmt.Sprint(u),
+			Incarnation: 1,
+			Took:        took,
+		})
+	}
+	classes, speeds := o.List(func(string) bool { return true })
+	c.Assert(classes, qt.HasLen, 1)
+	checkNear(c, classes[0].Mean.Seconds(), 0.2, 0.25)
+	c.Check(len(speeds) > 10 && len(speeds) < 40, qt.IsTrue, qt.Commentf("%d listed", len(speeds)))
+	for _, speed := range speeds {
+		if speed.Upstream == "7" {
+			checkNear(c, speed.Factor, 2, 0.4)
+		}
+	}
+	classes, _ = o.List(func(string) bool { return false })
+	c.Check(classes, qt.HasLen, 0)
+}
--- a/core/dispatch/mixed_test.go
+++ b/core/dispatch/mixed_test.go
@@ -304,3 +304,35 @@
 	plain.run()
 	c.Check(plain.pool.Stats(plain.now).Predicted, qt.Equals, time.Duration(0))
 }
+
+// TestNewPoolLearnsFromInstances guards against a coordinator that has just taken over and expects a part of the objective, at
+// upstreams of average speed.
+func TestNewPoolLearnsFromInstances(t *testing.T) {
+	c := qt.New(t)
+	p := newPool(dispatch.Share{})
+	p.SetService(route.Service{
+		Mixed: true,
+	})
+	p.SetUpstreams(0, states(2))
+	p.LearnClass(cost.ClassEstimate{
+		Class:     "a",
+		Mean:      time.Second,
+		Deviation: time.Second / 2,
+		Samples:   100,
+	})
+	for _, incarnation := range []int64{1, 2} {
+		p.LearnSpeed(cost.SpeedEstimate{
+			Upstream:    "u00",
+			Incarnation: incarnation,
+			Factor:      float64(2 * incarnation),
+			Samples:     20,
+		})
+	}
+	r := ticket(1, 0)
+	r.Class = "a"
+	work := p.ExpectedWork(0, r)
+	c.Check(work > 800*time.Millisecond && work < 1100*time.Millisecond, qt.IsTrue, qt.Commentf("%v", work))
+	// An estimate of another start of the upstream must not count.
+	ratio := p.WorkRate(0, "u01") / p.WorkRate(0, "u00")
+	c.Check(ratio > 1.7 && ratio < 2.1, qt.IsTrue, qt.Commentf("%v", ratio))
+}
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -301,6 +301,9 @@
 // handleResponse forwards a response to the caller, or reports false to leave the call to another attempt. relay names the instance
 // through which it came, empty for none.
 func (h *requestHandler) handleResponse(ctx context.Context, w http.ResponseWriter, c *call, result ticketResult, response *upstream.Response, sentAt time.Time, report *dispatch.Report, relay string) bool {
+	if response.Status < http.StatusInternalServerError {
+		h.ticketClient.noteCost(result, c.service, time.Since(sentAt))
+	}
 	if !response.BodyBuffered {
 		h.ticketClient.reportHead(result, c.service, time.Since(sentAt), report)
 	}
--- a/internal/gateway/queue.go
+++ b/internal/gateway/queue.go
@@ -85,6 +85,8 @@
 		c.handleEnd(now, l, body.End)
 	case *schema.Frame_Cancel:
 		c.handleCancel(now, l, body.Cancel)
+	case *schema.Frame_CostEstimates:
+		c.handleCosts(body.CostEstimates)
 	case *schema.Frame_Notice:
 		c.handleNotice(now, l, body.Notice)
 	}
--- a/internal/gateway/reports.go
+++ b/internal/gateway/reports.go
@@ -102,7 +102,7 @@
 	}
 }
 
-// sendNotices tells a new coordinator what upstreams have said to this instance, and which requests crash them. It must go before the
+// sendNotices tells a new coordinator what upstreams have said to this instance, which requests crash them, and what requests cost. It must go before the
 // first request.
 func (t *ticketClient) sendNotices(now time.Duration) {
 	for _, frame := range t.departures.departureNotices() {
@@ -112,6 +112,7 @@
 		t.frameConn.Send(noticeFrame(notice))
 	}
 	t.sendSuspicions(now, t.suspects.List(now))
+	t.sendCosts()
 }
 
 func (t *ticketClient) currentNotices(now time.Duration) []dispatch.Notice {
--- a/internal/gateway/tickets.go
+++ b/internal/gateway/tickets.go
@@ -9,6 +9,7 @@
 
 	"cuminlift"
 	"cuminlift/core/authority"
+	"cuminlift/core/cost"
 	"cuminlift/core/dispatch"
 	"cuminlift/core/keyspace"
 	"cuminlift/core/paths"
@@ -39,8 +40,10 @@
 	// incarnation is the start of the upstream that the ticket is for.
 	incarnation int64
 	identity    request.Identity
-	reason      string
-	retryAfter  time.Duration
+	// class is that of the request's route.
+	class      string
+	reason     string
+	retryAfter time.Duration
 	// local is true if a local pool granted the ticket, while there was no coordinator.
 	local bool
 }
@@ -80,6 +83,8 @@
 	maxCPUPermille uint32
 	// notices holds what upstreams have said of themselves to this instance.
 	notices dispatch.Notices
+	// costs holds what this instance has learned of the cost of requests.
+	costs cost.Observer
 	// suspects are used by the local pools, and told to new coordinators.
 	suspects *dispatch.Suspects
 	// relays are the instances that may send requests for this one.
@@ -139,6 +144,7 @@
 	select {
 	case result := <-w.result:
 		result.identity = identityOf(request)
+		result.class = request.GetRouteClass()
 		return result, nil
 	case <-ctx.Done():
 	}
@@ -235,6 +241,7 @@
 	pool.sync(now, v, service)
 	if created {
 		t.applyNotices(now, pool, service)
+		t.applyCosts(pool, service)
 	}
 	return pool
 }
