--- a/internal/gateway/tickets.go
+++ b/internal/gateway/tickets.go
@@ -9,6 +9,7 @@
 
 	"cuminlift"
 	"cuminlift/core/authority"
+	"cuminlift/core/cost"
 	"cuminlift/core/dispatch"
 	"cuminlift/core/keyspace"
 	"cuminlift/core/paths"
@@ -42,7 +43,9 @@
 	incarnation int64
 	identity    request.Identity
 	// tables are the latest changes that the coordinator knew of when it granted the ticket, by table; nil if it doesn't tell.
-	tables     map[string]replica.Position
+	tables map[string]replica.Position
+	// class is that of the request's route.
+	class      string
 	reason     string
 	retryAfter time.Duration
 	// local is true if a local pool granted the ticket, while there was no coordinator.
@@ -92,6 +95,8 @@
 	resources      peerResources
 	// notices holds what upstreams have said of themselves to this instance.
 	notices dispatch.Notices
+	// costs holds what this instance has learned of the cost of requests.
+	costs cost.Observer
 	// suspects are used by the local pools, and told to new coordinators.
 	suspects *dispatch.Suspects
 	// open holds the granted tickets that have not ended, and coldSends those that have left the slot of a cold upstream lately.
@@ -184,6 +189,7 @@
 	select {
 	case result := <-w.result:
 		result.identity = identityOf(request)
+		result.class = request.GetRouteClass()
 		return result, nil
 	case <-ctx.Done():
 	}
@@ -283,6 +289,7 @@
 	pool.sync(now, v, service)
 	if created {
 		t.applyNotices(now, pool, service)
+		t.applyCosts(pool, service)
 	}
 	return pool
 }
