core/authority, internal/gateway: an overloaded coordinator resigns in favor of a better instance

Cause: a coordinator whose processor or link is too small for its work kept the lease until its connections timed out, and took it again soon after. An instance that starts before all others takes the lease without knowing of larger ones. Change: the coordinator measures its event loop's lag, the median time to the acknowledgement of its heartbeats, the bytes that wait on its connections, and peers that could not be connected to in time. Over the bounds for 1 s, it resigns if a connected instance is fitter, or if both have what is needed and the last term did not end by a resignation within 30 s. It also resigns once a fitter instance has been connected for 3 s. It stays if none is better, and then logs statistics less often. Owner updates take at most a quarter of the link. A resignation after less than 10 s delays the instance by 1.2 s for 10 s, doubled each time. An instance without paths to upstreams is delayed by at most 3.2 s, as before.

--- a/core/authority/rank.go
+++ b/core/authority/rank.go
@@ -35,9 +35,10 @@
 // which may be delayed both for their CPU share and for their fitness.
 const withoutPathsDelay = 2*smallInstanceDelay + rankCount
 
-// RankWithoutPaths returns the rank of an instance that has lost its paths to upstreams.
+// RankWithoutPaths returns the rank of an instance that has lost its paths to upstreams. Other delays don't count then, so that one
+// follows in bounded time where all have lost them.
 func RankWithoutPaths(rank int) int {
-	return rank + withoutPathsDelay
+	return rank%rankCount + withoutPathsDelay
 }
 
 // First reports whether an instance of that rank is among those that try before the small ones.
--- a/internal/gateway/coordinator.go
+++ b/internal/gateway/coordinator.go
@@ -73,6 +73,13 @@
 	demand    authority.Demand
 	resources peerResources
 	handover  handoverState
+	strain    strainState
+	// yields is true once the coordinator leaves the lease to an instance that is likely to do better.
+	yields bool
+	// gaveUp is true if the term ended because another instance is better placed.
+	gaveUp bool
+	// closeDelay is how long connections stay open after the resignation has been sent.
+	closeDelay time.Duration
 	// suspects are shared by the pools of all services.
 	suspects  *dispatch.Suspects
 	cancel    context.CancelFunc
@@ -155,6 +162,8 @@
 		links:         map[string]*link{},
 		services:      map[string]*serviceState{},
 		suspects:      &dispatch.Suspects{},
+		closeDelay:    coordinatorInterval,
+		strain:        strainState{Strain: authority.NewStrain(sentAt, 0)},
 		ctx:           ctx,
 		cancel:        cancel,
 	}
@@ -225,18 +234,23 @@
 // been suspended.
 func (c *coordinator) hasAuthority() bool {
 	now := c.clock.Now()
-	if c.leadership.Valid(now) && !c.leadership.ShouldResign(now) {
+	if c.leadership.Valid(now) && !c.leadership.ShouldResign(now) && !c.yields {
 		return true
 	}
+	c.gaveUp = c.yields || c.leadership.ShouldResign(now)
 	c.log.WithFields(logrus.Fields{
 		"since-end": now - c.leadership.ValidUntil(),
 		"resigns":   c.leadership.ShouldResign(now),
+		"yields":    c.yields,
 	}).Warn("coordinator stops: its authority has ended")
 	return false
 }
 
 // shutdown announces the resignation to all instances and closes the links.
 func (c *coordinator) shutdown() {
+	if c.yields {
+		c.closeDelay = resignationDelay
+	}
 	c.leadership.Resign()
 	c.cancel()
 	for _, feed := range c.tables {
@@ -246,7 +260,7 @@
 		l.send(c.beatFrame(l, true))
 	}
 	c.log.Info("coordinator stopped")
-	time.AfterFunc(coordinatorInterval, func() {
+	time.AfterFunc(c.closeDelay, func() {
 		for _, l := range c.links {
 			l.close()
 		}
@@ -333,6 +347,7 @@
 	c.comparePaths(now)
 	c.pruneInstances(now)
 	c.measureDemand(now)
+	c.measureStrain(now)
 	v := c.view()
 	if v.table == nil || !v.listed {
 		return
@@ -353,7 +368,7 @@
 
 // logQueues logs the queue statistics of each service once per queueLogInterval.
 func (c *coordinator) logQueues(now time.Duration) {
-	if now-c.lastQueueLog < queueLogInterval {
+	if now-c.lastQueueLog < c.putOff(queueLogInterval) {
 		return
 	}
 	c.lastQueueLog = now
--- a/internal/gateway/election.go
+++ b/internal/gateway/election.go
@@ -35,6 +35,8 @@
 	row                []byte
 	// leaseEra is the era of the store in which the lease was last read.
 	leaseEra uint64
+	// backoff delays the instance after a short term.
+	backoff authority.Backoff
 	// lastRegistrationCheck is when the own row was last looked for because there was no word from a coordinator.
 	lastRegistrationCheck time.Duration
 }
@@ -188,6 +190,7 @@
 	if holdersLost {
 		rank = authority.RankWithoutPaths(rank)
 	}
+	rank = e.backoff.Rank(now, rank)
 	suspects := t.monitor.ShouldReadLease(now, rank)
 	due := now >= t.monitor.NextLeaseRead(rank) && now-e.lastRead > e.readPause
 	t.mutex.Unlock()
@@ -304,6 +307,7 @@
 	c.leaseEra = era
 	e.ticketClient.mutex.Lock()
 	c.demand = authority.NewDemand(float64(e.ticketClient.resources.requestRate))
+	c.strain.Strain = authority.NewStrain(sentAt, e.ticketClient.monitor.LastResignation())
 	e.ticketClient.mutex.Unlock()
 	c.store = e.store
 	c.register = func(ctx context.Context) error {
@@ -314,6 +318,7 @@
 	c.departures = e.departures
 	c.paths = e.paths
 	c.run()
+	e.backoff.TermEnded(e.clock.Now(), sentAt, c.gaveUp)
 }
 
 func containsLease(rows []cuminlift.Row) bool {
--- a/internal/gateway/keys.go
+++ b/internal/gateway/keys.go
@@ -178,7 +178,7 @@
 	}
 	s.lastOwners = encoded
 	traffic := len(encoded) * len(c.links)
-	s.ownersDueAt = now + max(ownersInterval, time.Duration(traffic)*time.Second/ownersBytesPerSecond)
+	s.ownersDueAt = now + max(ownersInterval, time.Duration(traffic)*time.Second/time.Duration(c.ownersRate()))
 	c.broadcast(frame)
 }
 
--- a/internal/gateway/links.go
+++ b/internal/gateway/links.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"cuminlift"
@@ -21,6 +22,10 @@
 	relayAddress    string
 	failedUpstreams int
 	resources       authority.Resources
+	// acknowledged is when the last acknowledged heartbeat was sent, 0 before the first on this connection, and roundTrip how long
+	// that took. dialTimedOut is true if the last attempt to connect got no answer in time.
+	acknowledged, roundTrip time.Duration
+	dialTimedOut            atomic.Bool
 	// rowVersion is the version of the instance's row. downSince is when the connection was lost or first tried, 0 while connected.
 	rowVersion uint64
 	downSince  time.Duration
@@ -94,15 +99,17 @@
 func (l *link) maintain(ctx context.Context) {
 	for ctx.Err() == nil {
 		conn, err := upstream.Dialer(linkDialTimeout).DialContext(ctx, "tcp4", l.address)
+		l.dialTimedOut.Store(isTimeout(err))
 		if err != nil {
 			sleep(ctx, reconnectPause)
 			continue
 		}
 		f := frames.NewConnection(conn)
-		stop := context.AfterFunc(ctx, func() { time.AfterFunc(coordinatorInterval, f.Close) })
+		stop := context.AfterFunc(ctx, func() { time.AfterFunc(l.coordinator.closeDelay, f.Close) })
 		l.coordinator.postTicket(func(now time.Duration) {
 			l.current = f
 			l.downSince = 0
+			l.acknowledged, l.roundTrip = 0, 0
 			l.send(l.coordinator.beatFrame(l, false))
 			l.coordinator.sendOwners(l)
 			for _, notice := range l.coordinator.departures.departureNotices() {
@@ -135,7 +142,10 @@
 		switch body := frame.GetBody().(type) {
 		case *schema.Frame_BeatReply:
 			watchdog.Reset(beatTimeout)
-			l.coordinator.post(func(time.Duration) { l.coordinator.handleBeatReply(l, body.BeatReply) })
+			l.coordinator.post(func(now time.Duration) {
+				l.noteRoundTrip(now, body.BeatReply)
+				l.coordinator.handleBeatReply(l, body.BeatReply)
+			})
 		case *schema.Frame_Request:
 			if body.Request.GetAttempt() == 0 {
 				l.coordinator.requests.Add(1)
--- a/internal/gateway/tickets.go
+++ b/internal/gateway/tickets.go
@@ -20,6 +20,8 @@
 type frameConn interface {
 	Send(*schema.Frame)
 	SendEncoded([]byte)
+	// Queued returns the number of bytes that wait to be written.
+	Queued() int
 	Close()
 }
 
--- a/io/frames/frames.go
+++ b/io/frames/frames.go
@@ -8,6 +8,7 @@
 	"io"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"google.golang.org/protobuf/proto"
@@ -40,8 +41,10 @@
 	conn      net.Conn
 	reader    *bufio.Reader
 	sendQueue chan []byte
-	done      chan struct{}
-	once      sync.Once
+	// queued is the number of bytes in sendQueue and in the write under way.
+	queued atomic.Int64
+	done   chan struct{}
+	once   sync.Once
 }
 
 // NewConnection returns a Connection over conn, which it owns from then on.
@@ -68,12 +71,15 @@
 
 // SendEncoded does the same for a message that is sent to many peers and encoded only once.
 func (c *Connection) SendEncoded(message []byte) {
+	c.queued.Add(int64(len(message)))
 	select {
 	case c.sendQueue <- message:
+		return
 	case <-c.done:
 	default:
 		c.Close()
 	}
+	c.queued.Add(-int64(len(message)))
 }
 
 // Encode returns a message with its length in front, for SendEncoded.
@@ -90,6 +96,11 @@
 	return message
 }
 
+// Queued returns the number of bytes that wait to be written.
+func (c *Connection) Queued() int {
+	return int(c.queued.Load())
+}
+
 // Close ends the connection. It may be called more than once.
 func (c *Connection) Close() {
 	c.once.Do(func() {
@@ -146,6 +157,7 @@
 		if err == nil {
 			_, err = c.conn.Write(buffer)
 		}
+		c.queued.Add(-int64(len(buffer)))
 		if err != nil {
 			c.Close() // Receive reports the closed connection to its caller.
 			return
