core/keyspace, internal/gateway: an instance without a coordinator doubts all holders once several deny

Cause: without a coordinator, an instance tries the holders that were last reported. Each was taken for outdated only after two denials of its own, and each report of a new coordinator, which may not have granted anything yet, forgot them: up to 2 x 331 denials for each instance and term. Change: after three upstreams have denied keys and none has accepted one since, keys have no owner, except for probes: nothing for 0.5 s after a denial, doubled up to 4 s, then the keys of a sixteenth of the holders. Any key that an upstream accepts ends this, also one granted by a coordinator. The report of a coordinator doesn't.

--- a/internal/gateway/takeover.go
+++ b/internal/gateway/takeover.go
@@ -62,6 +62,9 @@
 	open.headed = true
 	result := open.result
 	if took > 0 {
+		if open.request.GetKey() > 0 {
+			t.keyOwners(open.request.GetService()).Accepted(open.sent)
+		}
 		latencies := t.latencies[open.request.GetService()]
 		if latencies == nil {
 			latencies = &dispatch.Latencies{}
--- a/internal/gateway/tickets.go
+++ b/internal/gateway/tickets.go
@@ -76,7 +76,7 @@
 	waiters           map[uint64]*waiter
 	// localPools holds the local pools by service, and owners the holders of keys last reported by the coordinator.
 	localPools           map[string]*syncedPool
-	owners               map[string]*keyspace.HolderMap
+	owners               map[string]*keyspace.LocalOwners
 	instanceCount, index int
 	// maxCPUPermille is the largest CPU share of an instance as last reported, in thousandths of a core, 0 if unknown.
 	maxCPUPermille uint32
@@ -114,7 +114,7 @@
 		monitor:       authority.NewMonitor(config.Clock.Now()),
 		waiters:       map[uint64]*waiter{},
 		localPools:    map[string]*syncedPool{},
-		owners:        map[string]*keyspace.HolderMap{},
+		owners:        map[string]*keyspace.LocalOwners{},
 		instanceCount: 1,
 		suspects:      &dispatch.Suspects{},
 		open:          map[uint64]*openTicket{},
@@ -364,7 +364,7 @@
 	}
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
-	t.keyOwners(service).Deny(key-1, result.upstream)
+	t.keyOwners(service).Deny(t.clock.Now(), key-1, result.upstream)
 }
 
 // reportEnd reports the outcome of a ticket.
@@ -413,10 +413,10 @@
 }
 
 // keyOwners returns the holders of a keyed service's keys, none before the coordinator reports them.
-func (t *ticketClient) keyOwners(service string) *keyspace.HolderMap {
+func (t *ticketClient) keyOwners(service string) *keyspace.LocalOwners {
 	known := t.owners[service]
 	if known == nil {
-		known = &keyspace.HolderMap{}
+		known = &keyspace.LocalOwners{}
 		t.owners[service] = known
 	}
 	return known
