core/dispatch: an instance reports at most 50 latencies to a new coordinator

Cause: 75 instances that each report 331 upstreams send a megabyte (331 entries of some 45 bytes, counted by hand) to the new coordinator before their first requests. Change: the latest 50 are reported, newest first. Result: without the bound, TestReportedLatenciesAreBounded gets 291 entries, with it 50.

--- a/core/dispatch/takeover.go
+++ b/core/dispatch/takeover.go
@@ -1,6 +1,9 @@
 package dispatch
 
 import (
+	"cmp"
+	"slices"
+	"strings"
 	"time"
 
 	"cuminlift/core/request"
@@ -160,6 +163,9 @@
 	latencyMaxAge = 30 * time.Second
 	// maxLatencySamples is the number of samples that count, so that the mean follows changes.
 	maxLatencySamples = 10
+	// maxReportedLatencies bounds a report. 75 instances with 331 upstreams would otherwise send a megabyte to the new coordinator at
+	// once, almost a second on a link of 10 Mbit/s, before their first requests.
+	maxReportedLatencies = 50
 )
 
 // Record records that an upstream has answered in the time took. about names its service and start.
@@ -182,14 +188,21 @@
 	entry.Mean += (took - entry.Mean) / time.Duration(entry.Samples)
 }
 
-// List returns the recent measurements. Those of upstreams that present does not know are dropped.
+// List returns the latest measurements. Those of upstreams that present does not know are dropped.
 func (l *Latencies) List(now time.Duration, present func(upstream string, incarnation int64) bool) []Latency {
-	var list []Latency
+	var entries []*latencyEntry
 	for id, entry := range l.byUpstream {
 		if now-entry.at > latencyMaxAge || !present(id, entry.Incarnation) {
 			delete(l.byUpstream, id)
 			continue
 		}
+		entries = append(entries, entry)
+	}
+	slices.SortFunc(entries, func(a, b *latencyEntry) int {
+		return cmp.Or(cmp.Compare(b.at, a.at), strings.Compare(a.Upstream, b.Upstream))
+	})
+	var list []Latency
+	for _, entry := range entries[:min(len(entries), maxReportedLatencies)] {
 		list = append(list, entry.Latency)
 	}
 	return list
--- a/core/dispatch/takeover_test.go
+++ b/core/dispatch/takeover_test.go
@@ -190,6 +190,29 @@
 	c.Check(results[true].refused <= results[false].refused, qt.IsTrue)
 }
 
+// TestReportedLatenciesAreBounded guards against a report for hundreds of upstreams from each instance, which fills the new
+// coordinator's link, and against outdated measurements in it.
+func TestReportedLatenciesAreBounded(t *testing.T) {
+	c := qt.New(t)
+	l := dispatch.Latencies{}
+	for i := range 331 {
+		l.Record(time.Duration(i)*100*time.Millisecond, 80*time.Millisecond, dispatch.Latency{
+			Upstream:    fmt.Sprint("u", i),
+			Incarnation: int64(1 + i%2),
+		})
+	}
+	now := 34 * time.Second
+	list := l.List(now, func(string, int64) bool { return true })
+	c.Assert(list, qt.HasLen, 50)
+	c.Check(list[0].Upstream, qt.Equals, "u330")
+	c.Check(list[49].Upstream, qt.Equals, "u281")
+	// An upstream that has restarted is not taken for its former start.
+	for _, entry := range l.List(now, func(_ string, incarnation int64) bool { return incarnation == 2 }) {
+		c.Check(entry.Incarnation, qt.Equals, int64(2))
+	}
+	c.Check(l.List(now+31*time.Second, func(string, int64) bool { return true }), qt.HasLen, 0)
+}
+
 // TestRetryBudgetOutlastsTakeovers guards against a budget that each new coordinator gives out again: a chain of short terms spent
 // several times what is allowed.
 func TestRetryBudgetOutlastsTakeovers(t *testing.T) {
