--- a/internal/gateway/coordinator.go
+++ b/internal/gateway/coordinator.go
@@ -80,6 +80,13 @@
 	handover  handoverState
 	// withheld are the upstreams for which single instances get no tickets, because they have returned one.
 	withheld map[withheldKey]*withheldTickets
+	strain   strainState
+	// yields is true once the coordinator leaves the lease to an instance that is likely to do better.
+	yields bool
+	// gaveUp is true if the term ended because another instance is better placed.
+	gaveUp bool
+	// closeDelay is how long connections stay open after the resignation has been sent.
+	closeDelay time.Duration
 	// suspects are shared by the pools of all services.
 	suspects *dispatch.Suspects
 	// quota counts the requests of workspaces for the pools of all services.
@@ -161,6 +168,8 @@
 		withheld:      map[withheldKey]*withheldTickets{},
 		catchUps:      map[string]*replica.CatchUp{},
 		quota:         quota.NewLedger(config.Clock.Now(), quotaLimits(currentView)),
+		closeDelay:    coordinatorInterval,
+		strain:        strainState{Strain: authority.NewStrain(sentAt, 0)},
 		ctx:           ctx,
 		cancel:        cancel,
 	}
@@ -234,18 +243,23 @@
 // been suspended.
 func (c *coordinator) hasAuthority() bool {
 	now := c.clock.Now()
-	if c.leadership.Valid(now) && !c.leadership.ShouldResign(now) {
+	if c.leadership.Valid(now) && !c.leadership.ShouldResign(now) && !c.yields {
 		return true
 	}
+	c.gaveUp = c.yields || c.leadership.ShouldResign(now)
 	c.log.WithFields(logrus.Fields{
 		"since-end": now - c.leadership.ValidUntil(),
 		"resigns":   c.leadership.ShouldResign(now),
+		"yields":    c.yields,
 	}).Warn("coordinator stops: its authority has ended")
 	return false
 }
 
 // shutdown announces the resignation to all instances and closes the links.
 func (c *coordinator) shutdown() {
+	if c.yields {
+		c.closeDelay = resignationDelay
+	}
 	c.leadership.Resign()
 	c.cancel()
 	for _, feed := range c.tables {
@@ -255,7 +269,7 @@
 		l.send(c.beatFrame(l, true))
 	}
 	c.log.Info("coordinator stopped")
-	time.AfterFunc(coordinatorInterval, func() {
+	time.AfterFunc(c.closeDelay, func() {
 		for _, l := range c.links {
 			l.close()
 		}
@@ -335,6 +349,7 @@
 	c.pruneInstances(now)
 	c.measureDemand(now)
 	c.quota.ForgetLost(now)
+	c.measureStrain(now)
 	v := c.view()
 	if v.table == nil || !v.listed {
 		return
@@ -356,7 +371,7 @@
 
 // logQueues logs the queue statistics of each service once per queueLogInterval.
 func (c *coordinator) logQueues(now time.Duration) {
-	if now-c.lastQueueLog < queueLogInterval {
+	if now-c.lastQueueLog < c.putOff(queueLogInterval) {
 		return
 	}
 	c.lastQueueLog = now
--- a/internal/gateway/owners.go
+++ b/internal/gateway/owners.go
@@ -43,7 +43,7 @@
 	}
 	if now >= p.wholeDueAt && len(p.waiting) == 0 && p.changed {
 		p.changed = false
-		p.wholeDueAt = now + ownersInterval
+		p.wholeDueAt = now + c.putOff(ownersInterval)
 		for _, l := range c.links {
 			p.waiting = append(p.waiting, l)
 		}
@@ -85,7 +85,7 @@
 	}
 	frame := ownersFrame(s)
 	message := frames.Encode(frame)
-	for budget := int(coordinatorInterval * ownersBytesPerSecond / time.Second); len(p.waiting) > 0 && budget > 0; budget -= len(message) {
+	for budget := int(coordinatorInterval * time.Duration(c.ownersRate()) / time.Second); len(p.waiting) > 0 && budget > 0; budget -= len(message) {
 		l := p.waiting[0]
 		p.waiting = p.waiting[1:]
 		if l.current == nil {
--- a/internal/gateway/queue.go
+++ b/internal/gateway/queue.go
@@ -86,6 +86,7 @@
 		c.handleOpenTickets(now, l, body.OpenTickets)
 	case *schema.Frame_CostEstimates:
 		c.learnLatencies(now, body.CostEstimates.GetUpstreams())
+		c.handleCosts(body.CostEstimates)
 	case *schema.Frame_QuotaUsage:
 		c.quota.Join(now, l.name, time.Duration(body.QuotaUsage.GetCountedMs())*time.Millisecond, decodeUsage(body.QuotaUsage))
 	case *schema.Frame_Head:
@@ -94,8 +95,6 @@
 		c.handleEnd(now, l, body.End)
 	case *schema.Frame_Cancel:
 		c.handleCancel(now, l, body.Cancel)
-	case *schema.Frame_CostEstimates:
-		c.handleCosts(body.CostEstimates)
 	case *schema.Frame_Notice:
 		c.handleNotice(now, l, body.Notice)
 	case *schema.Frame_Rows:
--- a/internal/gateway/tickets.go
+++ b/internal/gateway/tickets.go
@@ -23,6 +23,8 @@
 type frameConn interface {
 	Send(*schema.Frame)
 	SendEncoded([]byte)
+	// Queued returns the number of bytes that wait to be written.
+	Queued() int
 	Close()
 }
 
@@ -85,7 +87,7 @@
 	waiters           map[uint64]*waiter
 	// localPools holds the local pools by service, and owners the holders of keys last reported by the coordinator.
 	localPools           map[string]*syncedPool
-	owners               map[string]*keyspace.HolderMap
+	owners               map[string]*keyspace.LocalOwners
 	instanceCount, index int
 	// storeReaders is the number of instances that read the store for a coordinator that can't reach it, with this one among them, and 0
 	// if all do so or none needs to.
@@ -139,7 +141,7 @@
 		monitor:       authority.NewMonitor(config.Clock.Now()),
 		waiters:       map[uint64]*waiter{},
 		localPools:    map[string]*syncedPool{},
-		owners:        map[string]*keyspace.HolderMap{},
+		owners:        map[string]*keyspace.LocalOwners{},
 		instanceCount: 1,
 		suspects:      &dispatch.Suspects{},
 		open:          map[uint64]*openTicket{},
@@ -410,7 +412,7 @@
 	}
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
-	t.keyOwners(service).Deny(key-1, result.upstream)
+	t.keyOwners(service).Deny(t.clock.Now(), key-1, result.upstream)
 }
 
 // reportEnd reports the outcome of a ticket.
@@ -459,10 +461,10 @@
 }
 
 // keyOwners returns the holders of a keyed service's keys, none before the coordinator reports them.
-func (t *ticketClient) keyOwners(service string) *keyspace.HolderMap {
+func (t *ticketClient) keyOwners(service string) *keyspace.LocalOwners {
 	known := t.owners[service]
 	if known == nil {
-		known = &keyspace.HolderMap{}
+		known = &keyspace.LocalOwners{}
 		t.owners[service] = known
 	}
 	return known
