core/quota: small quotas beside absent instances and those of the previous build

Cause: a quota too small for all instances is held by some in turn; the coordinator reserved all of it as soon as as many instances did not report, also if they were connected and of the previous build. Half of 62 instances replaced, a workspace of 3 requests a second got nothing. Change: only instances that are not connected count as absent, and the coordinator always uses what the tolerance leaves.

--- a/core/quota/ledger.go
+++ b/core/quota/ledger.go
@@ -26,8 +26,9 @@
 }
 
 type member struct {
-	// joined is true while the instance is connected and has reported what it has sent.
-	joined bool
+	// connected is true while the instance is connected, and joined once it has then reported what it has sent. One of the previous build
+	// never reports, and has no workspaces.
+	connected, joined bool
 	// reported is true if a report of the instance covers the Window before it.
 	reported bool
 	// removedAt is when its row was removed, 0 if it is registered.
@@ -61,7 +62,7 @@
 		switch {
 		case registered[name]:
 		case m.removedAt == 0:
-			m.joined, m.removedAt = false, now
+			m.connected, m.joined, m.removedAt = false, false, now
 		}
 	}
 	l.countAbsent(now)
@@ -87,6 +88,17 @@
 	return limited
 }
 
+// Connect records that an instance is connected. It no longer uses its share.
+func (l *Ledger) Connect(now time.Duration, name string) {
+	m := l.members[name]
+	if m == nil || m.connected {
+		return
+	}
+	l.refillAll(now)
+	m.connected = true
+	l.countAbsent(now)
+}
+
 // Join records that an instance is connected and what it has sent: the number of requests in each span by workspace, newest first.
 // counted is how long it has counted.
 func (l *Ledger) Join(now time.Duration, name string, counted time.Duration, usage map[string][]uint32) {
@@ -95,7 +107,7 @@
 		return
 	}
 	l.refillAll(now)
-	m.joined = true
+	m.connected, m.joined = true, true
 	if l.history != nil && !m.reported {
 		// What this coordinator granted is not in the first report of an instance: it comes before its first request.
 		for workspace, sent := range usage {
@@ -112,11 +124,11 @@
 // Leave records that an instance is no longer connected. It then uses its share.
 func (l *Ledger) Leave(now time.Duration, name string) {
 	m := l.members[name]
-	if m == nil || !m.joined {
+	if m == nil || !m.connected {
 		return
 	}
 	l.refillAll(now)
-	m.joined = false
+	m.connected, m.joined = false, false
 	l.countAbsent(now)
 }
 
@@ -145,16 +157,25 @@
 }
 
 // part returns the fraction of a quota that is not reserved for absent instances. If a quota is too small for all instances to have
-// shares, all that have one may be absent.
+// shares, all that have one may be absent; the coordinator then uses what the tolerance leaves.
 func (l *Ledger) part(rate, burst float64) float64 {
-	return max(0, 1-float64(l.absent)/float64(max(1, holders(rate, burst, len(l.members)))))
+	if l.absent == 0 {
+		return 1
+	}
+	active := holders(rate, burst, len(l.members))
+	part := max(0, 1-float64(l.absent)/float64(active))
+	if active < len(l.members) {
+		left := bound(rate, burst) - rate*Window.Seconds() - float64(active)
+		part = max(part, left/(rate*Window.Seconds()+capacity(rate, burst)))
+	}
+	return part
 }
 
 func (l *Ledger) countAbsent(now time.Duration) {
 	l.absent, l.changedAt = 0, now
 	known := len(l.members) > 0
 	for _, m := range l.members {
-		if !m.joined {
+		if !m.connected {
 			l.absent++
 		}
 		known = known && m.reported
--- a/core/quota/quota.go
+++ b/core/quota/quota.go
@@ -11,8 +11,10 @@
 )
 
 const (
-	// Window is the span in which the requests of a workspace are limited.
-	Window = 5 * time.Second
+	// Window is the span in which the requests of a workspace are limited, with a tolerance and a slack.
+	Window    = 5 * time.Second
+	tolerance = 0.1
+	slack     = 20
 	// Of the tolerance (a tenth) and the slack (20 requests), half is added to the burst of a bucket, so that random arrivals below the
 	// rate are not refused. The rest covers a change of coordinator.
 	allowance     = 250 * time.Millisecond
@@ -28,13 +30,18 @@
 // Limits returns the quota of a workspace in requests per second and requests. limited is false if it has none.
 type Limits func(workspace string) (rate, burst float64, limited bool)
 
+// bound returns the largest number of requests in a Window.
+func bound(rate, burst float64) float64 {
+	return (rate*Window.Seconds()+burst)*(1+tolerance) + slack
+}
+
 func capacity(rate, burst float64) float64 {
 	return burst + rate*allowance.Seconds() + slackCapacity
 }
 
 // holders returns how many of count instances share a quota without a coordinator. Each must be able to save up for one request.
 func holders(rate, burst float64, count int) int {
-	return min(count, int(burst+rate*sharedAllowance.Seconds()+sharedSlack))
+	return min(max(1, count), int(burst+rate*sharedAllowance.Seconds()+sharedSlack))
 }
 
 // bucket holds the requests that may be sent. Reserved requests are taken off when they are sent, so that those that waited don't
--- a/core/quota/quota_test.go
+++ b/core/quota/quota_test.go
@@ -80,6 +80,40 @@
 	c.Check(rate(now+time.Minute), qt.Equals, 20)
 }
 
+// While instances of the previous build run, or some instances are away, a small workspace gets nothing.
+func TestSmallQuotaBesideAbsentInstances(t *testing.T) {
+	c := qt.New(t)
+	const rate, instances = 3.0, 62
+	for _, connected := range []bool{true, false} {
+		now := time.Hour
+		l := quota.NewLedger(now, fixedLimits(rate, 0))
+		var names []string
+		for i := range instances {
+			names = append(names, fmt.Sprint("n", i))
+		}
+		l.SetMembers(now, names)
+		for i, name := range names {
+			switch {
+			case i < instances/2:
+				l.Join(now, name, quota.Window, nil)
+			case connected:
+				l.Connect(now, name)
+			}
+		}
+		sent := 0
+		for end := now + time.Minute; now < end; now += 100 * time.Millisecond {
+			n, _ := take(l, now, "w", "n0")
+			sent += n
+		}
+		if connected {
+			c.Check(float64(sent) >= 0.95*rate*60, qt.IsTrue, qt.Commentf("%d", sent))
+		} else {
+			c.Check(float64(sent) >= 0.15*rate*60, qt.IsTrue, qt.Commentf("%d", sent))
+			c.Check(float64(sent) <= 0.3*rate*60, qt.IsTrue, qt.Commentf("%d", sent))
+		}
+	}
+}
+
 // A lowered quota does not bind.
 func TestLoweredQuotaBindsAtOnce(t *testing.T) {
 	c := qt.New(t)
--- a/internal/gateway/links.go
+++ b/internal/gateway/links.go
@@ -103,6 +103,9 @@
 		l.coordinator.postTicket(func(now time.Duration) {
 			l.current = f
 			l.downSince = 0
+			if l.coordinator.links[l.name] == l {
+				l.coordinator.quota.Connect(now, l.name)
+			}
 			l.send(l.coordinator.beatFrame(l, false))
 			l.coordinator.sendOwners(l)
 			for _, notice := range l.coordinator.departures.departureNotices() {
