--- a/internal/gateway/links.go
+++ b/internal/gateway/links.go
@@ -109,6 +109,9 @@
 			l.current = f
 			l.downSince = 0
 			l.acknowledged, l.roundTrip = 0, 0
+			if l.coordinator.links[l.name] == l {
+				l.coordinator.quota.Connect(now, l.name)
+			}
 			l.send(l.coordinator.beatFrame(l, false))
 			l.coordinator.queueOwners(l)
 			for _, notice := range l.coordinator.departures.departureNotices() {
