io/caller, core/dispatch: tests of what two deviations of the code did not fail

Cause: of nine deliberate deviations, two passed all tests: requests that start behind a response that is cut short, and ends of upstreams for lack of memory that are attributed to their requests for a round.

Change: a test with 20 requests behind a response that is cut short; the suspicions after each round are checked, in place of those after the last one only. The order in which the budget is refused, and that of an interim response, are tested, too.

Result: both deviations fail now; the code as it is passes.

--- a/core/dispatch/held_test.go
+++ b/core/dispatch/held_test.go
@@ -24,6 +24,8 @@
 	nextID   uint64
 	crashes  int
 	served   int
+	// suspected is the largest number of suspicions after a round.
+	suspected int
 }
 
 func newMemoryHistory(bounded bool, memory int64, size int) *memoryHistory {
@@ -78,6 +80,7 @@
 		h.end(&h.states[i])
 	}
 	h.pool.SetUpstreams(h.now, h.states)
+	h.suspected = max(h.suspected, len(h.suspects.List(h.now)))
 }
 
 func (h *memoryHistory) end(u *dispatch.UpstreamState) {
@@ -123,7 +126,7 @@
 	// Upstreams don't tell how much they can hold: all four may be tried beyond it once, at the same time.
 	c.Check(bounded.crashes <= 4, qt.IsTrue, qt.Commentf("%d ends", bounded.crashes))
 	c.Check(bounded.served > unbounded.served, qt.IsTrue)
-	c.Check(bounded.suspects.List(bounded.now), qt.HasLen, 0)
+	c.Check(bounded.suspected, qt.Equals, 0)
 }
 
 // TestSmallRequestsAreNotBounded guards against a bound that costs capacity where memory is not short, and against a request that fits no
--- a/io/caller/caller_test.go
+++ b/io/caller/caller_test.go
@@ -349,6 +349,73 @@
 	c.Check(responses(c, bufio.NewReader(conn), 3), qt.DeepEquals, []string{"/0", "/1 closes", "ends"})
 }
 
+// TestNothingStartsBehindAnIncompleteResponse guards against a request that takes the place of one whose response was cut short, and
+// whose own response can't be sent.
+func TestNothingStartsBehindAnIncompleteResponse(t *testing.T) {
+	c := qt.New(t)
+	var started atomic.Int64
+	s := start(t, func(w http.ResponseWriter, r *http.Request) {
+		if started.Add(1); r.URL.Path != "/0" {
+			<-r.Context().Done()
+			return
+		}
+		for started.Load() < 16 {
+			time.Sleep(time.Millisecond)
+		}
+		panic(http.ErrAbortHandler)
+	})
+	conn := s.dial()
+	for i := range 20 {
+		send(c, conn, get(fmt.Sprint("/", i)))
+	}
+	c.Check(responses(c, bufio.NewReader(conn), 1), qt.DeepEquals, []string{"ends"})
+	c.Check(started.Load(), qt.Equals, int64(16))
+}
+
+// TestInterimResponseWaitsForItsTurn guards against "100 Continue" within or before the response to an earlier request.
+func TestInterimResponseWaitsForItsTurn(t *testing.T) {
+	c := qt.New(t)
+	s := start(t, func(w http.ResponseWriter, r *http.Request) {
+		time.Sleep(20 * time.Millisecond)
+		io.Copy(w, r.Body)
+	})
+	conn := s.dial()
+	send(c, conn, get("/0")+"POST /1 HTTP/1.1\r\nHost: a\r\nContent-Length: 3\r\nExpect: 100-continue\r\n\r\n")
+	reader := bufio.NewReader(conn)
+	for i, status := range []int{200, 100, 200} {
+		if i == 2 {
+			send(c, conn, "abc")
+		}
+		response, err := http.ReadResponse(reader, nil)
+		c.Assert(err, qt.IsNil)
+		c.Check(response.StatusCode, qt.Equals, status)
+	}
+}
+
+// TestBudgetIsRefusedInOrder guards against request bodies and read-ahead that take the memory of responses.
+func TestBudgetIsRefusedInOrder(t *testing.T) {
+	c := qt.New(t)
+	var refused []caller.Use
+	b := caller.NewBudget(100)
+	for used := 0; used <= 100; used++ {
+		for _, use := range []caller.Use{caller.Bodies, caller.ReadAhead, caller.Responses} {
+			if slices.Contains(refused, use) {
+				continue
+			}
+			if !b.Reserve(use, 1) {
+				refused = append(refused, use)
+				continue
+			}
+			b.Release(use, 1)
+		}
+		b.Take(caller.Responses, 1)
+	}
+	c.Check(refused, qt.DeepEquals, []caller.Use{caller.Bodies, caller.ReadAhead, caller.Responses})
+	b.Release(caller.Responses, b.Used())
+	c.Check(b.Reserve(caller.Bodies, 1000), qt.IsTrue) // It could never be read otherwise.
+	c.Check(b.Reserve(caller.Bodies, 1), qt.IsFalse)
+}
+
 // TestIncompleteResponseIsRecognizable guards against a response that looks complete although its handler gave up or its caller did not
 // read, and against a response behind it.
 func TestIncompleteResponseIsRecognizable(t *testing.T) {
