--- a/internal/gateway/election.go
+++ b/internal/gateway/election.go
@@ -221,13 +221,31 @@
 	if e.coordinatorMissing(now) {
 		e.checkRegistration(ctx)
 	}
+	if term == 0 && !e.observeAll(callCtx) {
+		return 0, 0, false
+	}
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
+	if term == 0 && t.rank() > rank {
+		return 0, 0, false // A fitter instance has registered since.
+	}
 	version, acquire = t.monitor.CanTakeLease(e.clock.Now(), rank)
 	t.acquiringLease = acquire
 	return version, term, acquire
 }
 
+// observeAll reads which instances have registered. Before the first lease, no coordinator tells of them, and those that start at the same
+// time may have registered after this one.
+func (e *elector) observeAll(ctx context.Context) bool {
+	page, err := e.config.Store.Rows(ctx, instanceTable, "")
+	if err != nil {
+		e.log.WithError(err).Warn("reading the registered instances failed, trying again before the lease is taken")
+		return false
+	}
+	e.observeInstances(page.Rows, e.row)
+	return true
+}
+
 // maxReadPause returns the longest pause between reads of the lease while the store fails. The instances that come first in the
 // order of takeover are few; the others leave it to them.
 func (e *elector) maxReadPause(rank int) time.Duration {
