io/caller: a caller that closes behind more requests than the receive buffer holds is found, too

Cause: a caller that closes without a reset is found from the end of its input, which does not arrive while the receive buffer is full. What ran for it went on to its deadline. It showed as a hang of TestCallerThatLeavesEndsItsRequests in a run under the race detector beside other tests (2,000 requests, close to the size of the buffer).

Change: while 32 KB or more wait unread, the interim response is sent that also finds callers that have closed their side.

--- a/io/caller/caller_test.go
+++ b/io/caller/caller_test.go
@@ -304,7 +304,7 @@
 // TestCallerThatLeavesEndsItsRequests guards against work for callers that have left, by a reset or by closing, with few requests or
 // with more than are read.
 func TestCallerThatLeavesEndsItsRequests(t *testing.T) {
-	for _, requests := range []int{1, 5, 2000} {
+	for _, requests := range []int{1, 5, 2000, 50000} {
 		for _, reset := range []bool{true, false} {
 			t.Run(fmt.Sprint(requests, " reset ", reset), func(t *testing.T) {
 				c := qt.New(t)
@@ -317,7 +317,8 @@
 					<-r.Context().Done()
 				})
 				conn := s.dial()
-				send(c, conn, strings.Repeat(get("/x"), requests))
+				// More than fits into all buffers: closing interrupts the write then.
+				go func() { _, _ = io.WriteString(conn, strings.Repeat(get("/x"), requests)) }()
 				for range min(requests, 16) {
 					<-started
 				}
--- a/io/caller/leave.go
+++ b/io/caller/leave.go
@@ -13,6 +13,8 @@
 	// tcpClose and tcpCloseWait are states of a connection: reset, and closed by the other side for sending.
 	tcpClose     = 7
 	tcpCloseWait = 8
+	// manyUnreadBytes is the number of bytes in a receive buffer from which on it may be full.
+	manyUnreadBytes = 32 << 10
 	// maxUnsentBytes is the size of the unsent data in a connection's send buffer.
 	maxUnsentBytes = 128 << 10
 	continueHead   = "HTTP/1.1 100 Continue\r\n\r\n"
@@ -55,12 +57,14 @@
 
 // watch ends the connection if the caller has left. A reset shows in the state of the connection, also while input waits in it. A
 // caller that has closed its side is either still reading, or has left: an interim response, which the protocol allows at any time,
-// makes the system of one that has left reset the connection.
+// makes the system of one that has left reset the connection. That it has closed its side does not show while the receive buffer is
+// full.
 func (c *connection) watch() {
-	switch c.state() {
-	case tcpClose:
+	state, unread := c.state()
+	switch {
+	case state == tcpClose:
 		c.leave("caller-left")
-	case tcpCloseWait:
+	case state == tcpCloseWait || unread >= manyUnreadBytes:
 		c.closedTicks++
 		if c.closedTicks&(c.closedTicks-1) == 0 { // Less and less often.
 			c.probe()
@@ -75,21 +79,23 @@
 	})
 }
 
-// state returns the system's state of the connection, 0 if it is unknown.
-func (c *connection) state() uint8 {
+// state returns the system's state of the connection and the number of bytes in its receive buffer, 0 if they are unknown.
+func (c *connection) state() (state uint8, unread int) {
 	if c.raw == nil {
-		return 0
+		return 0, 0
 	}
-	state := uint8(0)
 	err := c.raw.Control(func(fd uintptr) {
 		if info, err := unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO); err == nil {
 			state = info.State
 		}
+		if n, err := unix.IoctlGetInt(int(fd), unix.SIOCINQ); err == nil {
+			unread = n
+		}
 	})
 	if err != nil {
-		return 0
+		return 0, 0
 	}
-	return state
+	return state, unread
 }
 
 // probe sends an interim response if the first response has not begun.
