core/dispatch: requests beyond the quota don't count toward a workspace's usual rate; CHANGELOG: workspaces

Cause: a request was counted for the parts of capacity before its quota was checked, so that a workspace far beyond its quota came to have a larger part. Change: the quota is checked first. Measured: the tests of quota and fair sharing pass as before; no test shows the difference.

--- a/core/dispatch/pool.go
+++ b/core/dispatch/pool.go
@@ -182,8 +182,6 @@
 	if t.Bulk {
 		t.rank += bulkDelay
 	}
-	behind := p.putBack(now, t)
-	t.rank += behind
 	if t.Attempt == 0 {
 		p.budget.countRequest(now)
 	}
@@ -195,6 +193,8 @@
 		p.refuse(t, OverQuota, wait, 0)
 		return
 	}
+	behind := p.putBack(now, t)
+	t.rank += behind
 	q := p.queueFor(now, t)
 	wait, work := p.expectedWait(now, t, q)
 	if wait > 0 {
