internal/soak: workspaces, with checks of names, keys and quota

Cause: the fault soak sends no keys. Two more checks: the name that backends got and the answers 401, and the number of requests of the limited workspace in any 5 s. Measured: traces that break and keep both promises are in TestCheckersRejectBrokenTraces.

--- a/internal/soak/callers.go
+++ b/internal/soak/callers.go
@@ -121,6 +121,10 @@
 		Unsafe:   path == "/book/" || path == "/order/",
 		SentAt:   time.Now().UnixNano(),
 	}
+	var apiKey string
+	if !c.cluster.history.NoWorkspaces {
+		r.Workspace, apiKey = drawWorkspace(random)
+	}
 	limit := requestTime
 	if random.IntN(30) == 0 {
 		limit = time.Duration(5+random.IntN(100)) * time.Millisecond // The caller leaves early.
@@ -150,6 +154,10 @@
 	request.Header.Set(headers.Request, r.Request)
 	request.Header.Set(headers.Deadline, strconv.FormatInt(requestTime.Milliseconds(), 10))
 	request.Header.Set(headers.Key, strconv.Itoa(key))
+	if apiKey != "" {
+		request.Header.Set(headers.APIKey, apiKey)
+	}
+	request.Header.Set(headers.Workspace, "forged")
 	response, err := client.Do(request)
 	var text []byte
 	if err == nil {
--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -89,6 +89,14 @@
 			Promise: "nothing cut by a planned stop",
 			Check:   checkStops,
 		},
+		{
+			Promise: "workspaces are kept apart",
+			Check:   checkWorkspaces,
+		},
+		{
+			Promise: "quota",
+			Check:   checkQuota,
+		},
 	}
 }
 
--- a/internal/soak/check_test.go
+++ b/internal/soak/check_test.go
@@ -91,6 +91,8 @@
 	spans   []soak.Span
 	orders  []soak.Order
 	exits   []soak.Exit
+
+	noWorkspaces struct{}
 )
 
 func broken(name, promise string, parts ...any) trace {
@@ -106,6 +108,8 @@
 	}
 	for _, part := range parts {
 		switch p := part.(type) {
+		case noWorkspaces:
+			t.history.NoWorkspaces = true
 		case events:
 			t.history.Events = p
 		case results:
@@ -131,6 +135,22 @@
 		To:   at(20000),
 	}}
 	stopped := during(soak.InstanceStop, 0, 6000)
+	ofWorkspace := func(name string, status int) results {
+		r := answered("r", status)
+		r.Workspace = name
+		return results{r}
+	}
+	runOf := func(milliseconds int64, name string) backend.Event {
+		e := run(milliseconds, "a", backend.Begun, "r")
+		e.Workspace = name
+		return e
+	}
+	many := func(n int, apart int64) (list events) {
+		for i := range n {
+			list = append(list, runOf(int64(i)*apart, soak.LimitedWorkspace))
+		}
+		return list
+	}
 	wrong := answered("r", 200)
 	wrong.Body = backend.Answer("a", "other", 0)
 	half := answered("r", 200)
@@ -171,6 +191,22 @@
 		kept("not passed on", "nothing cut by a planned stop", results{dropped("r")}, spans{stopped}),
 		kept("its backend ended", "nothing cut by a planned stop", events{run(1, "a", backend.Begun, "r")}, results{dropped("r")}, spans{stopped, during(soak.BackendKill, 50, 500)}),
 
+		broken("another's name", "workspaces are kept apart", events{runOf(1, "second")}, ofWorkspace("first", 200)),
+		broken("no name", "workspaces are kept apart", events{runOf(1, "")}, ofWorkspace("first", 200)),
+		broken("unknown key is served", "workspaces are kept apart", ofWorkspace("", 200)),
+		broken("unknown key runs", "workspaces are kept apart", events{runOf(1, "")}, ofWorkspace("", 401)),
+		broken("known key is refused", "workspaces are kept apart", ofWorkspace("first", 401)),
+		kept("own name", "workspaces are kept apart", events{runOf(1, "first")}, ofWorkspace("first", 200)),
+		kept("unknown key", "workspaces are kept apart", ofWorkspace("", 401)),
+		broken("forged name", "workspaces are kept apart", noWorkspaces{}, events{runOf(1, "forged")}, ofWorkspace("", 200)),
+		broken("refused without workspaces", "workspaces are kept apart", noWorkspaces{}, ofWorkspace("", 401)),
+		kept("without workspaces", "workspaces are kept apart", noWorkspaces{}, events{runOf(1, "")}, ofWorkspace("", 200)),
+		kept("no configuration", "workspaces are kept apart", ofWorkspace("", 503)),
+
+		broken("too many", "quota", many(60, 80)),
+		kept("held up", "quota", many(60, 80), spans{during(soak.BackendCut, 0, 100)}),
+		kept("within", "quota", many(60, 90)),
+
 		broken("nothing", "requests are served", results{answered("r", 503)}),
 		kept("something", "requests are served", results{answered("r", 200)}),
 	} {
--- a/internal/soak/cluster.go
+++ b/internal/soak/cluster.go
@@ -90,6 +90,9 @@
 	k := &cluster{
 		config:   config,
 		schedule: schedule,
+		history: History{
+			NoWorkspaces: schedule.Seed%2 == 0,
+		},
 	}
 	var err error
 	if k.store, err = k.start("store", "cuminlift-standin", nil, "store", "--listen", loopback.Address(storeHost, storePort)); err != nil {
--- a/internal/soak/history.go
+++ b/internal/soak/history.go
@@ -25,7 +25,9 @@
 	// Instance is the number of the instance that was asked.
 	Instance int
 	// Unsafe requests must not run more than once.
-	Unsafe     bool
+	Unsafe bool
+	// Workspace is the workspace of the caller, empty if its key is unknown.
+	Workspace  string
 	SentAt     int64
 	EndedAt    int64
 	Outcome    Outcome
@@ -60,6 +62,9 @@
 
 // History is all that was seen in a run.
 type History struct {
+	// NoWorkspaces is true if the configuration has no workspaces, as in runs with even seeds.
+	NoWorkspaces bool
+
 	Events  []backend.Event
 	Results []Result
 	Spans   []Span
--- a/internal/soak/platform.go
+++ b/internal/soak/platform.go
@@ -64,6 +64,7 @@
 				ColdDuration: time.Millisecond,
 			},
 		},
+		Workspaces: k.workspaces(),
 	})
 	if err != nil {
 		return err
--- a/internal/standin/backend/event.go
+++ b/internal/standin/backend/event.go
@@ -34,6 +34,8 @@
 	// Born identifies the start of the backend, in Unix milliseconds.
 	Born    int64  `json:"born"`
 	Request string `json:"request,omitempty"`
+	// Workspace is the workspace that the request named, empty for none.
+	Workspace string `json:"workspace,omitempty"`
 	// Keyed is true if the request has a key, Key.
 	Keyed bool   `json:"keyed,omitempty"`
 	Key   uint32 `json:"key,omitempty"`
--- a/internal/standin/backend/serve.go
+++ b/internal/standin/backend/serve.go
@@ -171,7 +171,7 @@
 		reject(http.StatusMisdirectedRequest)
 		return
 	}
-	status, broken := b.runInSlot(r.Context(), id, uint32(key), deadline)
+	status, broken := b.runInSlot(r.Context(), id, r.Header.Get(headers.Workspace), uint32(key), deadline)
 	if r.Context().Err() != nil {
 		return
 	}
@@ -193,7 +193,7 @@
 }
 
 // runInSlot runs a request until its time is over, its caller leaves, or the lease of its key ends, and returns the status.
-func (b *Backend) runInSlot(ctx context.Context, id string, key uint32, deadline time.Time) (status int, broken bool) {
+func (b *Backend) runInSlot(ctx context.Context, id, workspace string, key uint32, deadline time.Time) (status int, broken bool) {
 	running := &work{
 		keyed: b.settings.Keyed,
 		key:   key,
@@ -204,6 +204,8 @@
 		Request: id,
 		Keyed:   b.settings.Keyed,
 		Key:     key,
+
+		Workspace: workspace,
 	}
 	b.record(event)
 	takes, broken := b.serviceTime()
