internal/gateway: a test of quotas while instances are replaced

Cause: only the model in core/quota covered changes of coordinator. Change: four instances are stopped and started one after the other under ten times the quota.

--- a/internal/gateway/quota_test.go
+++ b/internal/gateway/quota_test.go
@@ -90,6 +90,42 @@
 	}
 }
 
+// A workspace gets its quota again from each coordinator, or less for ever, while instances are replaced one after the other.
+func TestQuotaHoldsWhenInstancesAreReplaced(t *testing.T) {
+	c := qt.New(t)
+	k := newCluster(c, 0)
+	r := k.record()
+	k.configureWorkspaces(1, `[{"name":"limited","api_keys":["key-1"],"rate_per_s":4,"burst":40},{"name":"free","api_keys":["key-2"]}]`)
+	names := []string{"n0", "n1", "n2", "n3"}
+	for _, name := range names {
+		k.start(name)
+	}
+	for _, name := range names {
+		eventually(func() bool {
+			status, _ := k.call(k.front(name), "/read/x", "Api-Key", "key-2")
+			return status == http.StatusOK
+		})
+	}
+	before := r.count()
+	for _, name := range names {
+		k.flood("key-1", 20*time.Millisecond, 2*time.Second)
+		k.stop(name)
+		k.start(name)
+	}
+	k.flood("key-1", 20*time.Millisecond, 8*time.Second)
+	times := r.times[before:]
+	most := mostArrivals(times, time.Time{}, 5*time.Second)
+	c.Check(most <= 86, qt.IsTrue, qt.Commentf("%d in 5 s", most)) // (4 x 5 + 40) x 1.1 + 20.
+	last := 0
+	for _, at := range times {
+		if time.Since(at) < 4*time.Second {
+			last++
+		}
+	}
+	c.Check(last >= 12, qt.IsTrue, qt.Commentf("%d in the last 4 s", last))
+	t.Logf("%d in 5 s, %d in the last 4 s, %d in all", most, last, len(times))
+}
+
 // lockedBuffer is a buffer for several writers.
 type lockedBuffer struct {
 	mutex sync.Mutex
--- a/internal/gateway/workspace_test.go
+++ b/internal/gateway/workspace_test.go
@@ -23,11 +23,13 @@
 	address string
 	mutex   sync.Mutex
 	headers []http.Header
+	times   []time.Time
 }
 
 func (r *recorder) ServeHTTP(w http.ResponseWriter, request *http.Request) {
 	r.mutex.Lock()
 	r.headers = append(r.headers, request.Header.Clone())
+	r.times = append(r.times, time.Now())
 	r.mutex.Unlock()
 	w.Header().Set("Request-Id", request.Header.Get("Request-Id"))
 	w.Header().Set("Response-Signature", "s")
