--- a/core/dispatch/pool.go
+++ b/core/dispatch/pool.go
@@ -205,8 +205,6 @@
 func (p *Pool) Submit(now time.Duration, t *Ticket) {
 	t.arrived = now
 	p.order(now, t)
-	behind := p.putBack(now, t)
-	t.rank += behind
 	if t.Attempt == 0 && !t.Returned {
 		p.budget.countRequest(now)
 	}
@@ -218,6 +216,8 @@
 		p.refuse(now, t, OverQuota, wait, 0)
 		return
 	}
+	behind := p.putBack(now, t)
+	t.rank += behind
 	q := p.queueFor(now, t)
 	if p.mixed {
 		q.countArrival(now, t)
