core/dispatch: no kind is starved or served less often than a less urgent one

Change: the wait of a promoted ticket counts what is ahead of it; a kind that is served less often than a less urgent one is promoted too, and may wait as long as a late request.

--- a/core/dispatch/expected.go
+++ b/core/dispatch/expected.go
@@ -156,8 +156,14 @@
 		if k.key.priority < t.level {
 			urgent += f.rate * k.mean.Seconds()
 		}
-		if k.key.priority <= t.level {
+		switch {
+		case t.promoted:
+			// It is ahead of all but those that are promoted too.
+			ahead += float64(f.promoted) * k.mean.Seconds()
+		case k.key.priority <= t.level:
 			ahead += float64(f.waiting) * k.mean.Seconds()
+		default:
+			ahead += float64(f.promoted) * k.mean.Seconds()
 		}
 	}
 	if ahead == 0 && p.hasOpenSlot(now, q, t.level) {
--- a/core/dispatch/kinds.go
+++ b/core/dispatch/kinds.go
@@ -167,7 +167,8 @@
 
 // The order of the queue of a mixed service, which docs/design/expected-cost.md explains:
 //
-//  1. A kind that is served less than floorShare as often as all requests goes first, until it has caught up.
+//  1. A kind that is served less than floorShare as often as all requests, or less often than a less urgent kind, goes first, until
+//     it has caught up.
 //  2. Priority, the most urgent first.
 //  3. Within a priority, requests that can still be in time, then the others.
 //  4. The latest time at which a request must begin to be in time, the earliest first.
@@ -179,7 +180,9 @@
 	t.level = t.kind.key.priority
 	_, usual := t.kind.expect(now, t)
 	t.rank = time.Duration(t.level)*levelStep + max(0, t.Objective-usual)
-	if t.level > 0 && p.starved(now, t.kind) {
+	starved := p.starved(now, t.kind)
+	t.lagging = p.lagging(t.kind)
+	if t.level > 0 && (starved || t.lagging) {
 		t.promoted = true
 		t.level = 0
 		t.rank = t.arrived
@@ -201,9 +204,26 @@
 	return k.sent+float64(k.promoted) < floorShare*sent/arrived*k.arrived
 }
 
+// lagging reports whether a kind is served less often than a less urgent one. That happens where its objective is so short that its
+// requests are refused, while others wait longer for the slots that become free.
+func (p *Pool) lagging(k *kind) bool {
+	if k.arrived < floorSamples {
+		return false
+	}
+	for _, other := range p.kinds.list {
+		if other.key.priority > k.key.priority && other.arrived >= floorSamples &&
+			k.sent+float64(k.waiting) < other.sent/other.arrived*k.arrived {
+			return true
+		}
+	}
+	return false
+}
+
 // flow describes the tickets of one kind in one queue.
 type flow struct {
 	waiting int
+	// promoted is the number of those that wait ahead of their priority.
+	promoted int
 	// rate is the recent number of arrivals per second, and peak the highest one for some time. They hold for ratedAt.
 	rate, peak float64
 	ratedAt    time.Duration
@@ -248,9 +268,11 @@
 	if t.kind == nil {
 		return
 	}
-	q.flow(t.kind).waiting += change
+	f := q.flow(t.kind)
+	f.waiting += change
 	t.kind.waiting += change
 	if t.promoted {
+		f.promoted += change
 		t.kind.promoted += change
 	}
 }
--- a/core/dispatch/mixed_test.go
+++ b/core/dispatch/mixed_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math"
+	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -32,25 +33,33 @@
 	return before, after
 }
 
-// checkOrder checks that no kind is served less often or earns a smaller share of its value than a less urgent one, and that none is
-// starved.
-func checkOrder(c *qt.C, s replay, results []replayResult) {
-	c.Helper()
+// orderFaults returns the kinds that are served less often or earn a smaller share of their value than a less urgent one, and those
+// that are starved.
+func orderFaults(s replay, results []replayResult) (faults, starved []string) {
 	offered, served := 0, 0
 	for _, r := range results {
 		offered += r.offered
 		served += r.served
 	}
 	for i, r := range results {
-		c.Check(r.shareServed() >= 0.25*float64(served)/float64(offered), qt.IsTrue, qt.Commentf("priority %d: %v", s.kinds[i].priority, r))
+		if r.shareServed() < 0.25*float64(served)/float64(offered) {
+			starved = append(starved, fmt.Sprintf("priority %d: %v", s.kinds[i].priority, r))
+		}
 		for j, other := range results {
-			if s.kinds[i].priority >= s.kinds[j].priority {
-				continue
+			if s.kinds[i].priority < s.kinds[j].priority && (r.shareServed() < other.shareServed()-0.05 || r.shareValue() < 0.85*other.shareValue()) {
+				faults = append(faults, fmt.Sprintf("priority %d: %v; %d: %v", s.kinds[i].priority, r, s.kinds[j].priority, other))
 			}
-			c.Check(r.shareServed() >= other.shareServed()-0.05, qt.IsTrue, qt.Commentf("priority %d: %v; %d: %v", s.kinds[i].priority, r, s.kinds[j].priority, other))
-			c.Check(r.shareValue() >= 0.85*other.shareValue(), qt.IsTrue, qt.Commentf("priority %d: %v; %d: %v", s.kinds[i].priority, r, s.kinds[j].priority, other))
 		}
 	}
+	return faults, starved
+}
+
+// checkOrder checks that the results have no faults.
+func checkOrder(c *qt.C, s replay, results []replayResult) {
+	c.Helper()
+	faults, starved := orderFaults(s, results)
+	c.Check(faults, qt.HasLen, 0)
+	c.Check(starved, qt.HasLen, 0)
 }
 
 // TestUrgentKindKeepsItsShareUnderOverload covers kinds of 180 and 1,000 ms at 1.3 times the capacity. With one average for both,
@@ -221,6 +230,52 @@
 	c.Check(p.Waiting(), qt.Equals, 0)
 }
 
+// TestRandomMixesKeepTheOrder plays kinds with random works, objectives, priorities, shares and bursts. Kinds with short objectives
+// were starved or served less often than less urgent ones, because more urgent kinds with long objectives waited ahead of them.
+func TestRandomMixesKeepTheOrder(t *testing.T) {
+	c := qt.New(t)
+	const mixes = 200
+	faulty := 0
+	for seed := range uint64(mixes) {
+		random := rand.New(rand.NewPCG(seed, 99))
+		s := openReplay(0.7 + 1.5*random.Float64())
+		s.upstreams = 4 + random.IntN(20)
+		if random.IntN(2) == 0 {
+			s = keyedReplay(0.5 + 1.5*random.Float64())
+			s.upstreams = 6
+		}
+		s.mixed, s.duration = true, 12*time.Second
+		total := 0.0
+		priorities := random.Perm(3)
+		for i := range s.kinds {
+			k := &s.kinds[i]
+			k.priority = priorities[i]
+			k.share = 0.1 + random.Float64()
+			k.work = time.Duration(80+random.IntN(900)) * time.Millisecond
+			k.objective = time.Duration((2.5 + 3*random.Float64()) * float64(k.work))
+			k.deadline = time.Duration((2.5 + 2*random.Float64()) * float64(k.objective))
+			if random.IntN(3) == 0 {
+				from := time.Duration(random.IntN(6)) * time.Second
+				k.load = during(from, from+time.Duration(3+random.IntN(5))*time.Second, 1.6+0.7*random.Float64())
+			}
+			total += k.share
+		}
+		for i := range s.kinds {
+			s.kinds[i].share /= total
+		}
+		results, _ := s.run()
+		faults, starved := orderFaults(s, results)
+		c.Check(starved, qt.HasLen, 0, qt.Commentf("seed %d", seed))
+		if len(faults) > 0 {
+			c.Logf("seed %d: %v", seed, faults)
+			faulty++
+		}
+	}
+	// Kinds compete at single owners, while their shares are those of the service: some short bursts are over before the order has
+	// made up for them.
+	c.Check(faulty <= mixes/100, qt.IsTrue, qt.Commentf("%d of %d mixes", faulty, mixes))
+}
+
 // benchmarkDecisions measures the decisions about a request, from its submission to its end, at 300 upstreams whose slots are all in
 // use, or half of them.
 func benchmarkDecisions(b *testing.B, mixed, keyed, full bool) {
--- a/core/dispatch/refuse.go
+++ b/core/dispatch/refuse.go
@@ -19,10 +19,10 @@
 
 // admitMixed reports whether a ticket that must wait may be queued. Those that would be late are refused on arrival: under overload
 // they would take capacity from others or be refused after they have waited. A request whose work alone takes longer than its
-// objective may wait as long as a late one.
+// objective may wait as long as a late one, and so may one whose kind is served less often than a less urgent one.
 func (p *Pool) admitMixed(now time.Duration, t *Ticket, wait, work time.Duration) bool {
 	wait = scale(wait, waitMargin)
-	if now+work > t.Objective {
+	if now+work > t.Objective || t.lagging {
 		return wait <= scale(t.Deadline-now, lateWaitShare) && now+wait+work < t.Deadline
 	}
 	return now+wait+work <= t.Objective
--- a/core/dispatch/ticket.go
+++ b/core/dispatch/ticket.go
@@ -42,10 +42,10 @@
 	// rank orders the tickets of a queue: arrived plus a delay for bulk requests and for those of low priority.
 	rank time.Duration
 	// kind and level are set on services with mixed kinds. level is the priority, or 0 if promoted is true: the kind of the ticket
-	// was starved when it arrived.
-	kind     *kind
-	level    int
-	promoted bool
+	// was served too rarely when it arrived. lagging is true if it was served less often than a less urgent kind.
+	kind              *kind
+	level             int
+	promoted, lagging bool
 	// queue is the queue that holds the ticket, nil if it is not waiting.
 	queue *queue
 }
