core/dispatch: kinds that are no longer used make room for others

Cause: a pool with 64 kinds dropped the last ones, but its queues kept their flows: the next decision panicked. A class that was dropped kept its place in the cost model, and tickets beyond the bound took the priority of another kind. Change: any unused kind is dropped; queues forget the flows of kinds whose position changes and count their tickets again; the model forgets the class.

--- a/core/cost/class.go
+++ b/core/cost/class.go
@@ -65,6 +65,13 @@
 	return class
 }
 
+// Forget makes room for another class.
+func (m *Model) Forget(class *Class) {
+	if m.classes[class.Name] == class {
+		delete(m.classes, class.Name)
+	}
+}
+
 func newClass(name string, objective time.Duration) *Class {
 	class := &Class{
 		Name: name,
--- a/core/dispatch/kinds.go
+++ b/core/dispatch/kinds.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math"
+	"slices"
 	"time"
 
 	"cuminlift/core/cost"
@@ -78,7 +79,7 @@
 
 func (p *Pool) addKind(now time.Duration, t *Ticket, key kindKey) *kind {
 	if len(p.kinds.list) >= maxKinds {
-		p.kinds.drop(now)
+		p.dropKinds(now)
 	}
 	if len(p.kinds.list) >= maxKinds {
 		return p.kinds.list[0]
@@ -103,15 +104,48 @@
 	return k
 }
 
-// drop forgets the last kinds in the list that have not been used for long, so that positions of others stay.
-func (s *kinds) drop(now time.Duration) {
-	for len(s.list) > 0 {
-		last := s.list[len(s.list)-1]
-		if last.waiting > 0 || now-last.usedAt < unusedKind {
-			return
+// dropKinds forgets the kinds that have not been used for long. Others take their positions in the list, and the queues forget the
+// flows of all kinds that change their position.
+func (p *Pool) dropKinds(now time.Duration) {
+	kept := p.kinds.list[:0]
+	var dropped []*cost.Class
+	first := len(p.kinds.list)
+	for i, k := range p.kinds.list {
+		if k.waiting == 0 && now-k.usedAt >= unusedKind {
+			first = min(first, i)
+			delete(p.kinds.byKey, k.key)
+			dropped = append(dropped, k.cost)
+			continue
+		}
+		k.index = len(kept)
+		kept = append(kept, k)
+	}
+	clear(p.kinds.list[len(kept):])
+	p.kinds.list = kept
+	for _, class := range dropped {
+		if !slices.ContainsFunc(kept, func(k *kind) bool { return k.cost == class }) {
+			p.kinds.model.Forget(class)
+		}
+	}
+	for _, u := range p.upstreams {
+		u.queue.forgetFlows(first)
+	}
+	p.shared.forgetFlows(first)
+	p.unowned.forgetFlows(first)
+}
+
+// forgetFlows forgets the flows of kinds from a position on, and counts their waiting tickets again.
+func (q *queue) forgetFlows(first int) {
+	q.flows = q.flows[:min(first, len(q.flows))]
+	for _, t := range q.tickets {
+		if t.kind == nil || t.kind.index < first {
+			continue
+		}
+		f := q.flow(t.kind)
+		f.waiting++
+		if t.promoted {
+			f.promoted++
 		}
-		delete(s.byKey, last.key)
-		s.list = s.list[:len(s.list)-1]
 	}
 }
 
@@ -177,7 +211,7 @@
 // requests in reserve.
 func (p *Pool) setOrder(now time.Duration, t *Ticket) {
 	t.kind = p.kindOf(now, t)
-	t.level = t.kind.key.priority
+	t.level = min(max(t.Priority, 0), maxPriority)
 	_, usual := t.kind.expect(now, t)
 	t.rank = time.Duration(t.level)*levelStep + max(0, t.Objective-usual)
 	starved := p.starved(now, t.kind)
