core/dispatch: few tickets wait for a faster upstream at a time

Cause: while a slow upstream was free and all others were in use, each event tried every waiting ticket at all upstreams. Change: eight tickets of a level wait for a faster upstream; further ones are sent.

--- a/core/dispatch/place.go
+++ b/core/dispatch/place.go
@@ -13,6 +13,7 @@
 			return decisions
 		}
 		end := 0
+		p.held = 0
 		for _, late := range []bool{false, true} {
 			end = begin
 			for end < len(q.tickets) && q.tickets[end].level == level {
@@ -66,6 +67,9 @@
 }
 
 const (
+	// maxHeld bounds the tickets of a level that wait for a faster upstream; further ones are sent. Hundreds may wait while a slow
+	// upstream is free, and each trial looks at all upstreams.
+	maxHeld = 8
 	// extraWait is the part of a request's own work that it may be expected to wait in the queue of an upstream. There it can be
 	// neither moved nor overtaken.
 	extraWait = 0.25
@@ -108,7 +112,8 @@
 			bestCost = cost
 		}
 	}
-	if best != nil && p.waitsForFaster(now, t, best, usual) {
+	if best != nil && p.held < maxHeld && p.waitsForFaster(now, t, best, usual) {
+		p.held++
 		return nil
 	}
 	return best
--- a/core/dispatch/pool.go
+++ b/core/dispatch/pool.go
@@ -65,6 +65,8 @@
 	factorAt         time.Duration
 	// shortest caches the result of shortestWork, computed at shortestAt, 0 for none.
 	shortest, shortestAt time.Duration
+	// held counts tickets of a level that wait for a faster upstream.
+	held int
 	// stretches is a buffer.
 	stretches []float64
 }
