--- a/core/dispatch/pool.go
+++ b/core/dispatch/pool.go
@@ -67,8 +67,9 @@
 	shortest, shortestAt time.Duration
 	// held counts tickets of a level that wait for a faster upstream.
 	held int
-	// stretches is a buffer.
-	stretches []float64
+	// stretches and queueBuffer are buffers.
+	stretches   []float64
+	queueBuffer []*queue
 }
 
 // assignment is what a running ticket was granted.
--- a/core/dispatch/queue.go
+++ b/core/dispatch/queue.go
@@ -92,13 +92,14 @@
 }
 
 // queues returns the non-empty queues of the upstreams in the order of their IDs, followed by the unowned and the shared
-// queue.
+// queue. The result is valid until the next call.
 func (p *Pool) queues() []*queue {
-	all := make([]*queue, 0, len(p.sorted)+2)
+	all := p.queueBuffer[:0]
 	for _, u := range p.sorted {
 		if len(u.queue.tickets) > 0 {
 			all = append(all, u.queue)
 		}
 	}
-	return append(all, p.unowned, p.shared)
+	p.queueBuffer = append(all, p.unowned, p.shared)
+	return p.queueBuffer
 }
