--- a/core/dispatch/pool.go
+++ b/core/dispatch/pool.go
@@ -72,10 +72,13 @@
 	factorAt         time.Duration
 	// shortest caches the result of shortestWork, computed at shortestAt, 0 for none.
 	shortest, shortestAt time.Duration
-	// stretches is a buffer.
-	stretches []float64
 	// heldCeiling bounds what upstreams hold after one has ended.
 	heldCeiling heldCeiling
+	// held counts tickets of a level that wait for a faster upstream.
+	held int
+	// stretches and queueBuffer are buffers.
+	stretches   []float64
+	queueBuffer []*queue
 }
 
 // assignment is what a running ticket was granted.
