core/dispatch: mixed services let a request wait at an upstream for as long as messages take

Cause: on mixed services a request beyond the slots was sent only if a slot was expected to be free in a quarter of its work. Change: the time between grant and report that a request does not spend at its upstream is measured, and a request is also sent if a slot is expected to be free within it.

--- a/core/dispatch/expected.go
+++ b/core/dispatch/expected.go
@@ -296,6 +296,7 @@
 	if k == nil {
 		return
 	}
+	p.recordTurnaround(now, granted, took)
 	k.cost.Compare(granted.predicted, took)
 	// Time spent in the queue of the upstream is no work.
 	net := max(took-granted.wait, took/3)
--- a/core/dispatch/place.go
+++ b/core/dispatch/place.go
@@ -77,10 +77,20 @@
 	crowdShare = 0.2
 )
 
-// acceptsExtra reports whether the upstream has a free slot, or one that is expected to be free in a part of work.
+// acceptsExtra reports whether the upstream has a free slot, or one that is expected to be free in a part of work or by the time that a
+// request sent now arrives. With short requests and slow messages, slots would otherwise be idle until the next request arrives.
 func (u *upstream) acceptsExtra(now time.Duration, p *Pool, work time.Duration) bool {
 	excess := len(u.running) - u.state.Slots + 1
-	return excess <= 0 || time.Duration(excess)*u.remaining(now, p).soonest <= scale(work, extraWait)
+	return excess <= 0 || time.Duration(excess)*u.remaining(now, p).soonest <= max(scale(work, extraWait), p.turnaround)
+}
+
+// turnaroundWeight is the weight of a new sample in the average, which covers some dozen answers.
+const turnaroundWeight = 0.05
+
+// recordTurnaround records the part of a request's time between grant and report that it did not spend at the upstream.
+func (p *Pool) recordTurnaround(now time.Duration, granted assignment, took time.Duration) {
+	sample := min(max(now-granted.sent-took, 0), time.Second)
+	p.turnaround += scale(sample-p.turnaround, turnaroundWeight)
 }
 
 // place returns the upstream at which t is expected to be answered first, or nil if none has a free slot.
--- a/core/dispatch/pool.go
+++ b/core/dispatch/pool.go
@@ -72,6 +72,9 @@
 	factorAt         time.Duration
 	// shortest caches the result of shortestWork, computed at shortestAt, 0 for none.
 	shortest, shortestAt time.Duration
+	// turnaround is the average time between grant and report of a request that it does not spend at the upstream: messages, and work that
+	// waits in the instances. It is used on services with mixed kinds.
+	turnaround time.Duration
 	// heldCeiling bounds what upstreams hold after one has ended.
 	heldCeiling heldCeiling
 	// held counts tickets of a level that wait for a faster upstream.
