core/dispatch: a service is treated as mixed while it gets requests of different kinds

Cause: operators add routes of another kind to every service, with which they check what is in force. Change: a service to which routes of different kinds send is treated as mixed while two kinds have 5 in 100 of its requests each. Late requests of a kind that is served more often than a more urgent one are refused. The configuration's log line tells the classes.

--- a/core/dispatch/kinds.go
+++ b/core/dispatch/kinds.go
@@ -253,6 +253,16 @@
 	return false
 }
 
+// leading reports whether a kind is served more often than a more urgent one.
+func (p *Pool) leading(k *kind) bool {
+	for _, other := range p.kinds.list {
+		if other.key.priority < k.key.priority && p.lagging(other) {
+			return true
+		}
+	}
+	return false
+}
+
 // flow describes the tickets of one kind in one queue.
 type flow struct {
 	waiting int
--- a/core/dispatch/pool.go
+++ b/core/dispatch/pool.go
@@ -64,8 +64,9 @@
 	pausedUntil time.Duration
 	// median caches the result of medianLatency, 0 for none, and medianAt is when it was computed.
 	median, medianAt time.Duration
-	// mixed is true if the service gets requests of different kinds, which are then told apart in kinds.
+	// mixed is true if the service gets requests of different kinds, which are then told apart in kinds. mix counts them.
 	mixed bool
+	mix   mix
 	kinds kinds
 	// factor and capacity cache the results of usualFactor, computed at factorAt, 0 for none.
 	factor, capacity float64
@@ -132,8 +133,11 @@
 
 // SetService sets the service configuration.
 func (p *Pool) SetService(service route.Service) {
+	if service.Mixed != p.service.Mixed {
+		p.mix = mix{}
+		p.setMixed(service.Mixed)
+	}
 	p.service = service
-	p.setMixed(service.Mixed)
 }
 
 // SetShare changes the pool's share of the service-wide limits.
@@ -210,6 +214,9 @@
 // Submit adds a ticket to the pool. A later call of Decide returns the decision.
 func (p *Pool) Submit(now time.Duration, t *Ticket) {
 	t.arrived = now
+	if p.service.Mixed && !t.Bulk {
+		p.setMixed(p.mix.count(now, t.Class, p.mixed))
+	}
 	p.order(now, t)
 	if t.Attempt == 0 && !t.Returned {
 		p.budget.countRequest(now)
--- a/core/dispatch/refuse.go
+++ b/core/dispatch/refuse.go
@@ -18,11 +18,15 @@
 )
 
 // admitMixed reports whether a ticket that must wait may be queued: it is expected to be in time, or it is late but likely to be answered
-// within the time that a late request may wait. Late ones get only what those in time leave.
+// within the time that a late request may wait. Late ones get only what those in time leave, and nothing while a more urgent kind is served
+// less often than theirs.
 func (p *Pool) admitMixed(now time.Duration, t *Ticket, wait, work time.Duration) bool {
 	if now+scale(wait, waitMargin)+work <= t.Objective {
 		return true
 	}
+	if p.leading(t.kind) {
+		return false
+	}
 	return wait <= scale(t.Deadline-now, lateWaitShare) && now+wait+2*work < t.Deadline
 }
 
--- a/core/dispatch/stats.go
+++ b/core/dispatch/stats.go
@@ -9,6 +9,8 @@
 
 // Stats describes the state of a pool.
 type Stats struct {
+	// Mixed is true while requests of different kinds are told apart.
+	Mixed bool
 	// Waiting and Running count requests. Usable, Cold, Blocked, Full and Limited count upstreams; an upstream is full when all
 	// of its slots are in use, limited while it names a limit, and unreachable from a failed connection to its next answer.
 	Waiting, Running, Usable, Cold, Blocked, Full, Limited, Unreachable int
@@ -28,6 +30,7 @@
 // Stats returns the state of the pool at now.
 func (p *Pool) Stats(now time.Duration) Stats {
 	stats := Stats{
+		Mixed:         p.mixed,
 		Waiting:       len(p.tickets),
 		Running:       len(p.running),
 		MedianLatency: p.medianLatency(now),
--- a/core/route/class.go
+++ b/core/route/class.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"slices"
+	"strings"
 	"time"
 )
 
@@ -23,6 +25,14 @@
 	return fmt.Sprintf("%d/%v/%v/%v", r.Priority, r.Kind, r.Objective, r.Timeout)
 }
 
+// ClassKind returns what of a class tells kinds of requests apart: all but the timeout.
+func ClassKind(class string) string {
+	if end := strings.LastIndexByte(class, '/'); end >= 0 {
+		return class[:end]
+	}
+	return class
+}
+
 // kindOfRequests is what the routes of a service must have in common for their requests to be treated alike.
 type kindOfRequests struct {
 	priority  int
@@ -61,3 +71,24 @@
 		}
 	}
 }
+
+// MixedServices returns the classes of routes by service, for services to which routes with different kinds of requests send.
+func (t *Table) MixedServices() string {
+	classes := map[string][]string{}
+	for _, routes := range t.hosts {
+		for _, r := range routes {
+			for _, w := range r.WeightedServices {
+				if t.Services[w.Service].Mixed && !slices.Contains(classes[w.Service], r.Class) {
+					classes[w.Service] = append(classes[w.Service], r.Class)
+				}
+			}
+		}
+	}
+	var names []string
+	for name, list := range classes {
+		slices.Sort(list)
+		names = append(names, name+": "+strings.Join(list, ", "))
+	}
+	slices.Sort(names)
+	return strings.Join(names, "; ")
+}
--- a/internal/gateway/view.go
+++ b/internal/gateway/view.go
@@ -228,6 +228,7 @@
 		f.log.WithFields(logrus.Fields{
 			"version":     table.Version,
 			"row-version": row.Version,
+			"mixed":       table.MixedServices(),
 		}).Info("configuration is in force")
 	}
 }
