internal/gateway: an instance that reads the store itself also uses the rows that the coordinator forwards

Cause: while all instances are told to read the store, one that the store refuses as well passed over the rows that another instance had handed up; TestNewerRowsOfOneInstanceAreUsed then waited forever, in one run of the tests with the race detector. Change: rows that continue the known ones are applied; the instance goes on trying to read. Result: the test and those of handed-up rows pass; the whole package was not run again with this change.

--- a/internal/gateway/poll.go
+++ b/internal/gateway/poll.go
@@ -267,6 +267,8 @@
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
 	if t.source != from && !rows.GetWhole() && !rows.GetJoins() {
+		// The store may refuse this instance too: the rows are used, and it goes on trying to read itself.
+		t.applyPageLocked(page, false, rows.GetSince())
 		return false
 	}
 	if !t.applyPageLocked(page, rows.GetWhole(), rows.GetSince()) {
