--- a/core/dispatch/kinds.go
+++ b/core/dispatch/kinds.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math"
+	"slices"
 	"time"
 
 	"cuminlift/core/cost"
@@ -78,7 +79,7 @@
 
 func (p *Pool) addKind(now time.Duration, t *Ticket, key kindKey) *kind {
 	if len(p.kinds.list) >= maxKinds {
-		p.kinds.drop(now)
+		p.dropKinds(now)
 	}
 	if len(p.kinds.list) >= maxKinds {
 		return p.kinds.list[0]
@@ -103,16 +104,58 @@
 	return k
 }
 
-// drop forgets the last kinds in the list that have not been used for long, so that positions of others stay.
-func (s *kinds) drop(now time.Duration) {
-	for len(s.list) > 0 {
-		last := s.list[len(s.list)-1]
-		if last.waiting > 0 || now-last.usedAt < unusedKind {
-			return
+// dropKinds forgets the kinds that have not been used for long. Others take their positions in the list, and the queues forget the
+// flows of all kinds that change their position.
+func (p *Pool) dropKinds(now time.Duration) {
+	kept := p.kinds.list[:0]
+	var dropped []*cost.Class
+	first := len(p.kinds.list)
+	for i, k := range p.kinds.list {
+		if k.waiting == 0 && now-k.usedAt >= unusedKind {
+			first = min(first, i)
+			delete(p.kinds.byKey, k.key)
+			dropped = append(dropped, k.cost)
+			continue
 		}
-		delete(s.byKey, last.key)
-		s.list = s.list[:len(s.list)-1]
+		k.index = len(kept)
+		kept = append(kept, k)
 	}
+	clear(p.kinds.list[len(kept):])
+	p.kinds.list = kept
+	for _, class := range dropped {
+		if !slices.ContainsFunc(kept, func(k *kind) bool { return k.cost == class }) {
+			p.kinds.model.Forget(class)
+		}
+	}
+	for _, u := range p.upstreams {
+		u.queue.forgetFlows(first)
+	}
+	p.shared.forgetFlows(first)
+	p.unowned.forgetFlows(first)
+}
+
+// forgetFlows forgets the flows of kinds from a position on, and counts their waiting tickets again.
+func (q *queue) forgetFlows(first int) {
+	q.flows = q.flows[:min(first, len(q.flows))]
+	for _, t := range q.tickets {
+		if t.kind == nil || t.kind.index < first {
+			continue
+		}
+		f := q.flow(t.kind)
+		f.waiting++
+		if t.promoted {
+			f.promoted++
+		}
+	}
+}
+
+// decay returns the weight that is left after an age. Most ages are short, for which the series is precise enough and faster.
+func decay(age, memory time.Duration) float64 {
+	x := float64(age) / float64(memory)
+	if x < 0.02 {
+		return 1 - x + x*x/2
+	}
+	return math.Exp(-x)
 }
 
 // count makes older requests count less.
@@ -120,7 +163,7 @@
 	if now <= k.countedAt {
 		return
 	}
-	factor := math.Exp(-(now - k.countedAt).Seconds() / shareMemory.Seconds())
+	factor := decay(now-k.countedAt, shareMemory)
 	k.arrived *= factor
 	k.sent *= factor
 	k.countedAt = now
@@ -158,7 +201,8 @@
 
 // The order of the queue of a mixed service, which docs/design/expected-cost.md explains:
 //
-//  1. A kind that is served less than floorShare as often as all requests goes first, until it has caught up.
+//  1. A kind that is served less than floorShare as often as all requests, or less often than a less urgent kind, goes first, until
+//     it has caught up.
 //  2. Priority, the most urgent first.
 //  3. Within a priority, requests that can still be in time, then the others.
 //  4. The latest time at which a request must begin to be in time, the earliest first.
@@ -167,10 +211,12 @@
 // requests in reserve.
 func (p *Pool) setOrder(now time.Duration, t *Ticket) {
 	t.kind = p.kindOf(now, t)
-	t.level = t.kind.key.priority
+	t.level = min(max(t.Priority, 0), maxPriority)
 	_, usual := t.kind.expect(now, t)
 	t.rank = time.Duration(t.level)*levelStep + max(0, t.Objective-usual)
-	if t.level > 0 && p.starved(now, t.kind) {
+	starved := p.starved(now, t.kind)
+	t.lagging = p.lagging(t.kind)
+	if t.level > 0 && (starved || t.lagging) {
 		t.promoted = true
 		t.level = 0
 		t.rank = t.arrived
@@ -192,9 +238,36 @@
 	return k.sent+float64(k.promoted) < floorShare*sent/arrived*k.arrived
 }
 
+// lagging reports whether a kind is served less often than a less urgent one. That happens where its objective is so short that its
+// requests are refused, while others wait longer for the slots that become free.
+func (p *Pool) lagging(k *kind) bool {
+	if k.arrived < floorSamples {
+		return false
+	}
+	for _, other := range p.kinds.list {
+		if other.key.priority > k.key.priority && other.arrived >= floorSamples &&
+			k.sent+float64(k.waiting) < other.sent/other.arrived*k.arrived {
+			return true
+		}
+	}
+	return false
+}
+
+// leading reports whether a kind is served more often than a more urgent one.
+func (p *Pool) leading(k *kind) bool {
+	for _, other := range p.kinds.list {
+		if other.key.priority < k.key.priority && p.lagging(other) {
+			return true
+		}
+	}
+	return false
+}
+
 // flow describes the tickets of one kind in one queue.
 type flow struct {
 	waiting int
+	// promoted is the number of those that wait ahead of their priority.
+	promoted int
 	// rate is the recent number of arrivals per second, and peak the highest one for some time. They hold for ratedAt.
 	rate, peak float64
 	ratedAt    time.Duration
@@ -219,9 +292,8 @@
 	if now <= f.ratedAt {
 		return
 	}
-	age := (now - f.ratedAt).Seconds()
-	f.rate *= math.Exp(-age / rateMemory.Seconds())
-	f.peak *= math.Exp(-age / peakMemory.Seconds())
+	f.rate *= decay(now-f.ratedAt, rateMemory)
+	f.peak *= decay(now-f.ratedAt, peakMemory)
 	f.ratedAt = now
 }
 
@@ -240,9 +312,11 @@
 	if t.kind == nil {
 		return
 	}
-	q.flow(t.kind).waiting += change
+	f := q.flow(t.kind)
+	f.waiting += change
 	t.kind.waiting += change
 	if t.promoted {
+		f.promoted += change
 		t.kind.promoted += change
 	}
 }
--- a/core/dispatch/place.go
+++ b/core/dispatch/place.go
@@ -7,13 +7,13 @@
 
 // dispatchMixed sends as many tickets of a queue as the upstreams have capacity for, in the order that setOrder describes.
 func (p *Pool) dispatchMixed(now time.Duration, q *queue, decisions []Decision) []Decision {
-	p.usualFactor(now)
 	for begin := 0; begin < len(q.tickets); {
 		level := q.tickets[begin].level
 		if !p.hasOpenSlot(now, q, level) {
 			return decisions
 		}
 		end := 0
+		p.held = 0
 		for _, late := range []bool{false, true} {
 			end = begin
 			for end < len(q.tickets) && q.tickets[end].level == level {
@@ -31,7 +31,7 @@
 					continue
 				}
 				decisions = append(decisions, decision)
-				if !p.hasOpenSlot(now, q, level) {
+				if len(q.tickets) == 0 || !p.hasOpenSlot(now, q, level) {
 					return decisions
 				}
 			}
@@ -67,6 +67,9 @@
 }
 
 const (
+	// maxHeld bounds the tickets of a level that wait for a faster upstream; further ones are sent. Hundreds may wait while a slow
+	// upstream is free, and each trial looks at all upstreams.
+	maxHeld = 8
 	// extraWait is the part of a request's own work that it may be expected to wait in the queue of an upstream. There it can be
 	// neither moved nor overtaken.
 	extraWait = 0.25
@@ -74,10 +77,20 @@
 	crowdShare = 0.2
 )
 
-// acceptsExtra reports whether the upstream has a free slot, or one that is expected to be free in a part of work.
+// acceptsExtra reports whether the upstream has a free slot, or one that is expected to be free in a part of work or by the time that a
+// request sent now arrives. With short requests and slow messages, slots would otherwise be idle until the next request arrives.
 func (u *upstream) acceptsExtra(now time.Duration, p *Pool, work time.Duration) bool {
 	excess := len(u.running) - u.state.Slots + 1
-	return excess <= 0 || time.Duration(excess)*u.remaining(now, p).soonest <= scale(work, extraWait)
+	return excess <= 0 || time.Duration(excess)*u.remaining(now, p).soonest <= max(scale(work, extraWait), p.turnaround)
+}
+
+// turnaroundWeight is the weight of a new sample in the average, which covers some dozen answers.
+const turnaroundWeight = 0.05
+
+// recordTurnaround records the part of a request's time between grant and report that it did not spend at the upstream.
+func (p *Pool) recordTurnaround(now time.Duration, granted assignment, took time.Duration) {
+	sample := min(max(now-granted.sent-took, 0), time.Second)
+	p.turnaround += scale(sample-p.turnaround, turnaroundWeight)
 }
 
 // place returns the upstream at which t is expected to be answered first, or nil if none has a free slot.
@@ -109,7 +122,8 @@
 			bestCost = cost
 		}
 	}
-	if best != nil && p.waitsForFaster(now, t, best, usual) {
+	if best != nil && p.held < maxHeld && p.waitsForFaster(now, t, best, usual) {
+		p.held++
 		return nil
 	}
 	return best
--- a/core/dispatch/pool.go
+++ b/core/dispatch/pool.go
@@ -64,18 +64,25 @@
 	pausedUntil time.Duration
 	// median caches the result of medianLatency, 0 for none, and medianAt is when it was computed.
 	median, medianAt time.Duration
-	// mixed is true if the service gets requests of different kinds, which are then told apart in kinds.
+	// mixed is true if the service gets requests of different kinds, which are then told apart in kinds. mix counts them.
 	mixed bool
+	mix   mix
 	kinds kinds
 	// factor and capacity cache the results of usualFactor, computed at factorAt, 0 for none.
 	factor, capacity float64
 	factorAt         time.Duration
-	// shortest is the least mean work of a kind that has been used lately, computed with factor.
-	shortest time.Duration
-	// stretches is a buffer.
-	stretches []float64
+	// shortest caches the result of shortestWork, computed at shortestAt, 0 for none.
+	shortest, shortestAt time.Duration
+	// turnaround is the average time between grant and report of a request that it does not spend at the upstream: messages, and work that
+	// waits in the instances. It is used on services with mixed kinds.
+	turnaround time.Duration
 	// heldCeiling bounds what upstreams hold after one has ended.
 	heldCeiling heldCeiling
+	// held counts tickets of a level that wait for a faster upstream.
+	held int
+	// stretches and queueBuffer are buffers.
+	stretches   []float64
+	queueBuffer []*queue
 }
 
 // assignment is what a running ticket was granted.
@@ -126,8 +133,11 @@
 
 // SetService sets the service configuration.
 func (p *Pool) SetService(service route.Service) {
+	if service.Mixed != p.service.Mixed {
+		p.mix = mix{}
+		p.setMixed(service.Mixed)
+	}
 	p.service = service
-	p.setMixed(service.Mixed)
 }
 
 // SetShare changes the pool's share of the service-wide limits.
@@ -204,9 +214,10 @@
 // Submit adds a ticket to the pool. A later call of Decide returns the decision.
 func (p *Pool) Submit(now time.Duration, t *Ticket) {
 	t.arrived = now
+	if p.service.Mixed && !t.Bulk {
+		p.setMixed(p.mix.count(now, t.Class, p.mixed))
+	}
 	p.order(now, t)
-	behind := p.putBack(now, t)
-	t.rank += behind
 	if t.Attempt == 0 && !t.Returned {
 		p.budget.countRequest(now)
 	}
@@ -218,6 +229,8 @@
 		p.refuse(now, t, OverQuota, wait, 0)
 		return
 	}
+	behind := p.putBack(now, t)
+	t.rank += behind
 	q := p.queueFor(now, t)
 	if p.mixed {
 		q.countArrival(now, t)
--- a/internal/gateway/election.go
+++ b/internal/gateway/election.go
@@ -36,6 +36,8 @@
 	row                []byte
 	// leaseEra is the era of the store in which the lease was last read.
 	leaseEra uint64
+	// backoff delays the instance after a short term.
+	backoff authority.Backoff
 	// lastRegistrationCheck is when the own row was last looked for because there was no word from a coordinator.
 	lastRegistrationCheck time.Duration
 }
@@ -192,6 +194,7 @@
 	if holdersLost {
 		rank = authority.RankWithoutPaths(rank)
 	}
+	rank = e.backoff.Rank(now, rank)
 	suspects := t.monitor.ShouldReadLease(now, rank)
 	due := now >= t.monitor.NextLeaseRead(rank) && now-e.lastRead > e.readPause
 	t.mutex.Unlock()
@@ -218,13 +221,31 @@
 	if e.coordinatorMissing(now) {
 		e.checkRegistration(ctx)
 	}
+	if term == 0 && !e.observeAll(callCtx) {
+		return 0, 0, false
+	}
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
+	if term == 0 && t.rank() > rank {
+		return 0, 0, false // A fitter instance has registered since.
+	}
 	version, acquire = t.monitor.CanTakeLease(e.clock.Now(), rank)
 	t.acquiringLease = acquire
 	return version, term, acquire
 }
 
+// observeAll reads which instances have registered. Before the first lease, no coordinator tells of them, and those that start at the same
+// time may have registered after this one.
+func (e *elector) observeAll(ctx context.Context) bool {
+	page, err := e.config.Store.Rows(ctx, instanceTable, "")
+	if err != nil {
+		e.log.WithError(err).Warn("reading the registered instances failed, trying again before the lease is taken")
+		return false
+	}
+	e.observeInstances(page.Rows, e.row)
+	return true
+}
+
 // maxReadPause returns the longest pause between reads of the lease while the store fails. The instances that come first in the
 // order of takeover are few; the others leave it to them.
 func (e *elector) maxReadPause(rank int) time.Duration {
@@ -308,6 +329,7 @@
 	c.leaseEra = era
 	e.ticketClient.mutex.Lock()
 	c.demand = authority.NewDemand(float64(e.ticketClient.resources.requestRate))
+	c.strain.Strain = authority.NewStrain(sentAt, e.ticketClient.monitor.LastResignation())
 	e.ticketClient.mutex.Unlock()
 	c.store = e.store
 	c.register = func(ctx context.Context) error {
@@ -319,6 +341,7 @@
 	c.paths = e.paths
 	c.counters = e.counters
 	c.run()
+	e.backoff.TermEnded(e.clock.Now(), sentAt, c.gaveUp)
 }
 
 func containsLease(rows []cuminlift.Row) bool {
--- a/internal/gateway/queue.go
+++ b/internal/gateway/queue.go
@@ -86,6 +86,7 @@
 		c.handleOpenTickets(now, l, body.OpenTickets)
 	case *schema.Frame_CostEstimates:
 		c.learnLatencies(now, body.CostEstimates.GetUpstreams())
+		c.handleCosts(body.CostEstimates)
 	case *schema.Frame_QuotaUsage:
 		c.quota.Join(now, l.name, time.Duration(body.QuotaUsage.GetCountedMs())*time.Millisecond, decodeUsage(body.QuotaUsage))
 	case *schema.Frame_Head:
--- a/internal/gateway/tickets.go
+++ b/internal/gateway/tickets.go
@@ -9,6 +9,7 @@
 
 	"cuminlift"
 	"cuminlift/core/authority"
+	"cuminlift/core/cost"
 	"cuminlift/core/dispatch"
 	"cuminlift/core/keyspace"
 	"cuminlift/core/paths"
@@ -22,6 +23,8 @@
 type frameConn interface {
 	Send(*schema.Frame)
 	SendEncoded([]byte)
+	// Queued returns the number of bytes that wait to be written.
+	Queued() int
 	Close()
 }
 
@@ -42,7 +45,9 @@
 	incarnation int64
 	identity    request.Identity
 	// tables are the latest changes that the coordinator knew of when it granted the ticket, by table; nil if it doesn't tell.
-	tables     map[string]replica.Position
+	tables map[string]replica.Position
+	// class is that of the request's route.
+	class      string
 	reason     string
 	retryAfter time.Duration
 	// local is true if a local pool granted the ticket, while there was no coordinator.
@@ -82,7 +87,7 @@
 	waiters           map[uint64]*waiter
 	// localPools holds the local pools by service, and owners the holders of keys last reported by the coordinator.
 	localPools           map[string]*syncedPool
-	owners               map[string]*keyspace.HolderMap
+	owners               map[string]*keyspace.LocalOwners
 	instanceCount, index int
 	// storeReaders is the number of instances that read the store for a coordinator that can't reach it, with this one among them, and 0
 	// if all do so or none needs to.
@@ -92,6 +97,8 @@
 	resources      peerResources
 	// notices holds what upstreams have said of themselves to this instance.
 	notices dispatch.Notices
+	// costs holds what this instance has learned of the cost of requests.
+	costs cost.Observer
 	// suspects are used by the local pools, and told to new coordinators.
 	suspects *dispatch.Suspects
 	// open holds the granted tickets that have not ended, and coldSends those that have left the slot of a cold upstream lately.
@@ -134,7 +141,7 @@
 		monitor:       authority.NewMonitor(config.Clock.Now()),
 		waiters:       map[uint64]*waiter{},
 		localPools:    map[string]*syncedPool{},
-		owners:        map[string]*keyspace.HolderMap{},
+		owners:        map[string]*keyspace.LocalOwners{},
 		instanceCount: 1,
 		suspects:      &dispatch.Suspects{},
 		open:          map[uint64]*openTicket{},
@@ -184,6 +191,7 @@
 	select {
 	case result := <-w.result:
 		result.identity = identityOf(request)
+		result.class = request.GetRouteClass()
 		return result, nil
 	case <-ctx.Done():
 	}
@@ -283,6 +291,7 @@
 	pool.sync(now, v, service)
 	if created {
 		t.applyNotices(now, pool, service)
+		t.applyCosts(pool, service)
 	}
 	return pool
 }
@@ -403,7 +412,7 @@
 	}
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
-	t.keyOwners(service).Deny(key-1, result.upstream)
+	t.keyOwners(service).Deny(t.clock.Now(), key-1, result.upstream)
 }
 
 // reportEnd reports the outcome of a ticket.
@@ -452,10 +461,10 @@
 }
 
 // keyOwners returns the holders of a keyed service's keys, none before the coordinator reports them.
-func (t *ticketClient) keyOwners(service string) *keyspace.HolderMap {
+func (t *ticketClient) keyOwners(service string) *keyspace.LocalOwners {
 	known := t.owners[service]
 	if known == nil {
-		known = &keyspace.HolderMap{}
+		known = &keyspace.LocalOwners{}
 		t.owners[service] = known
 	}
 	return known
