core/authority: instances without paths keep their order by size, and small ones are delayed once

Cause: where a zone is cut off, the instances of all others lose paths alike. Change: an instance is delayed as small for its CPU share or its fitness, not for both, and the delay without paths is added to that. Result: TestLostPathsKeepTheOrderBySize fails before and passes after.

--- a/core/authority/rank.go
+++ b/core/authority/rank.go
@@ -31,14 +31,13 @@
 	return rank
 }
 
-// withoutPathsDelay is added to the rank of an instance that can't reach upstreams. Those that can come first, also the small ones,
-// which may be delayed both for their CPU share and for their fitness.
-const withoutPathsDelay = 2*smallInstanceDelay + rankCount
+// withoutPathsDelay is added to the rank of an instance that can't reach upstreams. Those that can come first, also the small ones.
+const withoutPathsDelay = smallInstanceDelay + rankCount
 
-// RankWithoutPaths returns the rank of an instance that has lost its paths to upstreams. Other delays don't count then, so that one
-// follows in bounded time where all have lost them.
+// RankWithoutPaths returns the rank of an instance that has lost its paths to upstreams. Small ones keep their delay: where a zone is cut
+// off, all others lose paths alike.
 func RankWithoutPaths(rank int) int {
-	return rank%rankCount + withoutPathsDelay
+	return rank + withoutPathsDelay
 }
 
 // First reports whether an instance of that rank is among those that try before the small ones.
--- a/core/authority/resources.go
+++ b/core/authority/resources.go
@@ -112,7 +112,7 @@
 		return Rank(c.Name, c.Own.CPUPermille, c.LargestCPUPermille)
 	}
 	rank := Rank(c.Name, c.Own.CPUPermille, c.Best.CPUPermille)
-	if c.Own.fit(c.Needed) < fitTolerance*c.Best.fit(c.Needed) {
+	if First(rank) && c.Own.fit(c.Needed) < fitTolerance*c.Best.fit(c.Needed) {
 		rank += smallInstanceDelay
 	}
 	return rank
--- a/core/authority/resources_test.go
+++ b/core/authority/resources_test.go
@@ -136,3 +136,33 @@
 	}
 	c.Check(d.Rate() > 1700 && d.Rate() <= 2000, qt.IsTrue, qt.Commentf("%v", d.Rate()))
 }
+
+// TestLostPathsKeepTheOrderBySize guards against a takeover that waits longer than needed, or that falls to an instance too small for the
+// work, because an availability zone is cut off and the instances of all others lose paths alike.
+func TestLostPathsKeepTheOrderBySize(t *testing.T) {
+	c := qt.New(t)
+	large := authority.Resources{
+		CPUPermille: 800,
+		LinkMbps:    200,
+	}
+	small := authority.Resources{
+		CPUPermille: 120,
+		LinkMbps:    10,
+	}
+	firstLarge, lastSmall, firstPathlessSmall, lastPathlessLarge := 1000, 0, 1000, 0
+	for i := range 200 {
+		candidate := authority.Candidate{
+			Name:   fmt.Sprint("instance-", i),
+			Own:    large,
+			Best:   large,
+			Needed: large,
+		}
+		pathless := authority.RankWithoutPaths(candidate.Rank())
+		firstLarge, lastPathlessLarge = min(firstLarge, pathless), max(lastPathlessLarge, pathless)
+		candidate.Own = small
+		lastSmall = max(lastSmall, candidate.Rank())
+		firstPathlessSmall = min(firstPathlessSmall, authority.RankWithoutPaths(candidate.Rank()))
+	}
+	c.Check(lastSmall < firstLarge, qt.IsTrue, qt.Commentf("small with paths %d, large without %d", lastSmall, firstLarge))
+	c.Check(lastPathlessLarge < firstPathlessSmall, qt.IsTrue, qt.Commentf("large %d, small %d", lastPathlessLarge, firstPathlessSmall))
+}
