core/keyspace: keys are granted anew after all grants failed at the same time

Cause: a stall of the coordinator, or of all its links, makes every grant fail. Each range then needed a higher fence and was not granted; each upstream counted as failing until it answered something, which it does only once it holds keys; without a candidate no plan was made. The service had no owners until the next coordinator. Change: while all upstreams fail, their keys are assigned to them again with a higher fence, once a second.

--- a/core/keyspace/keyspace.go
+++ b/core/keyspace/keyspace.go
@@ -70,8 +70,8 @@
 	rates    *rates
 	// proposal is the assignment being recorded, nil if there is none.
 	proposal *proposal
-	// lastPlan is when a plan was last computed.
-	lastPlan time.Duration
+	// lastPlan is when a plan was last computed, and lastRetry when keys were last granted anew to failing holders.
+	lastPlan, lastRetry time.Duration
 	// lastMerge is when ranges were last merged, and lastConsolidation when ranges were last moved in order to be
 	// merged.
 	lastMerge, lastConsolidation time.Duration
--- a/core/keyspace/plan.go
+++ b/core/keyspace/plan.go
@@ -74,6 +74,9 @@
 	}
 	candidates := k.candidates(short)
 	if len(candidates) == 0 {
+		if moves := k.grantAnew(now); len(moves) > 0 {
+			return k.propose(now, moves)
+		}
 		return nil
 	}
 	evacuate := func() []move { return k.evacuate(now, candidates) }
@@ -244,6 +247,34 @@
 	return moves
 }
 
+// retryInterval is the time between attempts to grant keys to failing holders anew. Each takes a write of the assignment.
+const retryInterval = time.Second
+
+// grantAnew assigns the keys of failing holders to them again with a higher fence. It is used while all upstreams fail, for example
+// after a stall of the coordinator: there is no other to take the keys, and none answers before it is granted some.
+func (k *Manager) grantAnew(now time.Duration) []move {
+	if now-k.lastRetry < retryInterval {
+		return nil
+	}
+	var moves []move
+	for _, s := range k.spans {
+		u, known := k.upstreams[s.holder.id]
+		if !known || !u.Usable || u.Unreachable || s.callPending || !s.needsHigherFence || s.gone {
+			continue
+		}
+		moves = append(moves, move{
+			from:        s.from,
+			to:          s.to,
+			upstream:    u.ID,
+			incarnation: u.Incarnation,
+		})
+	}
+	if len(moves) > 0 {
+		k.lastRetry = now
+	}
+	return moves
+}
+
 // moveToNeighbour assigns a span to the holder of an adjacent span, if that holder has capacity.
 func (k *Manager) moveToNeighbour(position int, candidates map[string]*candidate) (move, bool) {
 	s := k.spans[position]
