--- a/internal/gateway/relay_test.go
+++ b/internal/gateway/relay_test.go
@@ -40,10 +40,12 @@
 	u := k.upstream("p0", "plain", "z1")
 	paused := k.upstream("p1", "plain", "z1")
 	drained := k.upstream("p2", "plain", "z2")
-	eventually(func() bool {
-		status, _, body, err := k.relay("n0", "p0", "1", "2000")
-		return err == nil && status == http.StatusOK && strings.HasPrefix(body, "p0 for relayed-")
-	})
+	for _, id := range []string{"p0", "p1", "p2"} {
+		eventually(func() bool {
+			status, _, body, err := k.relay("n0", id, "1", "2000")
+			return err == nil && status == http.StatusOK && strings.HasPrefix(body, id+" for relayed-")
+		})
+	}
 	refused := func(upstream, born, deadline string) {
 		status, outcome, _, err := k.relay("n0", upstream, born, deadline)
 		c.Check(err, qt.IsNil)
