--- a/core/dispatch/refuse.go
+++ b/core/dispatch/refuse.go
@@ -61,3 +61,30 @@
 	id = (id ^ id>>27) * 0x94d049bb133111eb
 	return float64((id^id>>31)>>11) / math.Exp2(53)
 }
+
+// refuse refuses a ticket that was never queued.
+func (p *Pool) refuse(now time.Duration, t *Ticket, reason Reason, wait, work time.Duration) {
+	p.cancelQuota(t)
+	p.uncountFair(t)
+	delay := retryAfter(wait, work)
+	switch {
+	case reason == NoOwner:
+		delay = DefaultOwnerWait
+	case reason == TooLate && p.mixed:
+		delay = p.returnDelay(now, t, p.queueFor(now, t), delay)
+	}
+	p.refusals = append(p.refusals, Decision{
+		Ticket:     t,
+		Reason:     reason,
+		RetryAfter: delay,
+	})
+}
+
+// minRetryAfter is the minimum Retry-After delay, a few round trips.
+const minRetryAfter = 30 * time.Millisecond
+
+// retryAfter returns the delay after which a retry may succeed, given the expected wait for a slot and the expected
+// latency.
+func retryAfter(wait, work time.Duration) time.Duration {
+	return max(wait, work/2, minRetryAfter)
+}
