core/authority: short strain does not move the lease to an equally fit instance

Change: an equally fit instance gets the lease only after 8 s of strain; a fitter one as before. Result: TestShortStrainDoesNotMoveTheLease fails before and passes after.

--- a/core/authority/strain.go
+++ b/core/authority/strain.go
@@ -73,6 +73,10 @@
 	return s.since != 0 && s.lastExceeded-s.since >= strainPeriod && now-s.lastExceeded < strainRelief
 }
 
+// lastingStrain is how long the own instance must be strained for the coordinator to leave the lease to one that is equally fit. Bursts of
+// requests and large configurations strain whichever instance coordinates, for up to some seconds, and a takeover then costs more.
+const lastingStrain = 8 * time.Second
+
 // Yields reports whether to resign because one of the peers, which are connected and acknowledge heartbeats, is likely to be a better
 // coordinator: it is fitter, or the own instance is strained and both have what is needed, so that it does not get what its settings
 // say. Where all have less than is needed, the strain would follow the lease, and the coordinator stays.
@@ -92,7 +96,7 @@
 	if !s.Strained(now) {
 		return false
 	}
-	return ownFit == 1 && bestFit == 1 && (!s.followsResignation || now-s.startedAt >= settledTerm)
+	return ownFit == 1 && bestFit == 1 && s.lastExceeded-s.since >= lastingStrain && (!s.followsResignation || now-s.startedAt >= settledTerm)
 }
 
 // Sheds reports whether to put off work that can wait: the own instance is the bottleneck or has less than is needed.
--- a/core/authority/strain_test.go
+++ b/core/authority/strain_test.go
@@ -267,3 +267,28 @@
 	b.TermEnded(62*time.Second, 61*time.Second, true)
 	c.Check(b.Rank(72*time.Second, 0), qt.Equals, 0)
 }
+
+// TestShortStrainDoesNotMoveTheLease guards against a takeover in the middle of a burst or of a large configuration, which would strain the
+// next coordinator as much.
+func TestShortStrainDoesNotMoveTheLease(t *testing.T) {
+	c := qt.New(t)
+	able := authority.Resources{
+		CPUPermille: 800,
+		LinkMbps:    200,
+	}
+	needed := authority.Resources{
+		CPUPermille: 200,
+		LinkMbps:    50,
+	}
+	s := authority.NewStrain(0, 0)
+	yielded := time.Duration(0)
+	for now := time.Duration(0); now < 30*time.Second && yielded == 0; now += 200 * time.Millisecond {
+		s.Observe(now, authority.Sample{
+			Lag: 10 * time.Second,
+		})
+		if s.Yields(now, able, needed, []authority.Resources{able}) {
+			yielded = now
+		}
+	}
+	c.Check(yielded >= 8*time.Second, qt.IsTrue, qt.Commentf("yielded after %v", yielded))
+}
