--- a/core/dispatch/decide.go
+++ b/core/dispatch/decide.go
@@ -232,20 +232,10 @@
 	medianLatency := p.medianLatency(now)
 	localOnly := t.Bulk && p.waitsForLocalZone(now, t)
 	for _, u := range p.sorted {
-		if u.freeSlots(now, p) <= 0 || (suspected && u.trials > 0) || (localOnly && u.state.Zone != t.Zone) || u.closedFor(now, t.Instance) > 0 || !p.mayHold(now, t, u) {
+		if !p.mayReceive(now, t, u, suspected, localOnly) {
 			continue
 		}
-		cost := float64(u.estimateLatency(now, medianLatency))
-		if u.state.Zone != t.Zone {
-			if t.Bulk {
-				cost *= 1 + bulkCrossZonePenalty
-			} else {
-				cost *= 1 + crossZonePenalty
-			}
-		}
-		if u.state.ID == t.Avoid {
-			cost *= avoidPenalty
-		}
+		cost := t.penalize(u, float64(u.estimateLatency(now, medianLatency)))
 		if best == nil || cost < bestCost {
 			best = u
 			bestCost = cost
@@ -254,6 +244,29 @@
 	return best
 }
 
+// mayReceive reports whether u may be sent t now. A suspect goes to one that tries no other.
+func (p *Pool) mayReceive(now time.Duration, t *Ticket, u *upstream, suspected, localOnly bool) bool {
+	if u.freeSlots(now, p) <= 0 || (suspected && u.trials > 0) || (localOnly && u.state.Zone != t.Zone) {
+		return false
+	}
+	return u.closedFor(now, t.Instance) <= 0 && p.mayHold(now, t, u)
+}
+
+// penalize returns the cost of t at u with the penalties for another zone and for the upstream of the previous attempt.
+func (t *Ticket) penalize(u *upstream, cost float64) float64 {
+	if u.state.Zone != t.Zone {
+		if t.Bulk {
+			cost *= 1 + bulkCrossZonePenalty
+		} else {
+			cost *= 1 + crossZonePenalty
+		}
+	}
+	if u.state.ID == t.Avoid {
+		cost *= avoidPenalty
+	}
+	return cost
+}
+
 // waitsForLocalZone reports whether a bulk request keeps waiting for an upstream in its own zone.
 func (p *Pool) waitsForLocalZone(now time.Duration, t *Ticket) bool {
 	if now-t.arrived > time.Duration(localZoneWait*float64(t.Objective-t.arrived)) {
--- a/core/dispatch/place.go
+++ b/core/dispatch/place.go
@@ -100,23 +100,13 @@
 	mean, usual := t.kind.expect(now, t)
 	localOnly := t.Bulk && p.waitsForLocalZone(now, t)
 	for _, u := range p.sorted {
-		if u.freeSlots(now, p) <= 0 || (suspected && u.trials > 0) || (localOnly && u.state.Zone != t.Zone) || u.closedFor(now, t.Instance) > 0 || !p.mayHold(now, t, u) {
+		if !p.mayReceive(now, t, u, suspected, localOnly) {
 			continue
 		}
 		if !u.acceptsExtra(now, p, mean) {
 			continue
 		}
-		cost := u.placementCost(now, p, mean)
-		if u.state.Zone != t.Zone {
-			if t.Bulk {
-				cost *= 1 + bulkCrossZonePenalty
-			} else {
-				cost *= 1 + crossZonePenalty
-			}
-		}
-		if u.state.ID == t.Avoid {
-			cost *= avoidPenalty
-		}
+		cost := t.penalize(u, u.placementCost(now, p, mean))
 		if cost < bestCost {
 			best = u
 			bestCost = cost
