core/dispatch, internal/gateway: logs tell known relays and the state of the retry budget

The log could not tell whether an instance without paths knew no relay or its relays failed, nor how much of the retry budget a pool had spent and a new coordinator had taken over. Added: one line when the known relays change from none to some or back, the counter no-relay, retries and max-retries in the queue statistics, retries in the line on the state taken over.

--- a/core/dispatch/budget.go
+++ b/core/dispatch/budget.go
@@ -53,10 +53,9 @@
 	b.bucket(now).requests++
 }
 
-// take reports whether another retry is allowed, and if so counts it.
-func (b *budget) take(now time.Duration) bool {
+// sum returns what the last window holds.
+func (b *budget) sum(now time.Duration) (requests, retries float64) {
 	current := b.bucket(now)
-	var requests, retries float64
 	for i := range b.buckets {
 		entry := &b.buckets[i]
 		if current.index-entry.index > budgetBuckets {
@@ -65,9 +64,15 @@
 		requests += entry.requests
 		retries += entry.retries
 	}
+	return requests, retries
+}
+
+// take reports whether another retry is allowed, and if so counts it.
+func (b *budget) take(now time.Duration) bool {
+	requests, retries := b.sum(now)
 	if retries+1 > requests*b.ratio+b.slack {
 		return false
 	}
-	current.retries++
+	b.bucket(now).retries++
 	return true
 }
--- a/core/dispatch/stats.go
+++ b/core/dispatch/stats.go
@@ -22,6 +22,8 @@
 	HeldBound int64
 	// Sent and Refused count decisions since the pool was created.
 	Sent, Refused uint64
+	// Retries is the number of retries in the last window of the retry budget, and MaxRetries what the budget allows.
+	Retries, MaxRetries int
 	// Predicted and Observed add up in what times requests were expected to be answered when they were sent, and what they took.
 	// PredictionError adds up the absolute differences. They are 0 on services that are not mixed.
 	Predicted, Observed, PredictionError time.Duration
@@ -38,6 +40,8 @@
 		Sent:          p.sent,
 		Refused:       p.refused,
 	}
+	requests, retries := p.budget.sum(now)
+	stats.Retries, stats.MaxRetries = int(retries), int(requests*p.budget.ratio+p.budget.slack)
 	p.Costs(func(class *cost.Class) {
 		stats.Predicted += class.Predicted
 		stats.Observed += class.Observed
--- a/core/paths/relays.go
+++ b/core/paths/relays.go
@@ -39,6 +39,11 @@
 	r.failed = map[string]time.Duration{}
 }
 
+// Len returns the number of known relays.
+func (r *Relays) Len() int {
+	return len(r.list)
+}
+
 // Next returns the relay for the next request. ok is false if there is none that has not failed lately.
 func (r *Relays) Next(now time.Duration) (relay Relay, ok bool) {
 	for i := range r.list {
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -78,6 +78,7 @@
 			response, err = h.sendThrough(ctx, attempt, result, other)
 			return response, other.Name, err
 		}
+		h.counters.count("no-relay")
 	}
 	sentAt := time.Now()
 	stop := h.paths.watchStall(c.service, result.upstream, result.address)
--- a/internal/gateway/relays.go
+++ b/internal/gateway/relays.go
@@ -6,6 +6,8 @@
 	"strings"
 	"time"
 
+	"github.com/sirupsen/logrus"
+
 	"cuminlift/core/paths"
 	"cuminlift/schema"
 )
@@ -17,6 +19,18 @@
 	maxRelays = 8
 )
 
+// setRelays replaces the instances that may send requests for this one.
+func (t *ticketClient) setRelays(list []paths.Relay) {
+	if before := t.relays.Len(); (before == 0) != (len(list) == 0) {
+		t.log.WithFields(logrus.Fields{
+			"before":      before,
+			"known":       len(list),
+			"coordinator": t.coordinatorName,
+		}).Info("instances that can send requests for this one changed")
+	}
+	t.relays.Set(list)
+}
+
 // nextRelay returns an instance that may send a request for this one.
 func (t *ticketClient) nextRelay() (relay paths.Relay, ok bool) {
 	t.mutex.Lock()
--- a/internal/gateway/services.go
+++ b/internal/gateway/services.go
@@ -36,6 +36,8 @@
 			"observed":    stats.Observed,
 			"error":       stats.PredictionError,
 			"held-bound":  stats.HeldBound,
+			"retries":     stats.Retries,
+			"max-retries": stats.MaxRetries,
 		}).Info("queue statistics")
 		c.counters.setCosts(s.name, s.pool.Pool)
 	}
--- a/internal/gateway/takeover.go
+++ b/internal/gateway/takeover.go
@@ -222,8 +222,8 @@
 	firstLinkAt time.Duration
 	// told holds the instances that have told their open tickets in this term.
 	told map[string]bool
-	// restored counts tickets that were taken over.
-	restored int
+	// restored counts tickets that were taken over, and retries what instances have told of the retry budget.
+	restored, retries int
 }
 
 // settles reports whether to wait for open tickets before the first grant. Otherwise slots that are in use would be granted again.
@@ -251,6 +251,7 @@
 		"told":      len(h.told),
 		"tickets":   h.restored,
 		"after":     now - h.firstLinkAt,
+		"retries":   h.retries,
 	}).Info("state of the last term taken over")
 	return false
 }
@@ -268,6 +269,9 @@
 	}
 	c.handover.told[l.name] = true
 	for _, usage := range open.GetRetries() {
+		for _, n := range usage.GetRetries() {
+			c.handover.retries += int(n)
+		}
 		if s := c.services[usage.GetService()]; s != nil {
 			s.pool.AddRetryUsage(now, dispatch.RetryUsage{
 				Span:     time.Duration(usage.GetSpanMs()) * time.Millisecond,
