core/paths, core/dispatch: relays by lost paths, fewer tries of failing relays, and upstreams that stay in local pools

Causes, seen with the new log lines: a coordinator told 59 instances of a single relay, because an instance that reaches two upstreams fewer than the best one was none; relays that lack paths themselves took a part of the requests every second; and the local pool of an instance took the upstreams that it had no path to for ended, blocked them and counted them as cold afterwards. Class: what one instance can't do is taken for what nobody can do, here in the pool that only one instance uses.

Change: instances tell the coordinator whether they have lost all paths to a service; others are relays unless they miss a tenth of all upstreams more than the best one. A relay that fails again is passed over for up to 8 s. A local pool doesn't block upstreams while the paths to all of them are lost.

Result: TestInstancesThatMissSingleUpstreamsAreRelays, TestLostPathsTakeNoUpstreamsFromALocalPool (both on new functions) and TestRelayThatFailsAgainIsTriedLessOften (fails before) pass. What is left are connections that time out at the instances with paths, whose links of 10 Mbit/s carry the traffic of all.

--- a/core/dispatch/end.go
+++ b/core/dispatch/end.go
@@ -103,6 +103,17 @@
 	}
 }
 
+// PathsLost records that the instance of a local pool has lost its paths to all upstreams. That connections to some have failed then says
+// nothing of these.
+func (p *Pool) PathsLost() {
+	for _, u := range p.upstreams {
+		if u.suspect {
+			u.suspect = false
+			u.blockedUntil = 0
+		}
+	}
+}
+
 // MarkReachable records that an upstream to which connections failed is reachable again.
 func (p *Pool) MarkReachable(now time.Duration, id string) {
 	if u := p.upstreams[id]; u != nil {
--- a/core/dispatch/reach_test.go
+++ b/core/dispatch/reach_test.go
@@ -86,3 +86,26 @@
 		c.Check(decisions[0].Reason == dispatch.NoBudget, qt.Equals, !unsent)
 	}
 }
+
+// An instance without a coordinator that loses its paths takes the few upstreams that it may use for ended, and refuses its callers although
+// other instances can send their requests (RECOVER).
+func TestLostPathsTakeNoUpstreamsFromALocalPool(t *testing.T) {
+	const ms = time.Millisecond
+	c := qt.New(t)
+	p := newPool(dispatch.Share{
+		Index: 0,
+		Count: 3,
+	})
+	p.SetUpstreams(0, states(4))
+	for id := range uint64(4) {
+		sendOne(c, p, 0, id, "cut")
+	}
+	for id := range uint64(4) {
+		p.End(300*ms, id, dispatch.Unreachable, 300*ms, nil)
+	}
+	c.Check(p.Stats(300*ms).Blocked, qt.Equals, 4)
+	p.PathsLost()
+	c.Check(p.Stats(300*ms).Blocked, qt.Equals, 0)
+	sent := sendOne(c, p, 300*ms, 9, "cut")
+	c.Check(p.Cold(300*ms, sent.Upstream), qt.IsFalse)
+}
--- a/core/paths/paths.go
+++ b/core/paths/paths.go
@@ -79,6 +79,16 @@
 	return s != nil && len(s.failedInTurn) >= lostAfter
 }
 
+// AnyLost reports whether the instance has lost its paths to all upstreams of some service.
+func (m *Monitor) AnyLost() bool {
+	for name := range m.services {
+		if m.Lost(name) {
+			return true
+		}
+	}
+	return false
+}
+
 // MostlyLost reports whether the instance has lost its paths to most of the upstreams of a service, of which there are total. A zone
 // that loses power is less than that.
 func (m *Monitor) MostlyLost(name string, total int) bool {
--- a/core/paths/paths_test.go
+++ b/core/paths/paths_test.go
@@ -104,6 +104,33 @@
 	c.Check(m.Stalled(1010*ms, 500*ms, "s"), qt.IsTrue)
 }
 
+// One instance that has noticed no failure must not be the relay of all others (some upstreams have ended, most instances lack paths).
+func TestInstancesThatMissSingleUpstreamsAreRelays(t *testing.T) {
+	c := qt.New(t)
+	var instances []paths.Reach
+	add := func(n, failed int, lost bool) {
+		for range n {
+			instances = append(instances, paths.Reach{
+				Relay: paths.Relay{
+					Name: fmt.Sprintf("n%02d", len(instances)),
+				},
+				Failed: failed,
+				Lost:   lost,
+			})
+		}
+	}
+	add(1, 0, false)
+	add(9, 5, false)
+	add(3, 90, false) // Cut off from a zone.
+	add(20, 8, true)
+	chosen := paths.RelayCandidates(instances, 100)
+	c.Assert(chosen, qt.HasLen, 10)
+	c.Check(chosen[9].Name, qt.Equals, "n09")
+	c.Check(paths.RelayCandidates(instances[13:], 100), qt.HasLen, 20)
+	c.Check(paths.RelayCandidates(instances[:10], 10), qt.HasLen, 1)
+	c.Check(paths.RelayCandidates(nil, 100), qt.HasLen, 0)
+}
+
 func TestRelaysAreNearAndUsedInTurn(t *testing.T) {
 	c := qt.New(t)
 	var all []paths.Relay
@@ -138,3 +165,27 @@
 	_, ok = r.Next(time.Second)
 	c.Check(ok, qt.IsTrue)
 }
+
+// Relays that lack paths themselves must not take a part of the requests again every second (no coordinator tells of others).
+func TestRelayThatFailsAgainIsTriedLessOften(t *testing.T) {
+	c := qt.New(t)
+	var r paths.Relays
+	r.Set([]paths.Relay{{
+		Name: "r",
+	}})
+	tries := 0
+	for now := time.Duration(0); now < 20*time.Second; now += 10 * ms {
+		if relay, ok := r.Next(now); ok {
+			tries++
+			r.Failed(now, relay.Name)
+			r.Failed(now+5*ms, relay.Name) // Another request was under way.
+		}
+	}
+	c.Check(tries, qt.Equals, 5)
+	r.Answered("r")
+	_, ok := r.Next(20 * time.Second)
+	c.Check(ok, qt.IsTrue)
+	r.Failed(20*time.Second, "r")
+	_, ok = r.Next(21 * time.Second)
+	c.Check(ok, qt.IsTrue)
+}
--- a/core/paths/relays.go
+++ b/core/paths/relays.go
@@ -1,12 +1,52 @@
 package paths
 
-import "time"
+import (
+	"math"
+	"slices"
+	"strings"
+	"time"
+)
 
 // Relay is an instance that sends requests for others.
 type Relay struct {
 	Name, Zone, Address string
 }
 
+// Reach is what an instance has told of its paths.
+type Reach struct {
+	Relay
+	// Failed is the number of upstreams that it does not reach. Lost is true if it reaches none of a service.
+	Failed int
+	Lost   bool
+}
+
+// relayTolerance is the part of all upstreams that a relay may fail to reach beyond what any instance does. Upstreams that have ended are
+// noticed by some instances first, and those that serve fewest requests notice none.
+const relayTolerance = 0.1
+
+// RelayCandidates returns the instances that may send requests for others, of which there are total upstreams: those that have not lost
+// their paths and reach about as many upstreams as the best one. If all have lost paths, it compares these.
+func RelayCandidates(instances []Reach, total int) []Relay {
+	anyIntact := slices.ContainsFunc(instances, func(r Reach) bool { return !r.Lost })
+	var usable []Reach
+	fewest := math.MaxInt
+	for _, r := range instances {
+		if r.Lost && anyIntact {
+			continue
+		}
+		usable = append(usable, r)
+		fewest = min(fewest, r.Failed)
+	}
+	var candidates []Relay
+	for _, r := range usable {
+		if r.Failed < fewest+max(lostAfter, int(relayTolerance*float64(total))) {
+			candidates = append(candidates, r.Relay)
+		}
+	}
+	slices.SortFunc(candidates, func(a, b Relay) int { return strings.Compare(a.Name, b.Name) })
+	return candidates
+}
+
 // ChooseRelays returns up to limit of candidates for an instance, those of its availability zone first. index is the instance's
 // position among all; it spreads the instances over the candidates.
 func ChooseRelays(candidates []Relay, name, zone string, index, limit int) []Relay {
@@ -22,21 +62,30 @@
 	return chosen
 }
 
-// failedRelayPause is how long a relay that could not be reached, or that reached no upstream itself, is passed over.
-const failedRelayPause = time.Second
+const (
+	// failedRelayPause is how long a relay that could not be reached, or that reached no upstream itself, is passed over. Each further
+	// failure in a row doubles it, up to maxRelayPause.
+	failedRelayPause = time.Second
+	maxRelayPause    = 8 * time.Second
+)
 
 // Relays are the instances that may send requests for this one, used in turn. The zero value has none. It is not safe for concurrent
 // use.
 type Relays struct {
 	list   []Relay
 	next   int
-	failed map[string]time.Duration
+	failed map[string]relayFailure
+}
+
+// relayFailure tells until when a relay is passed over, and for how long that is in all.
+type relayFailure struct {
+	until, pause time.Duration
 }
 
 // Set replaces the list.
 func (r *Relays) Set(list []Relay) {
 	r.list = list
-	r.failed = map[string]time.Duration{}
+	r.failed = map[string]relayFailure{}
 }
 
 // Len returns the number of known relays.
@@ -48,8 +97,7 @@
 func (r *Relays) Next(now time.Duration) (relay Relay, ok bool) {
 	for i := range r.list {
 		index := (r.next + i) % len(r.list)
-		failedAt, failed := r.failed[r.list[index].Name]
-		if !failed || now-failedAt >= failedRelayPause {
+		if now >= r.failed[r.list[index].Name].until {
 			r.next = index + 1
 			return r.list[index], true
 		}
@@ -57,9 +105,18 @@
 	return Relay{}, false
 }
 
-// Failed records that a relay did not pass a request on.
+// Failed records that a relay did not pass a request on. Requests that were under way when it failed first count once.
 func (r *Relays) Failed(now time.Duration, name string) {
-	if r.failed != nil {
-		r.failed[name] = now
+	f := r.failed[name]
+	if r.failed == nil || now < f.until {
+		return
 	}
+	f.pause = min(max(2*f.pause, failedRelayPause), maxRelayPause)
+	f.until = now + f.pause
+	r.failed[name] = f
+}
+
+// Answered records that a relay has passed a request on.
+func (r *Relays) Answered(name string) {
+	delete(r.failed, name)
 }
--- a/internal/gateway/coordinator_conn.go
+++ b/internal/gateway/coordinator_conn.go
@@ -148,7 +148,8 @@
 
 		AnswersTableRequests: true,
 
-		FailedUpstreams: uint32(t.failedUpstreams()),
+		FailedUpstreams: uint32(t.paths.failedCount()),
+		LostPaths:       t.paths.anyLost(),
 	}
 	for _, feed := range t.tables {
 		version, era := feed.version()
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -90,7 +90,8 @@
 		client: client,
 		lost:   map[string]bool{},
 	}
-	g.ticketClient.failedUpstreams = g.paths.failedCount
+	g.ticketClient.paths = g.paths
+	g.paths.onLost = g.ticketClient.pathsLost
 	g.requestHandler = &requestHandler{
 		config:         config,
 		log:            loggers.For("caller"),
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -347,6 +347,9 @@
 	case state == request.Lost:
 		outcome = h.brokenOutcome(ctx, c, result)
 	}
+	if outcome == schema.TicketOutcome_unreachable && result.local && h.paths.allLost(c.service) {
+		outcome = schema.TicketOutcome_abandoned // Neither this instance nor the relay can tell whether the upstream has ended.
+	}
 	h.ticketClient.reportEnd(result, c.service, outcome, time.Since(sentAt), nil)
 	h.logFailedAttempt(c, result, sentAt, err.Error(), 0)
 }
--- a/internal/gateway/links.go
+++ b/internal/gateway/links.go
@@ -19,11 +19,11 @@
 type link struct {
 	name, zone, address string
 	// relayAddress is empty if the instance sends no requests for others. failedUpstreams is the number of upstreams that
-	// it does not reach, once pathsKnown is true: it has told on this connection.
-	relayAddress    string
-	failedUpstreams int
-	pathsKnown      bool
-	resources       authority.Resources
+	// it does not reach, and lostPaths is true if these are all of a service. pathsKnown is true once it has told on this connection.
+	relayAddress          string
+	failedUpstreams       int
+	lostPaths, pathsKnown bool
+	resources             authority.Resources
 	// acknowledged is when the last acknowledged heartbeat was sent, 0 before the first on this connection, and roundTrip how long
 	// that took. dialTimedOut is true if the last attempt to connect got no answer in time.
 	acknowledged, roundTrip time.Duration
--- a/internal/gateway/paths.go
+++ b/internal/gateway/paths.go
@@ -31,6 +31,9 @@
 	view   func() *view
 	client *upstream.Client
 
+	// onLost is called when the paths to all upstreams of a service are lost.
+	onLost func(service string)
+
 	mutex   sync.Mutex
 	monitor paths.Monitor
 	lost    map[string]bool
@@ -46,23 +49,34 @@
 // failed records that an attempt to reach an upstream, which began took ago, has failed.
 func (p *pathMonitor) failed(service, upstream string, took time.Duration) {
 	p.mutex.Lock()
-	defer p.mutex.Unlock()
 	now := p.clock.Now()
 	p.monitor.Failed(now, now-took, service, upstream)
-	p.logChange(service)
+	lost := p.logChange(service)
+	p.mutex.Unlock()
+	if lost {
+		p.onLost(service)
+	}
 }
 
-// logChange logs that the paths to the upstreams of a service are lost or regained.
-func (p *pathMonitor) logChange(service string) {
+// logChange logs that the paths to the upstreams of a service are lost or regained. It reports whether they have just been lost.
+func (p *pathMonitor) logChange(service string) bool {
 	lost := p.monitor.Lost(service)
 	if lost == p.lost[service] {
-		return
+		return false
 	}
 	p.lost[service] = lost
 	p.log.WithFields(logrus.Fields{
 		"service": service,
 		"lost":    lost,
 	}).Warn("paths to upstreams changed")
+	return lost
+}
+
+// allLost reports whether the paths to all upstreams of a service are lost.
+func (p *pathMonitor) allLost(service string) bool {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	return p.monitor.Lost(service)
 }
 
 // avoid reports whether another instance had better send a request to an upstream.
@@ -79,6 +93,13 @@
 	return p.monitor.FailedCount()
 }
 
+// anyLost reports whether the paths to all upstreams of some service are lost.
+func (p *pathMonitor) anyLost() bool {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	return p.monitor.AnyLost()
+}
+
 // holdersLost reports whether the paths to most upstreams of a keyed service are lost.
 func (p *pathMonitor) holdersLost() bool {
 	v := p.view()
--- a/internal/gateway/queue.go
+++ b/internal/gateway/queue.go
@@ -57,7 +57,7 @@
 		l.tableVersions[table] = position
 	}
 	l.storeReached, l.handsUpRows = reply.GetStoreReached(), reply.GetAnswersTableRequests()
-	l.failedUpstreams, l.pathsKnown = int(reply.GetFailedUpstreams()), true
+	l.failedUpstreams, l.lostPaths, l.pathsKnown = int(reply.GetFailedUpstreams()), reply.GetLostPaths(), true
 	c.store.learnEra(reply.GetEra())
 	c.sendTables(l)
 	c.noteWithheld(l)
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -122,6 +122,7 @@
 	}
 	name := response.Header.Get(relayOutcomeHeader)
 	if name == "" {
+		h.ticketClient.relayAnswered(relay.Name)
 		return response, nil
 	}
 	response.Body.Close()
--- a/internal/gateway/relays.go
+++ b/internal/gateway/relays.go
@@ -1,7 +1,6 @@
 package gateway
 
 import (
-	"math"
 	"slices"
 	"strings"
 	"time"
@@ -28,6 +27,13 @@
 	t.setRelays(paths.ChooseRelays(registered, t.config.Settings.Name, t.config.Settings.Zone, t.index, maxRelays))
 }
 
+// relayAnswered records that a relay has passed a request on.
+func (t *ticketClient) relayAnswered(name string) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	t.relays.Answered(name)
+}
+
 // setRelays replaces the instances that may send requests for this one.
 func (t *ticketClient) setRelays(list []paths.Relay) {
 	if before := t.relays.Len(); (before == 0) != (len(list) == 0) {
@@ -94,26 +100,24 @@
 	return told > 0 && (told == connected || (waited && 2*told > connected))
 }
 
-// relayCandidates returns the instances that reach most upstreams, in the order of their names.
+// relayCandidates returns the instances that may send requests for others.
 func (c *coordinator) relayCandidates() []paths.Relay {
-	fewest := math.MaxInt
+	var told []paths.Reach
 	for _, l := range c.links {
-		if l.current != nil && l.pathsKnown {
-			fewest = min(fewest, l.failedUpstreams)
+		if l.current == nil || !l.pathsKnown || l.relayAddress == "" {
+			continue
 		}
-	}
-	var candidates []paths.Relay
-	for _, l := range c.links {
-		if l.current != nil && l.pathsKnown && l.relayAddress != "" && !paths.Reaches(fewest, l.failedUpstreams) {
-			candidates = append(candidates, paths.Relay{
+		told = append(told, paths.Reach{
+			Relay: paths.Relay{
 				Name:    l.name,
 				Zone:    l.zone,
 				Address: l.relayAddress,
-			})
-		}
+			},
+			Failed: l.failedUpstreams,
+			Lost:   l.lostPaths,
+		})
 	}
-	slices.SortFunc(candidates, func(a, b paths.Relay) int { return strings.Compare(a.Name, b.Name) })
-	return candidates
+	return paths.RelayCandidates(told, len(c.view().list.Upstreams))
 }
 
 func relaysFrame(candidates []paths.Relay, to *link) *schema.Frame {
--- a/internal/gateway/tickets.go
+++ b/internal/gateway/tickets.go
@@ -117,9 +117,9 @@
 	// relays are the instances that may send requests for this one. relaysTold is true once a coordinator has told them.
 	relays     paths.Relays
 	relaysTold bool
-	// failedUpstreams returns the number of upstreams that this instance does not reach.
-	failedUpstreams func() int
-	wake            chan struct{}
+	// paths tracks which upstreams this instance reaches.
+	paths *pathMonitor
+	wake  chan struct{}
 }
 
 type waiter struct {
@@ -405,6 +405,16 @@
 	}
 }
 
+// pathsLost makes the local pool of a service not take upstreams for ended because this instance can't reach them.
+func (t *ticketClient) pathsLost(service string) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	if pool := t.localPools[service]; pool != nil {
+		pool.PathsLost()
+		t.decide(t.clock.Now(), pool)
+	}
+}
+
 // denyOwner records that an upstream has said that it doesn't hold a key, given as in call. Tickets of a local pool come from
 // holders reported earlier; those of the coordinator from what it grants itself.
 func (t *ticketClient) denyOwner(result ticketResult, service string, key uint32) {
