core/dispatch, internal/gateway: a new coordinator spends only what is known to be left of the retry budget

Cause: instances tell a new coordinator what they have sent, but one that was restarted tells only what it has sent since, and one that connects late tells nothing at first. Requests that waited while the coordinator changed were also counted twice. Class: no knowledge of use is taken for no use.

Change: an instance tells how far back its count goes (all of the window if it was not registered before), and the slack of a pool grows with the part of the window that it knows, summed over the instances. Resubmitted requests don't add to the budget of a local pool.

--- a/core/dispatch/budget.go
+++ b/core/dispatch/budget.go
@@ -38,6 +38,13 @@
 	return config.RetrySlack * coordinatorRetryShare / float64(max(1, config.Share.Count))
 }
 
+// SetRetryCoverage sets the part of the last window, 0 to 1, of which the pool knows what was sent. The rest of the retries that are
+// allowed independently of the number of requests may have been used.
+func (p *Pool) SetRetryCoverage(part float64) {
+	p.retryCoverage = part
+	p.budget.slack = retrySlack(p.config) * part
+}
+
 func (b *budget) bucket(now time.Duration) *budgetBucket {
 	index := int64(now / (b.window / budgetBuckets))
 	entry := &b.buckets[index%int64(len(b.buckets))]
--- a/core/dispatch/pool.go
+++ b/core/dispatch/pool.go
@@ -47,13 +47,15 @@
 	// tickets holds the waiting tickets by ID.
 	tickets map[uint64]*Ticket
 	// dirty lists the queues to process, and lastSweep is when all queues were last scanned.
-	dirty       []*queue
-	lastSweep   time.Duration
-	running     map[uint64]assignment
-	budget      *budget
-	fair        fairShares
-	initialized bool
-	refusals    []Decision
+	dirty     []*queue
+	lastSweep time.Duration
+	running   map[uint64]assignment
+	budget    *budget
+	// retryCoverage is the part of the budget's window that is known.
+	retryCoverage float64
+	fair          fairShares
+	initialized   bool
+	refusals      []Decision
 	// ownerWait is how long a request waits for its key to get an owner.
 	ownerWait time.Duration
 	// overcommit is the number of requests sent to an upstream beyond its slots, as a fraction of the slots.
@@ -123,6 +125,8 @@
 		running:   map[uint64]assignment{},
 		budget:    newBudget(config),
 		ownerWait: DefaultOwnerWait,
+
+		retryCoverage: 1,
 	}
 }
 
@@ -146,7 +150,7 @@
 		return
 	}
 	p.config.Share = share
-	p.budget.slack = retrySlack(p.config)
+	p.SetRetryCoverage(p.retryCoverage)
 }
 
 // SetUpstreams replaces the list of the service's upstreams. An upstream counts as cold if it joins after the first
@@ -218,7 +222,7 @@
 		p.setMixed(p.mix.count(now, t.Class, p.mixed))
 	}
 	p.order(now, t)
-	if t.Attempt == 0 && !t.Returned {
+	if t.Attempt == 0 && !t.Returned && !t.Resubmitted {
 		p.budget.countRequest(now)
 	}
 	if v := p.verdict(now, t); v.Quarantine > 0 {
--- a/core/dispatch/ticket.go
+++ b/core/dispatch/ticket.go
@@ -31,6 +31,8 @@
 	Unsent bool
 	// Returned is true if the last ticket of the request was returned unused. It was counted as a request or a retry then.
 	Returned bool
+	// Resubmitted is true if another pool has counted the request for its retry budget.
+	Resubmitted bool
 	// Workspace is the workspace of the caller, empty for none.
 	Workspace string
 	// Class is the same for requests that are taken to cost alike.
--- a/internal/gateway/coordinator.go
+++ b/internal/gateway/coordinator.go
@@ -169,11 +169,14 @@
 		suspects:      &dispatch.Suspects{},
 		withheld:      map[withheldKey]*withheldTickets{},
 		catchUps:      map[string]*replica.CatchUp{},
-		quota:         quota.NewLedger(config.Clock.Now(), quotaLimits(currentView)),
-		closeDelay:    coordinatorInterval,
-		strain:        strainState{Strain: authority.NewStrain(sentAt, 0)},
-		ctx:           ctx,
-		cancel:        cancel,
+		handover: handoverState{
+			retriesKnown: dispatch.NewRetryCoverage(config.Clock.Now(), config.Settings.RetryWindow),
+		},
+		quota:      quota.NewLedger(config.Clock.Now(), quotaLimits(currentView)),
+		closeDelay: coordinatorInterval,
+		strain:     strainState{Strain: authority.NewStrain(sentAt, 0)},
+		ctx:        ctx,
+		cancel:     cancel,
 	}
 }
 
@@ -360,6 +363,7 @@
 		s := c.ensureService(name, service.Keyed)
 		s.pool.SetService(service)
 	}
+	c.updateRetryCoverage(now)
 	for _, s := range c.services {
 		s.pool.sync(now, v, s.name)
 		c.advanceKeys(now, s, v)
--- a/internal/gateway/election.go
+++ b/internal/gateway/election.go
@@ -184,6 +184,12 @@
 	defer t.mutex.Unlock()
 	t.maxCPUPermille = max(t.maxCPUPermille, maxCPUPermille)
 	t.resources.rows = resources
+	if t.registration == unknownRegistration {
+		t.registration = firstRegistration
+		if version != 0 {
+			t.registration = repeatedRegistration
+		}
+	}
 	if t.instanceCount <= others {
 		t.instanceCount, t.index = others+1, index
 	}
--- a/internal/gateway/takeover.go
+++ b/internal/gateway/takeover.go
@@ -1,6 +1,8 @@
 package gateway
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -138,6 +140,7 @@
 		add(open)
 	}
 	tickets.Retries = t.retryUsage(now)
+	tickets.RetriesKnownMs = uint32(max(1, t.retriesKnown(now).Milliseconds()))
 	flush()
 	t.sendLatencies(now)
 }
@@ -158,6 +161,15 @@
 	}
 }
 
+// retriesKnown returns the time in which all is known that this instance has sent: not what it sent before a restart.
+func (t *ticketClient) retriesKnown(now time.Duration) time.Duration {
+	window := t.config.Settings.RetryWindow
+	if t.registration == firstRegistration {
+		return window
+	}
+	return min(now-t.startedAt, window)
+}
+
 // retryUsage returns what has been sent. Requests that wait are left out: they are submitted to the coordinator, which counts them.
 func (t *ticketClient) retryUsage(now time.Duration) []*schema.RetryUsage {
 	waiting := map[string]uint32{}
@@ -220,8 +232,10 @@
 	// settled is true once tickets may be granted, and firstLinkAt is when the first instances were known, 0 before.
 	settled     bool
 	firstLinkAt time.Duration
-	// told holds the instances that have told their open tickets in this term.
-	told map[string]bool
+	// told holds the instances that have told their open tickets in this term, and retriesKnown what they have told of the retry
+	// budget.
+	told         map[string]bool
+	retriesKnown *dispatch.RetryCoverage
 	// restored counts tickets that were taken over, and retries what instances have told of the retry budget.
 	restored, retries int
 }
@@ -256,18 +270,33 @@
 	return false
 }
 
+// updateRetryCoverage tells the pools which part of the window of the retry budget is known.
+func (c *coordinator) updateRetryCoverage(now time.Duration) {
+	part := c.handover.retriesKnown.Part(now, slices.Collect(maps.Keys(c.links)))
+	for _, s := range c.services {
+		s.pool.SetRetryCoverage(part)
+	}
+}
+
 // handleOpenTickets takes over the running tickets of an instance and, once for each instance, its part of the retry budget.
 func (c *coordinator) handleOpenTickets(now time.Duration, l *link, open *schema.OpenTickets) {
 	for _, t := range open.GetTickets() {
 		c.restore(now, l, t)
 	}
-	if c.handover.told[l.name] {
-		return // It has reconnected within the term: the pools have counted its requests.
-	}
 	if c.handover.told == nil {
 		c.handover.told = map[string]bool{}
 	}
 	c.handover.told[l.name] = true
+	if len(open.GetRetries()) == 0 && open.GetRetriesKnownMs() == 0 {
+		return
+	}
+	known := time.Duration(open.GetRetriesKnownMs()) * time.Millisecond
+	if known == 0 {
+		known = c.config.Settings.RetryWindow // An earlier build.
+	}
+	if !c.handover.retriesKnown.Told(now, l.name, known) {
+		return // It has reconnected within the term: the pools have counted its requests.
+	}
 	for _, usage := range open.GetRetries() {
 		for _, n := range usage.GetRetries() {
 			c.handover.retries += int(n)
--- a/internal/gateway/tickets.go
+++ b/internal/gateway/tickets.go
@@ -112,6 +112,8 @@
 	shares    *quota.Shares
 	usage     quota.Usage
 	startedAt time.Duration
+	// registration tells whether an earlier start of this instance was registered.
+	registration registrationState
 	// refusalsLoggedAt is when requests beyond the shares were last logged.
 	refusalsLoggedAt time.Duration
 	// relays are the instances that may send requests for this one. relaysTold is true once a coordinator has told them.
@@ -122,9 +124,20 @@
 	wake  chan struct{}
 }
 
+// registrationState tells what an instance has found in the registry when it started.
+type registrationState int
+
+const (
+	unknownRegistration registrationState = iota
+	firstRegistration
+	repeatedRegistration
+)
+
 type waiter struct {
 	request *schema.TicketRequest
-	result  chan ticketResult
+	// submitted is true once a pool has counted the request.
+	submitted bool
+	result    chan ticketResult
 	// deadline and objective are times on the instance's clock.
 	deadline, objective time.Duration
 }
@@ -211,6 +224,7 @@
 // submit sends the ticket request to the coordinator or, without one, to the local pool.
 func (t *ticketClient) submit(now time.Duration, w *waiter) {
 	if t.frameConn != nil {
+		w.submitted = true
 		t.frameConn.Send(&schema.Frame{
 			Body: &schema.Frame_Request{
 				Request: w.request,
@@ -219,7 +233,10 @@
 		return
 	}
 	pool := t.localPool(now, w.request.GetService())
-	pool.Submit(now, newTicket(w.request, w.request.GetId(), t.config.Settings.Name, t.config.Settings.Zone, w.deadline, w.objective))
+	ticket := newTicket(w.request, w.request.GetId(), t.config.Settings.Name, t.config.Settings.Zone, w.deadline, w.objective)
+	ticket.Resubmitted = w.submitted
+	w.submitted = true
+	pool.Submit(now, ticket)
 	t.decide(now, pool)
 	t.wakeUp()
 }
@@ -285,6 +302,9 @@
 		t.localPools[service] = pool
 	}
 	pool.SetShare(share)
+	if window := t.config.Settings.RetryWindow; window > 0 {
+		pool.SetRetryCoverage(float64(t.retriesKnown(now)) / float64(window))
+	}
 	pool.SetOwnerWait(t.ownerWait(now))
 	if v.table != nil {
 		pool.SetService(v.table.Services[service])
--- a/internal/standin/keyholder/keyholder.go
+++ b/internal/standin/keyholder/keyholder.go
@@ -45,6 +45,8 @@
 	leaving bool
 	// pause is the text of the Retry-After header with which all requests are rejected; empty for none.
 	pause string
+	// erring makes all requests fail once they have run.
+	erring bool
 	// limit is the text of the Server-Limit header, empty for none.
 	limit string
 	// arrivals holds the times of all requests.
@@ -113,6 +115,13 @@
 	u.leaving = true
 }
 
+// SetErring makes all requests fail with status 500 from now on, or ends that.
+func (u *Upstream) SetErring(erring bool) {
+	u.mutex.Lock()
+	defer u.mutex.Unlock()
+	u.erring = erring
+}
+
 // SetPause makes the upstream reject all requests from now on, as not run, with this text in Retry-After; an empty text ends that.
 func (u *Upstream) SetPause(pause string) {
 	u.mutex.Lock()
@@ -216,6 +225,7 @@
 	}
 	u.mutex.Lock()
 	u.runs[name]++
+	erring := u.erring
 	u.mutex.Unlock()
 	time.Sleep(u.config.ServiceTime)
 	if u.config.CrashPath != "" && r.URL.Path == u.config.CrashPath {
@@ -223,6 +233,9 @@
 		return
 	}
 	w.Header().Set("Response-Signature", u.config.ID)
+	if erring {
+		w.WriteHeader(http.StatusInternalServerError)
+	}
 	fmt.Fprintf(w, "%s for %s", u.config.ID, name)
 }
 
