io/upstream: no request that must not run twice is sent on a connection that has carried a refusal

Another operator's report: an upstream wrote an earlier refusal once more on a kept connection. Callers were told 'not run' for requests that ran (REFUSED), or such a request ran at a second upstream (TWICE). It happened here too.

Cause: the ID in an answer is that of the request, not of the attempt, and a refusal counts without one. The next attempt of a refused request went to the same upstream on the same connection, where the copy was taken for its answer; a copy without an ID was taken for the answer to any request. Class: an answer of an earlier attempt counts as that of the present one.

Change: a connection remembers that it has carried a refusal. A request that must not run twice doesn't use it any more, and no request uses one on which it was refused itself. Such a connection gives way to one without a refusal when the pool is full.

--- a/io/upstream/client.go
+++ b/io/upstream/client.go
@@ -162,7 +162,7 @@
 // Do sends request and returns once the head of the response is received. An error is a *NotSentError or an
 // *UnknownOutcomeError. The end of ctx closes the connection, upon which most upstreams abandon the request.
 func (cl *Client) Do(ctx context.Context, request Request) (*Response, error) {
-	c, err := cl.pool.take(ctx, request.Address, request.AtMostOnce)
+	c, err := cl.pool.take(ctx, request)
 	if err != nil {
 		return nil, &NotSentError{
 			Upstream: request.Upstream,
@@ -247,6 +247,9 @@
 			return nil, err
 		}
 		id := response.Header.Get(cl.headers.Request)
+		if cl.notRun(response) {
+			c.refused, c.lastRefused = true, request.RequestID
+		}
 		if id == request.RequestID || (id == "" && cl.notRun(response)) {
 			return response, nil
 		}
--- a/io/upstream/connection.go
+++ b/io/upstream/connection.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io"
 	"net"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -45,6 +46,10 @@
 	idleSince      time.Time
 	idleUntil      time.Time
 	desynchronized bool
+	// refused is true once a request that came on the connection was refused, and lastRefused is the ID of the last such request. The
+	// upstream may write the refusal once more in place of the next answer.
+	refused     bool
+	lastRefused string
 }
 
 // readLimit bounds the bytes read while an answer's head is awaited, because parsing a head keeps all of it in memory.
@@ -118,34 +123,43 @@
 	}
 }
 
+// confirms reports whether an answer on the connection that says that request did not run can be trusted.
+func (c *connection) confirms(request Request) bool {
+	if request.AtMostOnce {
+		return !c.refused
+	}
+	return c.lastRefused == "" || c.lastRefused != request.RequestID
+}
+
 // take returns a healthy idle connection, or dials a new one.
-func (p *connectionPool) take(ctx context.Context, address string, atMostOnce bool) (*connection, error) {
+func (p *connectionPool) take(ctx context.Context, request Request) (*connection, error) {
 	now := time.Now()
 	for {
-		c := p.pop(address)
+		c := p.pop(request)
 		if c == nil {
 			break
 		}
-		fresh := now.Before(c.idleUntil) && (!atMostOnce || now.Sub(c.idleSince) < maxAtMostOnceIdle)
+		fresh := now.Before(c.idleUntil) && (!request.AtMostOnce || now.Sub(c.idleSince) < maxAtMostOnceIdle)
 		if fresh && c.healthy() {
 			return c, nil
 		}
 		c.abort()
 	}
-	return p.connect(ctx, address)
+	return p.connect(ctx, request.Address)
 }
 
-// pop removes and returns the most recently used idle connection, or nil.
-func (p *connectionPool) pop(address string) *connection {
+// pop removes and returns the most recently used idle connection on which request may be sent, or nil.
+func (p *connectionPool) pop(request Request) *connection {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
-	list := p.idle[address]
-	if len(list) == 0 {
-		return nil
+	list := p.idle[request.Address]
+	for i := len(list) - 1; i >= 0; i-- {
+		if c := list[i]; c.confirms(request) {
+			p.idle[request.Address] = slices.Delete(list, i, i+1)
+			return c
+		}
 	}
-	c := list[len(list)-1]
-	p.idle[address] = list[:len(list)-1]
-	return c
+	return nil
 }
 
 // put adds an idle connection, or closes it if the pool has enough for address. idle is the timeout that the upstream
@@ -171,11 +185,18 @@
 func (p *connectionPool) add(address string, c *connection) {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
-	if len(p.idle[address]) >= maxIdlePerUpstream {
-		c.abort()
-		return
+	list := p.idle[address]
+	if len(list) >= maxIdlePerUpstream {
+		// One that carried a refusal can't be used for all requests.
+		replaced := slices.IndexFunc(list, func(other *connection) bool { return other.refused && !c.refused })
+		if replaced < 0 {
+			c.abort()
+			return
+		}
+		list[replaced].abort()
+		list = slices.Delete(list, replaced, replaced+1)
 	}
-	p.idle[address] = append(p.idle[address], c)
+	p.idle[address] = append(list, c)
 }
 
 // Dialer returns a dialer whose connections fail within unackedTimeout if the peer becomes unreachable.
