io/upstream: a refusal without an ID proves nothing on a kept connection

Cause: a refusal counted as an answer without the request's ID. Change: for a request that must not run twice, only on a connection that was not used before; otherwise its outcome is unknown.

Result: TestRefusalWithoutIDOnAKeptConnectionProvesNothing fails before and passes after.

--- a/io/upstream/client.go
+++ b/io/upstream/client.go
@@ -250,7 +250,8 @@
 		if cl.notRun(response) {
 			c.refused, c.lastRefused = true, request.RequestID
 		}
-		if id == request.RequestID || (id == "" && cl.notRun(response)) {
+		if id == request.RequestID || (id == "" && cl.notRun(response) && (!request.AtMostOnce || !c.used)) {
+			c.used = true
 			return response, nil
 		}
 		c.desynchronized = true
--- a/io/upstream/connection.go
+++ b/io/upstream/connection.go
@@ -46,6 +46,8 @@
 	idleSince      time.Time
 	idleUntil      time.Time
 	desynchronized bool
+	// used is true once an answer has come on the connection.
+	used bool
 	// refused is true once a request that came on the connection was refused, and lastRefused is the ID of the last such request. The
 	// upstream may write the refusal once more in place of the next answer.
 	refused     bool
--- a/io/upstream/refusal_test.go
+++ b/io/upstream/refusal_test.go
@@ -86,3 +86,43 @@
 		})
 	}
 }
+
+// Bytes behind an earlier answer that have the form of a refusal, without an ID, make a request that must not run twice run at a second
+// upstream (TWICE).
+func TestRefusalWithoutIDOnAKeptConnectionProvesNothing(t *testing.T) {
+	c := qt.New(t)
+	const refusal = "HTTP/1.1 503 Service Unavailable\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n"
+	address, _ := serve(c, func(conn net.Conn, number int, id string) {
+		if number != 1 {
+			write(conn, refusal)
+		}
+		write(conn, formatResponse(id, "for "+id))
+	})
+	client := upstream.NewClient(headers())
+	send := func(id string, atMostOnce bool) (*upstream.Response, error) {
+		return client.Do(context.Background(), upstream.Request{
+			Address:  address,
+			Upstream: "u1",
+			Method:   http.MethodPost,
+			Target:   "/x",
+			Host:     "a.example",
+			Header: http.Header{
+				"Request-Id": {id},
+			},
+			RequestID:  id,
+			Timeout:    5 * time.Second,
+			AtMostOnce: atMostOnce,
+		})
+	}
+	response, err := send("r0", true)
+	c.Assert(err, qt.IsNil)
+	response.Body.Close()
+	var unknown *upstream.UnknownOutcomeError
+	_, err = send("r1", true)
+	c.Check(err, qt.ErrorAs, &unknown)
+	// On a new connection there is nothing that it could stand behind.
+	response, err = send("r2", true)
+	c.Assert(err, qt.IsNil)
+	c.Check(response.NotRun, qt.IsTrue)
+	response.Body.Close()
+}
