internal/gateway: requests that wait for an upstream are refused before a planned stop ends

Cause: the stop waited for requests to end and nothing told those that wait.

Requests that wait for a connection or a relay are bounded by their own timeouts and not covered.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -39,6 +39,9 @@
 	drainDelay = 2500 * time.Millisecond
 	// exitReserve is the part of the shutdown timeout that is kept for the process to exit.
 	exitReserve = 300 * time.Millisecond
+	// lastWaitShare is the part of the shutdown timeout, before its end, in which no request waits for an upstream any more: most of those
+	// that it would still get could not be answered.
+	lastWaitShare = 1.0 / 6
 	// headerTimeout bounds how long a caller may take to send request headers, and idleTimeout how long a connection
 	// may stay idle between requests. Both exceed what operators allow callers, whose own limits close connections earlier.
 	headerTimeout = 10 * time.Second
@@ -92,7 +95,10 @@
 	}
 	g.ticketClient.paths = g.paths
 	g.paths.onLost = g.ticketClient.pathsLost
+	waits, endWaits := context.WithCancel(context.Background())
 	g.requestHandler = &requestHandler{
+		waits:          waits,
+		endWaits:       endWaits,
 		config:         config,
 		log:            loggers.For("caller"),
 		view:           g.follower.view,
@@ -212,6 +218,8 @@
 	remaining := g.config.Settings.ShutdownTimeout - exitReserve - time.Since(start)
 	ctx, cancel := context.WithTimeout(context.Background(), remaining)
 	defer cancel()
+	lastWait := time.Duration(lastWaitShare * float64(g.config.Settings.ShutdownTimeout))
+	defer time.AfterFunc(remaining-lastWait, g.requestHandler.endWaits).Stop()
 	if err := callerServer.Shutdown(ctx); err != nil {
 		g.log.WithError(err).Warn("shutdown timeout exceeded, aborting open requests")
 	}
