core/paths: relays are used in proportion to their processor and link

Callers of instances without paths, and those of the others, were refused while most instances were cut: with 45 of 59 instances cut 57 and 47 failed tries per instance in 6 s to a service that had room; with 33 cut and the coordinator killed twice 32 and 9.

Cause: relays were used in turn. Instances with links of 10 Mbit/s carried two to four times their own traffic, so that connections to upstreams timed out there, while those with links of 200 Mbit/s had room.

Change: up to half of the relays that an instance is told are such that are at least twice as large as the smallest; the rest are near. Each gets requests by the least of its processor share and link, compared with the smallest relay.

Result: TestLargeInstancesRelayMore (new functions).

--- a/core/paths/paths_test.go
+++ b/core/paths/paths_test.go
@@ -131,6 +131,47 @@
 	c.Check(paths.RelayCandidates(nil, 100), qt.HasLen, 0)
 }
 
+// Small instances whose links carry the requests of all that lack paths, while large ones have room.
+func TestLargeInstancesRelayMore(t *testing.T) {
+	c := qt.New(t)
+	var instances []paths.Reach
+	for i := range 20 {
+		r := paths.Reach{
+			Relay: paths.Relay{
+				Name: fmt.Sprintf("n%02d", i),
+				Zone: fmt.Sprint("z", i%2),
+			},
+			CPUPermille: 160,
+			LinkMbps:    10,
+		}
+		if i < 3 {
+			r.CPUPermille, r.LinkMbps = 800, 200
+		}
+		instances = append(instances, r)
+	}
+	chosen := paths.ChooseRelays(paths.RelayCandidates(instances, 100), "n07", "z1", 7, 8)
+	c.Assert(chosen, qt.HasLen, 8)
+	c.Check([]string{chosen[0].Name, chosen[1].Name, chosen[2].Name}, qt.DeepEquals, []string{"n01", "n00", "n02"})
+	for _, small := range chosen[3:] {
+		c.Check(small.Zone, qt.Equals, "z1")
+		c.Check(small.Weight, qt.Equals, 1.0)
+	}
+	var r paths.Relays
+	r.Set(chosen)
+	uses := map[string]int{}
+	for range 200 {
+		next, ok := r.Next(0)
+		c.Assert(ok, qt.IsTrue)
+		uses[next.Name]++
+	}
+	for _, relay := range chosen {
+		c.Check(uses[relay.Name], qt.Equals, 10*int(relay.Weight), qt.Commentf("%s", relay.Name))
+	}
+	// An instance that does not tell its resources counts as a small one.
+	instances[0].LinkMbps = 0
+	c.Check(paths.RelayCandidates(instances, 100)[0].Weight, qt.Equals, 1.0)
+}
+
 func TestRelaysAreNearAndUsedInTurn(t *testing.T) {
 	c := qt.New(t)
 	var all []paths.Relay
--- a/core/paths/relays.go
+++ b/core/paths/relays.go
@@ -10,6 +10,12 @@
 // Relay is an instance that sends requests for others.
 type Relay struct {
 	Name, Zone, Address string
+	// Weight is its capacity in multiples of that of the smallest relay, 0 if unknown, which counts as 1.
+	Weight float64
+}
+
+func (r Relay) weight() float64 {
+	return max(r.Weight, 1)
 }
 
 // Reach is what an instance has told of its paths.
@@ -18,6 +24,8 @@
 	// Failed is the number of upstreams that it does not reach. Lost is true if it reaches none of a service.
 	Failed int
 	Lost   bool
+	// CPUPermille and LinkMbps are its processor share, in thousandths of a core, and its link, 0 if unknown.
+	CPUPermille, LinkMbps uint32
 }
 
 // relayTolerance is the part of all upstreams that a relay may fail to reach beyond what any instance does. Upstreams that have ended are
@@ -37,28 +45,58 @@
 		usable = append(usable, r)
 		fewest = min(fewest, r.Failed)
 	}
-	var candidates []Relay
+	var chosen []Reach
 	for _, r := range usable {
 		if r.Failed < fewest+max(lostAfter, int(relayTolerance*float64(total))) {
-			candidates = append(candidates, r.Relay)
+			chosen = append(chosen, r)
 		}
 	}
+	candidates := weigh(chosen)
 	slices.SortFunc(candidates, func(a, b Relay) int { return strings.Compare(a.Name, b.Name) })
 	return candidates
 }
 
-// ChooseRelays returns up to limit of candidates for an instance, those of its availability zone first. index is the instance's
-// position among all; it spreads the instances over the candidates.
+// weigh returns the relays with their weights: the processor or the link, whichever is less, compared with the smallest one.
+func weigh(chosen []Reach) []Relay {
+	var smallestCPU, smallestLink uint32
+	for _, r := range chosen {
+		if r.CPUPermille != 0 && (smallestCPU == 0 || r.CPUPermille < smallestCPU) {
+			smallestCPU = r.CPUPermille
+		}
+		if r.LinkMbps != 0 && (smallestLink == 0 || r.LinkMbps < smallestLink) {
+			smallestLink = r.LinkMbps
+		}
+	}
+	var relays []Relay
+	for _, r := range chosen {
+		r.Weight = 1
+		if r.CPUPermille != 0 && r.LinkMbps != 0 {
+			r.Weight = min(float64(r.CPUPermille)/float64(smallestCPU), float64(r.LinkMbps)/float64(smallestLink))
+		}
+		relays = append(relays, r.Relay)
+	}
+	return relays
+}
+
+// heavyWeight is the weight from which a relay is preferred to those of the own availability zone.
+const heavyWeight = 2
+
+// ChooseRelays returns up to limit of candidates for an instance: up to half of them such that are much larger than the others, then those of
+// its availability zone first. index is the instance's position among all; it spreads the instances over the candidates.
 func ChooseRelays(candidates []Relay, name, zone string, index, limit int) []Relay {
 	var chosen []Relay
-	for _, local := range []bool{true, false} {
-		for i := range candidates {
-			r := candidates[(i+index)%len(candidates)]
-			if len(chosen) < limit && r.Name != name && (r.Zone == zone) == local {
-				chosen = append(chosen, r)
+	add := func(limit int, wanted func(Relay) bool) {
+		for _, local := range []bool{true, false} {
+			for i := range candidates {
+				r := candidates[(i+index)%len(candidates)]
+				if len(chosen) < limit && r.Name != name && (r.Zone == zone) == local && wanted(r) && !slices.Contains(chosen, r) {
+					chosen = append(chosen, r)
+				}
 			}
 		}
 	}
+	add(limit/2, func(r Relay) bool { return r.Weight >= heavyWeight })
+	add(limit, func(Relay) bool { return true })
 	return chosen
 }
 
@@ -69,11 +107,12 @@
 	maxRelayPause    = 8 * time.Second
 )
 
-// Relays are the instances that may send requests for this one, used in turn. The zero value has none. It is not safe for concurrent
-// use.
+// Relays are the instances that may send requests for this one, used in turn and as often as their weight says. The zero value has none.
+// It is not safe for concurrent use.
 type Relays struct {
-	list   []Relay
-	next   int
+	list []Relay
+	// credit holds what each relay is due, in the order of list.
+	credit []float64
 	failed map[string]relayFailure
 }
 
@@ -85,6 +124,7 @@
 // Set replaces the list.
 func (r *Relays) Set(list []Relay) {
 	r.list = list
+	r.credit = make([]float64, len(list))
 	r.failed = map[string]relayFailure{}
 }
 
@@ -95,14 +135,22 @@
 
 // Next returns the relay for the next request. ok is false if there is none that has not failed lately.
 func (r *Relays) Next(now time.Duration) (relay Relay, ok bool) {
-	for i := range r.list {
-		index := (r.next + i) % len(r.list)
-		if now >= r.failed[r.list[index].Name].until {
-			r.next = index + 1
-			return r.list[index], true
+	best, total := -1, 0.0
+	for i, candidate := range r.list {
+		if now < r.failed[candidate.Name].until {
+			continue
+		}
+		r.credit[i] += candidate.weight()
+		total += candidate.weight()
+		if best < 0 || r.credit[i] > r.credit[best] {
+			best = i
 		}
 	}
-	return Relay{}, false
+	if best < 0 {
+		return Relay{}, false
+	}
+	r.credit[best] -= total
+	return r.list[best], true
 }
 
 // Failed records that a relay did not pass a request on. Requests that were under way when it failed first count once.
--- a/internal/gateway/relays.go
+++ b/internal/gateway/relays.go
@@ -113,8 +113,10 @@
 				Zone:    l.zone,
 				Address: l.relayAddress,
 			},
-			Failed: l.failedUpstreams,
-			Lost:   l.lostPaths,
+			Failed:      l.failedUpstreams,
+			Lost:        l.lostPaths,
+			CPUPermille: l.resources.CPUPermille,
+			LinkMbps:    l.resources.LinkMbps,
 		})
 	}
 	return paths.RelayCandidates(told, len(c.view().list.Upstreams))
@@ -124,9 +126,10 @@
 	message := &schema.Relays{}
 	for _, r := range paths.ChooseRelays(candidates, to.name, to.zone, int(to.index), maxRelays) {
 		message.Relays = append(message.Relays, &schema.Relay{
-			Name:    r.Name,
-			Zone:    r.Zone,
-			Address: r.Address,
+			Name:           r.Name,
+			Zone:           r.Zone,
+			Address:        r.Address,
+			WeightPermille: uint32(r.Weight * 1000),
 		})
 	}
 	return &schema.Frame{
@@ -143,6 +146,7 @@
 			Name:    r.GetName(),
 			Zone:    r.GetZone(),
 			Address: r.GetAddress(),
+			Weight:  float64(r.GetWeightPermille()) / 1000,
 		})
 	}
 	return list
