internal/gateway: relays change only while most connected instances have told their paths

Read, not seen. TestCoordinatorTellsNoRelaysThatItDoesNotKnow and TestCallersOfInstancesWithoutPathsAndCoordinatorAreServed pass.

--- a/internal/gateway/relays.go
+++ b/internal/gateway/relays.go
@@ -62,7 +62,7 @@
 
 // announceRelays tells all instances which others reach most upstreams, if that has changed.
 func (c *coordinator) announceRelays(now time.Duration) {
-	if now < c.relaysDueAt || (!c.relaysTold && !c.pathsTold(now)) {
+	if now < c.relaysDueAt || !c.pathsTold(now) {
 		return
 	}
 	c.relaysDueAt = now + relaysInterval
