--- a/internal/gateway/links.go
+++ b/internal/gateway/links.go
@@ -18,8 +18,8 @@
 // link is the coordinator's connection to one instance. It reconnects when the connection is lost.
 type link struct {
 	name, zone, address string
-	// relayAddress is empty if the instance sends no requests for others. failedUpstreams is the number of upstreams that
-	// it does not reach, and lostPaths is true if it has lost its paths to all of a service. pathsKnown is true once it has told on this connection.
+	// relayAddress is empty if the instance sends no requests for others. failedUpstreams is the number of upstreams that it does not
+	// reach, and lostPaths is true if it has lost its paths to all of a service; pathsKnown is true once it has told on this connection.
 	relayAddress          string
 	failedUpstreams       int
 	lostPaths, pathsKnown bool
