internal/gateway: whoever holds the requests that wait refuses them at a stop

Change: ticketClient, which knows the waiting requests, refuses them with a reason, as it does any other refusal; nothing is added to a request. The tests of refusals share one request (refusal_test.go); their assertions are the same. Behavior is meant to be the same.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -95,10 +95,7 @@
 	}
 	g.ticketClient.paths = g.paths
 	g.paths.onLost = g.ticketClient.pathsLost
-	waits, endWaits := context.WithCancel(context.Background())
 	g.requestHandler = &requestHandler{
-		waits:          waits,
-		endWaits:       endWaits,
 		config:         config,
 		log:            loggers.For("caller"),
 		view:           g.follower.view,
@@ -219,7 +216,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), remaining)
 	defer cancel()
 	lastWait := time.Duration(lastWaitShare * float64(g.config.Settings.ShutdownTimeout))
-	defer time.AfterFunc(remaining-lastWait, g.requestHandler.endWaits).Stop()
+	defer time.AfterFunc(remaining-lastWait, g.ticketClient.refuseWaiting).Stop()
 	if err := callerServer.Shutdown(ctx); err != nil {
 		g.log.WithError(err).Warn("shutdown timeout exceeded, aborting open requests")
 	}
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -36,10 +36,8 @@
 	counters    *counters
 	buffers     *bodyBuffers
 	refusals    refusalSampler
-	// stopping is true once shutdown has begun, and waits ends, by endWaits, once requests may no longer wait for an upstream.
+	// stopping is true once shutdown has begun.
 	stopping atomic.Bool
-	waits    context.Context
-	endWaits context.CancelFunc
 
 	mutex    sync.Mutex
 	splitter *route.Splitter
@@ -177,9 +175,6 @@
 		result, err := h.acquireTicket(ctx, c, attempt)
 		if err != nil {
 			reason = "time is over"
-			if h.waits.Err() != nil && ctx.Err() == nil {
-				reason = "instance is stopping"
-			}
 			retryDelay = defaultRetryAfter
 			break
 		}
@@ -215,9 +210,6 @@
 
 // acquireTicket obtains a ticket whose upstream may still be used.
 func (h *requestHandler) acquireTicket(ctx context.Context, c *call, attempt int) (ticketResult, error) {
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
-	defer context.AfterFunc(h.waits, cancel)()
 	for unwanted := 0; unwanted < maxReturnedTickets && c.returns < maxOutdatedTickets; {
 		result, err := h.ticketClient.acquire(ctx, h.ticketRequest(c, attempt))
 		if err != nil || result.upstream == "" {
--- a/internal/gateway/tickets.go
+++ b/internal/gateway/tickets.go
@@ -121,7 +121,9 @@
 	relaysTold bool
 	// paths tracks which upstreams this instance reaches.
 	paths *pathMonitor
-	wake  chan struct{}
+	// stopping is true once requests may no longer wait, because the instance is about to end.
+	stopping bool
+	wake     chan struct{}
 }
 
 // registrationState tells what an instance has found in the registry when it started.
@@ -196,6 +198,10 @@
 	request.Id = t.nextID
 	w.deadline = now + time.Duration(request.GetRemainingMs())*time.Millisecond
 	w.objective = now + time.Duration(request.GetObjectiveMs())*time.Millisecond
+	if t.stopping {
+		t.mutex.Unlock()
+		return stoppingRefusal, nil
+	}
 	t.waiters[request.Id] = w
 	if request.GetAttempt() == 0 {
 		t.retryHistory(request.GetService()).Request(now)
@@ -221,6 +227,24 @@
 	return ticketResult{}, ctx.Err()
 }
 
+// stoppingRefusal is the result of ticket requests once they may no longer wait.
+var stoppingRefusal = ticketResult{
+	reason:     "instance is stopping",
+	retryAfter: defaultRetryAfter,
+}
+
+// refuseWaiting refuses the requests that wait for a ticket, and all later ones.
+func (t *ticketClient) refuseWaiting() {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	t.stopping = true
+	for id, w := range t.waiters {
+		delete(t.waiters, id)
+		t.cancelLocked(w.request)
+		w.result <- stoppingRefusal
+	}
+}
+
 // submit sends the ticket request to the coordinator or, without one, to the local pool.
 func (t *ticketClient) submit(now time.Duration, w *waiter) {
 	if t.frameConn != nil {
--- a/io/upstream/refusal_test.go
+++ b/io/upstream/refusal_test.go
@@ -14,6 +14,23 @@
 	"cuminlift/io/upstream"
 )
 
+// post sends a request without a body.
+func post(client *upstream.Client, address, id string, atMostOnce bool) (*upstream.Response, error) {
+	return client.Do(context.Background(), upstream.Request{
+		Address:  address,
+		Upstream: "u1",
+		Method:   http.MethodPost,
+		Target:   "/x",
+		Host:     "a.example",
+		Header: http.Header{
+			"Request-Id": {id},
+		},
+		RequestID:  id,
+		Timeout:    5 * time.Second,
+		AtMostOnce: atMostOnce,
+	})
+}
+
 // An upstream that writes an earlier refusal once more, where the answer to the next request is expected, makes a request that runs count
 // as not run (REFUSED), or run at a second upstream (TWICE).
 func TestSecondCopyOfARefusalIsNotTakenForAnAnswer(t *testing.T) {
@@ -58,19 +75,7 @@
 			})
 			client := upstream.NewClient(headers())
 			send := func(id string) *upstream.Response {
-				response, err := client.Do(context.Background(), upstream.Request{
-					Address:  address,
-					Upstream: "u1",
-					Method:   http.MethodPost,
-					Target:   "/x",
-					Host:     "a.example",
-					Header: http.Header{
-						"Request-Id": {id},
-					},
-					RequestID:  id,
-					Timeout:    5 * time.Second,
-					AtMostOnce: test.atMostOnce,
-				})
+				response, err := post(client, address, id, test.atMostOnce)
 				c.Assert(err, qt.IsNil)
 				c.Assert(response.Body.Close(), qt.IsNil)
 				return response
@@ -99,29 +104,14 @@
 		write(conn, formatResponse(id, "for "+id))
 	})
 	client := upstream.NewClient(headers())
-	send := func(id string, atMostOnce bool) (*upstream.Response, error) {
-		return client.Do(context.Background(), upstream.Request{
-			Address:  address,
-			Upstream: "u1",
-			Method:   http.MethodPost,
-			Target:   "/x",
-			Host:     "a.example",
-			Header: http.Header{
-				"Request-Id": {id},
-			},
-			RequestID:  id,
-			Timeout:    5 * time.Second,
-			AtMostOnce: atMostOnce,
-		})
-	}
-	response, err := send("r0", true)
+	response, err := post(client, address, "r0", true)
 	c.Assert(err, qt.IsNil)
 	response.Body.Close()
 	var unknown *upstream.UnknownOutcomeError
-	_, err = send("r1", true)
+	_, err = post(client, address, "r1", true)
 	c.Check(err, qt.ErrorAs, &unknown)
 	// On a new connection there is nothing that it could stand behind.
-	response, err = send("r2", true)
+	response, err = post(client, address, "r2", true)
 	c.Assert(err, qt.IsNil)
 	c.Check(response.NotRun, qt.IsTrue)
 	response.Body.Close()
