core/shutdown, internal/gateway: pass on only what can be answered before a planned stop ends

What callers saw: in a planned stop of one instance, in calm, requests that waited for a slot were passed on when one became free, still ran when the instance ended, and were cut without an answer. Among them are requests that must not be repeated.

Nothing compared the time that a request takes with the time that is left. Ruled out: requests taken too late; those that were cut came 0.1 to 0.8 s after the signal.

Change: instances keep how long requests of each class take. A stopping one passes a request on only if the longest of the answers so far and what runs now fit into the time left. That is asked on arrival, while it waits, and when its connection is open. All others get 503, not run. Requests that arrive during a stop are submitted with the time that the instance has left.

After: all that are passed on are answered, all others refused.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -16,6 +16,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"cuminlift/core/route"
+	"cuminlift/core/shutdown"
 	"cuminlift/internal/logs"
 	"cuminlift/internal/mutant"
 	"cuminlift/io/upstream"
@@ -39,8 +40,8 @@
 	drainDelay = 2500 * time.Millisecond
 	// exitReserve is the part of the shutdown timeout that is kept for the process to exit.
 	exitReserve = 300 * time.Millisecond
-	// lastWaitShare is the part of the shutdown timeout, before its end, in which no request waits for an upstream any more: most of those
-	// that it would still get could not be answered.
+	// lastWaitShare is the part of the shutdown timeout, before its end, in which no request is passed on any more, however short it
+	// usually is.
 	lastWaitShare = 1.0 / 6
 	// headerTimeout bounds how long a caller may take to send request headers, and idleTimeout how long a connection
 	// may stay idle between requests. Both exceed what operators allow callers, whose own limits close connections earlier.
@@ -205,18 +206,21 @@
 
 // shutdown reports not ready, keeps serving until new connections go elsewhere, and lets requests in progress finish.
 func (g *Gateway) shutdown(callerServer callerServer, relayServer, readinessServer *http.Server) {
-	start := time.Now()
 	g.log.Info("instance is stopping")
 	g.requestHandler.stopping.Store(true)
+	timeout := g.config.Settings.ShutdownTimeout - exitReserve
+	ctx, cancel := context.WithTimeout(context.Background(), timeout)
+	defer cancel()
+	lastWait := time.Duration(lastWaitShare * float64(g.config.Settings.ShutdownTimeout))
+	g.ticketClient.stopper.begin(shutdown.Plan{
+		End:      g.config.Clock.Now() + timeout,
+		LastWait: lastWait,
+	})
+	go g.ticketClient.refuseUnanswerable(ctx)
 	if mutant.Is(mutant.StopCuts) {
 		callerServer.Close()
 	}
 	time.Sleep(min(drainDelay, g.config.Settings.ShutdownTimeout/2))
-	remaining := g.config.Settings.ShutdownTimeout - exitReserve - time.Since(start)
-	ctx, cancel := context.WithTimeout(context.Background(), remaining)
-	defer cancel()
-	lastWait := time.Duration(lastWaitShare * float64(g.config.Settings.ShutdownTimeout))
-	defer time.AfterFunc(remaining-lastWait, g.ticketClient.refuseWaiting).Stop()
 	if err := callerServer.Shutdown(ctx); err != nil {
 		g.log.WithError(err).Warn("shutdown timeout exceeded, aborting open requests")
 	}
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -246,10 +246,15 @@
 	}).Info("ticket returned")
 }
 
-// returnUnsent returns a ticket whose upstream was excluded, or said that it wants no request, while the request waited for a connection.
+// returnUnsent returns a ticket whose upstream was excluded, or said that it wants no request, while the request waited for a connection,
+// or whose request can no longer be answered before this instance ends.
 func (h *requestHandler) returnUnsent(c *call, result ticketResult) {
 	if !h.ticketClient.returnUnwanted(result, c.service) {
-		h.returnTicket(c, result, h.ticketClient.exclusion(result))
+		reason := h.ticketClient.exclusion(result)
+		if reason == "" && !h.ticketClient.stopper.canEnd(c.duration()) {
+			reason = instanceStopping
+		}
+		h.returnTicket(c, result, reason)
 		return
 	}
 	c.returned = result.upstream
@@ -300,6 +305,8 @@
 		ctx, cancel = context.WithDeadline(context.WithoutCancel(ctx), c.deadline)
 		defer cancel()
 	}
+	end := h.ticketClient.stopper.track(c)
+	defer end(false)
 	response, relay, err := h.send(ctx, r, c, result)
 	if errors.Is(err, upstream.ErrNotConfirmed) {
 		c.advance(h, request.Refused)
@@ -328,7 +335,7 @@
 		}
 		return false
 	}
-	return h.handleResponse(ctx, w, c, result, response, sentAt, report, relay)
+	return h.handleResponse(ctx, w, c, result, response, sentAt, report, relay, end)
 }
 
 func (h *requestHandler) failAttempt(ctx context.Context, c *call, result ticketResult, err error, sentAt time.Time) {
@@ -381,8 +388,8 @@
 }
 
 // handleResponse forwards a response to the caller, or reports false to leave the call to another attempt. relay names the instance
-// through which it came, empty for none.
-func (h *requestHandler) handleResponse(ctx context.Context, w http.ResponseWriter, c *call, result ticketResult, response *upstream.Response, sentAt time.Time, report *dispatch.Report, relay string) bool {
+// through which it came, empty for none. end records the end of the attempt before its slot may go to another request.
+func (h *requestHandler) handleResponse(ctx context.Context, w http.ResponseWriter, c *call, result ticketResult, response *upstream.Response, sentAt time.Time, report *dispatch.Report, relay string, end func(answered bool)) bool {
 	if response.Status < http.StatusInternalServerError {
 		h.ticketClient.noteCost(result, c.service, time.Since(sentAt))
 	}
@@ -414,9 +421,11 @@
 		}
 	default:
 		if complete {
+			end(true)
 			h.ticketClient.reportEnd(result, c.service, schema.TicketOutcome_answered, took, report)
 		} else {
 			defer func() {
+				end(true)
 				h.ticketClient.reportEnd(result, c.service, schema.TicketOutcome_answered, time.Since(sentAt), report)
 			}()
 		}
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -71,7 +71,8 @@
 func (h *requestHandler) send(ctx context.Context, r *http.Request, c *call, result ticketResult) (response *upstream.Response, relay string, err error) {
 	attempt := newAttempt(r, c, result)
 	attempt.Confirm = func() bool {
-		return h.ticketClient.exclusion(result) == "" && !h.ticketClient.unwanted(result.upstream, result.incarnation)
+		return h.ticketClient.exclusion(result) == "" && !h.ticketClient.unwanted(result.upstream, result.incarnation) &&
+			h.ticketClient.stopper.canEnd(c.duration())
 	}
 	if c.pathFailed || h.paths.avoid(c.service, result.upstream) {
 		if other, ok := h.ticketClient.nextRelay(); ok {
--- a/internal/gateway/stop_test.go
+++ b/internal/gateway/stop_test.go
@@ -1,7 +1,10 @@
 package gateway_test
 
 import (
+	"fmt"
+	"maps"
 	"net/http"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -28,14 +31,7 @@
 	k.register("p0", "plain", "z1", "ready")
 	k.start("n0")
 	address := k.front("n0")
-	eventually(func() bool {
-		response, err := http.Get("http://" + k.instances["n0"].settings.ReadyAddress + "/cuminlift/readyz")
-		if err != nil {
-			return false
-		}
-		response.Body.Close()
-		return response.StatusCode == http.StatusOK
-	})
+	k.waitReady("n0")
 	const requests = 12
 	var mutex sync.Mutex
 	statuses := map[int]int{}
@@ -65,6 +61,154 @@
 	group.Wait()
 }
 
+// waitReady waits until an instance says that it is ready.
+func (k *cluster) waitReady(instance string) {
+	eventually(func() bool {
+		response, err := http.Get("http://" + k.instances[instance].settings.ReadyAddress + "/cuminlift/readyz")
+		if err != nil {
+			return false
+		}
+		response.Body.Close()
+		return response.StatusCode == http.StatusOK
+	})
+}
+
+const (
+	// stopTimeout is the time that an instance has to stop, and longWork how long requests take then: more than half of it.
+	stopTimeout = 6 * time.Second
+	longWork    = 3300 * time.Millisecond
+	// arrivalGap is the time between requests from the start of a stop on. The instance accepts connections for longer than acceptingTime.
+	arrivalGap    = 100 * time.Millisecond
+	acceptingTime = 2300 * time.Millisecond
+)
+
+// newStoppingCluster starts an instance with upstreams whose requests take work. Requests below /order/ must not be repeated.
+func newStoppingCluster(c *qt.C, work time.Duration) *cluster {
+	k := newCluster(c, 0)
+	k.adjust = func(s *gateway.Settings) { s.ShutdownTimeout = stopTimeout }
+	k.put("op", "config", `{"version":1,"listeners":[{"host":"a.example","rules":[
+ {"name":"order","kind":"non_idempotent","target_latency":"300ms","priority":1,"match":{"prefix":"/order/"},
+  "action":{"service":"plain","timeout":"15s","max_attempts":2}}]}],
+"clusters":[{"name":"plain","health_path":"/healthz","warmup":"0ms","warmup_per_s":100}]}`)
+	for i := range 4 {
+		id := fmt.Sprint("p", i)
+		k.upstreams[id] = keyholder.Start(keyholder.Config{
+			ID:          id,
+			ServiceTime: work,
+		})
+		k.register(id, "plain", "z1", "ready")
+	}
+	k.start("n0")
+	k.waitReady("n0")
+	return k
+}
+
+func (k *cluster) arrivals() int {
+	total := 0
+	for _, u := range k.upstreams {
+		total += len(u.Arrivals())
+	}
+	return total
+}
+
+// stopUnderLoad calls send each arrivalGap from the start of a stop of n0 on, and returns what the calls that had ended when the instance
+// ended returned, and how many were made.
+func (k *cluster) stopUnderLoad(arrivalTime time.Duration, send func(number int) string) (results map[string]int, calls int) {
+	var mutex sync.Mutex
+	var group sync.WaitGroup
+	counts := map[string]int{}
+	group.Add(1)
+	go func() {
+		defer group.Done()
+		for start := time.Now(); time.Since(start) < arrivalTime; time.Sleep(arrivalGap) {
+			calls++
+			group.Add(1)
+			go func(number int) {
+				defer group.Done()
+				result := send(number)
+				mutex.Lock()
+				defer mutex.Unlock()
+				counts[result]++
+			}(calls)
+		}
+	}()
+	k.stop("n0")
+	// A process would end here, and its connections with it.
+	mutex.Lock()
+	results = maps.Clone(counts)
+	mutex.Unlock()
+	group.Wait()
+	return results, calls
+}
+
+// In a planned stop, a request that can't be answered before the instance ends must not be passed on and then cut off (LOST).
+func TestPlannedStopPassesOnOnlyWhatCanBeAnswered(t *testing.T) {
+	for _, readsAhead := range []bool{false, true} {
+		t.Run(fmt.Sprint("read-ahead=", readsAhead), func(t *testing.T) {
+			c := qt.New(t)
+			readAhead = readsAhead
+			defer func() { readAhead = false }()
+			k := newStoppingCluster(c, longWork)
+			address := k.front("n0")
+			results, calls := k.stopUnderLoad(acceptingTime, func(number int) string {
+				status, header := k.callOnce(address, fmt.Sprint("order-", number))
+				if status == http.StatusServiceUnavailable {
+					c.Check(header.Get("Retry-After"), qt.Not(qt.Equals), "")
+				}
+				return fmt.Sprint(status)
+			})
+			passedOn := k.arrivals()
+			c.Check(results["200"], qt.Equals, passedOn, qt.Commentf("%d of %d requests were passed on: %v", passedOn, calls, results))
+			c.Check(results["200"]+results["503"], qt.Equals, calls, qt.Commentf("%v", results))
+			c.Check(passedOn >= len(k.upstreams), qt.IsTrue, qt.Commentf("%d of %d requests were passed on: %v", passedOn, calls, results))
+		})
+	}
+}
+
+// A request that has waited for a connection for so long that it can't be answered before the instance ends must not be sent (LOST).
+func TestRequestThatWaitedForAConnectionIsNotSentAtTheEndOfAStop(t *testing.T) {
+	c := qt.New(t)
+	k := newStoppingCluster(c, longWork)
+	address := k.front("n0")
+	dialing, release := k.paths["n0"].holdDials()
+	status := make(chan int, 1)
+	go func() {
+		code, _ := k.callOnce(address, "waits")
+		status <- code
+	}()
+	<-dialing
+	stopped := make(chan struct{})
+	go func() {
+		defer close(stopped)
+		k.stop("n0")
+	}()
+	time.Sleep(stopTimeout * 5 / 6)
+	release()
+	<-stopped
+	c.Check(k.arrivals(), qt.Equals, 0)
+	select {
+	case code := <-status:
+		c.Check(code, qt.Equals, http.StatusServiceUnavailable)
+	default:
+		c.Error("the request is not answered")
+	}
+}
+
+// callOnce sends a request that must not be repeated. The status is 0 if there is no answer.
+func (k *cluster) callOnce(address, id string) (status int, header http.Header) {
+	request, err := http.NewRequest(http.MethodPost, "http://"+address+"/order/x", strings.NewReader("one"))
+	k.c.Check(err, qt.IsNil)
+	request.Host = "a.example"
+	request.Header.Set("Request-Id", id)
+	request.Header.Set("Deadline-Ms", "15000")
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return 0, nil
+	}
+	response.Body.Close()
+	return response.StatusCode, response.Header
+}
+
 // callPatiently sends a request that may last a minute. The status is 0 if there is no answer.
 func (k *cluster) callPatiently(address string) (status int, header http.Header) {
 	request, err := http.NewRequest(http.MethodGet, "http://"+address+"/read/x", nil)
--- a/internal/gateway/takeover.go
+++ b/internal/gateway/takeover.go
@@ -110,6 +110,7 @@
 // sendState tells a new coordinator what it can't know: the requests at upstreams, the used part of the retry budget, and how fast
 // upstreams have answered. It must go before the first request, and is sent even if it is empty, since the coordinator waits for it.
 func (t *ticketClient) sendState(now time.Duration) {
+	t.stopper.forgetServices(t.view())
 	tickets := &schema.OpenTickets{}
 	flush := func() {
 		t.frameConn.Send(&schema.Frame{
--- a/internal/gateway/tickets.go
+++ b/internal/gateway/tickets.go
@@ -120,10 +120,9 @@
 	relays     paths.Relays
 	relaysTold bool
 	// paths tracks which upstreams this instance reaches.
-	paths *pathMonitor
-	// stopping is true once requests may no longer wait, because the instance is about to end.
-	stopping bool
-	wake     chan struct{}
+	paths   *pathMonitor
+	stopper *stopper
+	wake    chan struct{}
 }
 
 // registrationState tells what an instance has found in the registry when it started.
@@ -163,7 +162,10 @@
 		open:          map[uint64]*openTicket{},
 		retries:       map[string]dispatch.RetryHistory{},
 		latencies:     map[string]*dispatch.Latencies{},
-		wake:          make(chan struct{}, 1),
+		stopper: &stopper{
+			clock: config.Clock,
+		},
+		wake: make(chan struct{}, 1),
 
 		coordinatorLostAt: config.Clock.Now(),
 	}
@@ -196,9 +198,10 @@
 	now := t.clock.Now()
 	t.nextID++
 	request.Id = t.nextID
+	t.shortenDeadline(now, request)
 	w.deadline = now + time.Duration(request.GetRemainingMs())*time.Millisecond
 	w.objective = now + time.Duration(request.GetObjectiveMs())*time.Millisecond
-	if t.stopping {
+	if !t.stopper.canEnd(ticketDuration(request)) {
 		t.mutex.Unlock()
 		return stoppingRefusal, nil
 	}
@@ -227,24 +230,6 @@
 	return ticketResult{}, ctx.Err()
 }
 
-// stoppingRefusal is the result of ticket requests once they may no longer wait.
-var stoppingRefusal = ticketResult{
-	reason:     "instance is stopping",
-	retryAfter: defaultRetryAfter,
-}
-
-// refuseWaiting refuses the requests that wait for a ticket, and all later ones.
-func (t *ticketClient) refuseWaiting() {
-	t.mutex.Lock()
-	defer t.mutex.Unlock()
-	t.stopping = true
-	for id, w := range t.waiters {
-		delete(t.waiters, id)
-		t.cancelLocked(w.request)
-		w.result <- stoppingRefusal
-	}
-}
-
 // submit sends the ticket request to the coordinator or, without one, to the local pool.
 func (t *ticketClient) submit(now time.Duration, w *waiter) {
 	if t.frameConn != nil {
