internal/gateway: a stopping instance passes on requests of others only if it can answer them

What callers saw: while a caller's request keeps a stopping instance up, it takes requests of instances that have lost their paths, passes them on, and cuts them all once the callers' server has ended.

The relay server was shut down after the callers' server, on what that had left of the same context.

Change: the same rule before the request is sent; the asking instance is told that nothing was sent, and tries another. Both servers shut down side by side, and answers during a stop close their connections.

Evidence: TestPlannedStopRelaysOnlyWhatCanBeAnswered on: 50 of 50 requests passed on, 24 answered. After: all that are passed on are answered.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -10,6 +10,7 @@
 	"net"
 	"net/http"
 	"runtime/debug"
+	"sync"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -221,12 +222,18 @@
 		callerServer.Close()
 	}
 	time.Sleep(min(drainDelay, g.config.Settings.ShutdownTimeout/2))
-	if err := callerServer.Shutdown(ctx); err != nil {
-		g.log.WithError(err).Warn("shutdown timeout exceeded, aborting open requests")
-	}
-	if err := relayServer.Shutdown(ctx); err != nil {
-		g.log.WithError(err).Warn("shutdown timeout exceeded, aborting requests of other instances")
-	}
+	var group sync.WaitGroup
+	group.Go(func() {
+		if err := callerServer.Shutdown(ctx); err != nil {
+			g.log.WithError(err).Warn("shutdown timeout exceeded, aborting open requests")
+		}
+	})
+	group.Go(func() {
+		if err := relayServer.Shutdown(ctx); err != nil {
+			g.log.WithError(err).Warn("shutdown timeout exceeded, aborting requests of other instances")
+		}
+	})
+	group.Wait()
 	if err := readinessServer.Close(); err != nil {
 		g.log.WithError(err).Warn("closing the readiness server failed")
 	}
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -145,6 +145,9 @@
 
 // serveRelay sends a request of another instance to the upstream that it names.
 func (h *requestHandler) serveRelay(w http.ResponseWriter, r *http.Request) {
+	if h.stopping.Load() {
+		w.Header().Set("Connection", "close")
+	}
 	id := r.Header.Get(relayUpstreamHeader)
 	incarnation, err := strconv.ParseInt(r.Header.Get(relayBornHeader), 10, 64)
 	if err != nil {
@@ -184,6 +187,9 @@
 	for _, name := range []string{relayUpstreamHeader, relayBornHeader, relayAtMostOnceHeader} {
 		r.Header.Del(name)
 	}
+	if v := h.view(); v.table != nil {
+		c.route = v.table.Find(stripPort(r.Host), r.URL.EscapedPath())
+	}
 	h.relayAttempt(ctx, w, r, c, ticketResult{
 		upstream:    id,
 		address:     u.Address,
@@ -205,8 +211,10 @@
 	attempt := newAttempt(r, c, result)
 	attempt.Confirm = func() bool {
 		_, usable := h.relayTarget(result.upstream, result.incarnation)
-		return usable
+		return usable && h.ticketClient.stopper.canEnd(c.duration())
 	}
+	end := h.ticketClient.stopper.track(c)
+	defer end(false)
 	response, err := h.upstreamClient.Do(ctx, attempt)
 	if err != nil {
 		h.refuseRelay(w, r, h.relayOutcome(ctx, c, result, err, sentAt))
@@ -225,6 +233,7 @@
 	}
 	h.counters.count("relayed")
 	h.writeResponse(w, c, response, buffered, complete)
+	end(response.Status < http.StatusInternalServerError)
 }
 
 // relayOutcome returns the outcome of an attempt for another instance that failed.
--- a/internal/gateway/relay_test.go
+++ b/internal/gateway/relay_test.go
@@ -15,9 +15,14 @@
 // instance names, and the body; err tells that the answer broke off.
 func (k *cluster) relay(instance, upstream, born, deadline string) (status int, outcome, body string, err error) {
 	k.requestCount++
-	request, err := http.NewRequest(http.MethodGet, "http://"+k.instances[instance].settings.RelayAddress+"/read/x", nil)
-	k.c.Assert(err, qt.IsNil)
-	request.Header.Set("Request-Id", fmt.Sprint("relayed-", k.requestCount))
+	return k.relayAt(k.instances[instance].settings.RelayAddress, fmt.Sprint("relayed-", k.requestCount), upstream, born, deadline)
+}
+
+// relayAt asks the instance with a relay address to send a request.
+func (k *cluster) relayAt(address, id, upstream, born, deadline string) (status int, outcome, body string, err error) {
+	request, err := http.NewRequest(http.MethodGet, "http://"+address+"/read/x", nil)
+	k.c.Check(err, qt.IsNil)
+	request.Header.Set("Request-Id", id)
 	request.Header.Set("Cuminlift-Relay-Upstream", upstream)
 	request.Header.Set("Cuminlift-Relay-Born", born)
 	if deadline != "" {
--- a/internal/gateway/stop_test.go
+++ b/internal/gateway/stop_test.go
@@ -194,6 +194,27 @@
 	}
 }
 
+// A stopping instance must not pass on a request of another instance that it will cut off (LOST). A caller's request keeps it up.
+func TestPlannedStopRelaysOnlyWhatCanBeAnswered(t *testing.T) {
+	c := qt.New(t)
+	k := newStoppingCluster(c, longWork)
+	address, relayAddress := k.front("n0"), k.instances["n0"].settings.RelayAddress
+	results, calls := k.stopUnderLoad(stopTimeout-time.Second, func(number int) string {
+		if number == 15 {
+			status, _ := k.callOnce(address, "order")
+			return fmt.Sprint(status)
+		}
+		status, outcome, _, err := k.relayAt(relayAddress, fmt.Sprint("relayed-", number), fmt.Sprint("p", number%4), "1", "15000")
+		if err != nil {
+			return "no answer"
+		}
+		return fmt.Sprint(status, outcome)
+	})
+	passedOn := k.arrivals()
+	c.Check(results["200"], qt.Equals, passedOn, qt.Commentf("%d of %d requests were passed on: %v", passedOn, calls, results))
+	c.Check(results["200"] >= 8, qt.IsTrue, qt.Commentf("%v", results))
+}
+
 // callOnce sends a request that must not be repeated. The status is 0 if there is no answer.
 func (k *cluster) callOnce(address, id string) (status int, header http.Header) {
 	request, err := http.NewRequest(http.MethodPost, "http://"+address+"/order/x", strings.NewReader("one"))
