internal/gateway: answer the first request of connections that were open before a stop

What callers saw: a caller that had connected before an instance closed its listener, and sent its first request after that, lost the connection without an answer.

Cause: once its shutdown has begun, net/http closes a connection whose request it has just read. newConnectionGrace holds for the server of io/caller alone.

Change: httpServer closes the listener, ends connections with their next response and those that are idle, and begins the shutdown of net/http when none is left, or at the end of the time.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -163,11 +163,7 @@
 		Handler:           g.readinessHandler(),
 		ReadHeaderTimeout: headerTimeout,
 	}
-	relayServer := &http.Server{
-		Handler:           http.HandlerFunc(g.requestHandler.serveRelay),
-		ReadHeaderTimeout: headerTimeout,
-		IdleTimeout:       idleTimeout,
-	}
+	relayServer := newHTTPServer(http.HandlerFunc(g.requestHandler.serveRelay))
 	groupCtx, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
 	group, groupCtx := errgroup.WithContext(groupCtx)
@@ -206,7 +202,7 @@
 }
 
 // shutdown reports not ready, keeps serving until new connections go elsewhere, and lets requests in progress finish.
-func (g *Gateway) shutdown(callerServer callerServer, relayServer, readinessServer *http.Server) {
+func (g *Gateway) shutdown(callerServer callerServer, relayServer *httpServer, readinessServer *http.Server) {
 	g.log.Info("instance is stopping")
 	g.requestHandler.stopping.Store(true)
 	timeout := g.config.Settings.ShutdownTimeout - exitReserve
--- a/internal/gateway/readahead.go
+++ b/internal/gateway/readahead.go
@@ -28,11 +28,7 @@
 // newCallerServer returns a server for callers that send requests ahead if the settings enable it, else that of net/http.
 func (g *Gateway) newCallerServer() callerServer {
 	if !g.config.Settings.ReadAhead {
-		return &http.Server{
-			Handler:           g.requestHandler,
-			ReadHeaderTimeout: headerTimeout,
-			IdleTimeout:       idleTimeout,
-		}
+		return newHTTPServer(g.requestHandler)
 	}
 	return caller.New(caller.Config{
 		Handler:  g.requestHandler,
--- a/internal/gateway/stop_test.go
+++ b/internal/gateway/stop_test.go
@@ -1,8 +1,10 @@
 package gateway_test
 
 import (
+	"bufio"
 	"fmt"
 	"maps"
+	"net"
 	"net/http"
 	"strings"
 	"sync"
@@ -215,6 +217,52 @@
 	c.Check(results["200"] >= 8, qt.IsTrue, qt.Commentf("%v", results))
 }
 
+// A caller that has connected before an instance closes its listener sends its first request after that: it must get an answer.
+func TestFirstRequestOfAnOpenConnectionIsAnsweredDuringAStop(t *testing.T) {
+	for _, readsAhead := range []bool{false, true} {
+		t.Run(fmt.Sprint("read-ahead=", readsAhead), func(t *testing.T) {
+			c := qt.New(t)
+			readAhead = readsAhead
+			defer func() { readAhead = false }()
+			k := newStoppingCluster(c, time.Millisecond)
+			address := k.front("n0")
+			statuses := make(chan int, 10)
+			go func() {
+				time.Sleep(acceptingTime)
+				var unused []net.Conn
+				for range cap(statuses) {
+					conn, err := net.Dial("tcp4", address)
+					c.Check(err, qt.IsNil)
+					unused = append(unused, conn)
+				}
+				time.Sleep(time.Second)
+				for i, conn := range unused {
+					statuses <- k.requestOn(conn, fmt.Sprint("order-", i))
+				}
+			}()
+			k.stop("n0")
+			for range cap(statuses) {
+				c.Check(<-statuses, qt.Equals, http.StatusOK)
+			}
+		})
+	}
+}
+
+// requestOn sends a request that must not be repeated on a connection, and closes it. The status is 0 if there is no answer.
+func (k *cluster) requestOn(conn net.Conn, id string) int {
+	defer conn.Close()
+	_, err := fmt.Fprintf(conn, "POST /order/x HTTP/1.1\r\nHost: a.example\r\nRequest-Id: %s\r\nDeadline-Ms: 15000\r\nContent-Length: 3\r\n\r\none", id)
+	if err != nil {
+		return 0
+	}
+	response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	if err != nil {
+		return 0
+	}
+	response.Body.Close()
+	return response.StatusCode
+}
+
 // callOnce sends a request that must not be repeated. The status is 0 if there is no answer.
 func (k *cluster) callOnce(address, id string) (status int, header http.Header) {
 	request, err := http.NewRequest(http.MethodPost, "http://"+address+"/order/x", strings.NewReader("one"))
