internal/gateway, io/caller: refuse requests whose bodies don't arrive before a stop ends

What callers saw: a caller whose request body had not arrived when a planned stop ended lost the connection without an answer, though nothing had been passed on.

Cause: nothing told the reader of a body that the instance stops; it waited for the body until the process ended.

Evidence: TestRequestWithoutItsBodyIsRefusedBeforeAStopEnds on: no answer, with and without read-ahead; after: 503 before the instance ends.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -33,6 +33,8 @@
 	elector        *elector
 	paths          *pathMonitor
 	counters       *counters
+	// endLastCall is called when nothing is passed on any more.
+	endLastCall context.CancelFunc
 }
 
 const (
@@ -97,7 +99,10 @@
 	}
 	g.ticketClient.paths = g.paths
 	g.paths.onLost = g.ticketClient.pathsLost
+	lastCall, endLastCall := context.WithCancel(context.Background())
+	g.endLastCall = endLastCall
 	g.requestHandler = &requestHandler{
+		lastCall:       lastCall,
 		config:         config,
 		log:            loggers.For("caller"),
 		view:           g.follower.view,
@@ -214,6 +219,10 @@
 		LastWait: lastWait,
 	})
 	go g.ticketClient.refuseUnanswerable(ctx)
+	defer time.AfterFunc(timeout-lastWait, func() {
+		g.endLastCall()
+		callerServer.RefuseIncomplete()
+	}).Stop()
 	if mutant.Is(mutant.StopCuts) {
 		callerServer.Close()
 	}
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -6,6 +6,7 @@
 	"io"
 	"math"
 	"net/http"
+	"os"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -36,8 +37,9 @@
 	counters    *counters
 	buffers     *bodyBuffers
 	refusals    refusalSampler
-	// stopping is true once shutdown has begun.
+	// stopping is true once shutdown has begun. lastCall ends when nothing is passed on any more.
 	stopping atomic.Bool
+	lastCall context.Context
 
 	mutex    sync.Mutex
 	splitter *route.Splitter
@@ -109,7 +111,10 @@
 	}
 	c, status := h.readCall(w, r, v, matched, receivedAt)
 	if status != 0 {
-		if status > 0 {
+		switch {
+		case status == http.StatusServiceUnavailable:
+			h.refuseStopping(w, r)
+		case status > 0:
 			h.respondError(w, status, http.StatusText(status), 0)
 		}
 		return
@@ -132,12 +137,15 @@
 	body, complete := caller.BodyBytes(r)
 	var err error
 	if !complete || int64(len(body)) > limit {
-		body, err = io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
+		body, err = h.readBody(w, r, limit)
 	}
 	var tooLarge *http.MaxBytesError
 	if errors.As(err, &tooLarge) {
 		return nil, http.StatusRequestEntityTooLarge
 	}
+	if err != nil && h.lastCall.Err() != nil {
+		return nil, http.StatusServiceUnavailable
+	}
 	if err != nil {
 		return nil, -1
 	}
@@ -165,6 +173,26 @@
 	return c, 0
 }
 
+// readBody reads a body that has not arrived completely. Once nothing is passed on any more, it is no longer waited for.
+func (h *requestHandler) readBody(w http.ResponseWriter, r *http.Request, limit int64) ([]byte, error) {
+	stop := context.AfterFunc(h.lastCall, func() {
+		if err := http.NewResponseController(w).SetReadDeadline(time.Now()); err != nil {
+			h.log.WithError(err).Warn("limiting the time of a request body failed")
+		}
+	})
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
+	if !stop() && err == nil {
+		err = os.ErrDeadlineExceeded // With the read deadline, the request counts as one whose caller has left.
+	}
+	return body, err
+}
+
+// refuseStopping responds to a request that has not arrived completely before nothing is passed on any more.
+func (h *requestHandler) refuseStopping(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("Connection", "close")
+	h.respondError(w, http.StatusServiceUnavailable, stoppingRefusal.reason, stoppingRefusal.retryAfter)
+}
+
 // serveCall obtains a response for the call and forwards it to the caller.
 func (h *requestHandler) serveCall(w http.ResponseWriter, r *http.Request, c *call) {
 	ctx, cancel := context.WithDeadline(r.Context(), c.deadline)
--- a/internal/gateway/readahead.go
+++ b/internal/gateway/readahead.go
@@ -22,6 +22,8 @@
 type callerServer interface {
 	Serve(listener net.Listener) error
 	Shutdown(ctx context.Context) error
+	// RefuseIncomplete refuses the requests that have begun to arrive, unless their handlers read them.
+	RefuseIncomplete()
 	Close() error
 }
 
@@ -32,6 +34,7 @@
 	}
 	return caller.New(caller.Config{
 		Handler:  g.requestHandler,
+		Refuse:   http.HandlerFunc(g.requestHandler.refuseStopping),
 		Classify: g.requestHandler.classify,
 		Limits:   g.requestHandler.callerLimits,
 		Budget:   g.requestHandler.buffers.budget,
--- a/internal/gateway/servers.go
+++ b/internal/gateway/servers.go
@@ -72,6 +72,9 @@
 	return s.server.Shutdown(ctx)
 }
 
+// RefuseIncomplete implements callerServer: handlers read the bodies of their requests.
+func (s *httpServer) RefuseIncomplete() {}
+
 // Close closes the listener and all connections.
 func (s *httpServer) Close() error {
 	s.closeListener()
--- a/internal/gateway/stop_test.go
+++ b/internal/gateway/stop_test.go
@@ -263,6 +263,31 @@
 	return response.StatusCode
 }
 
+// A request whose body does not arrive before a stop ends is refused in time, and its caller told that it has not run.
+func TestRequestWithoutItsBodyIsRefusedBeforeAStopEnds(t *testing.T) {
+	for _, readsAhead := range []bool{false, true} {
+		t.Run(fmt.Sprint("read-ahead=", readsAhead), func(t *testing.T) {
+			c := qt.New(t)
+			readAhead = readsAhead
+			defer func() { readAhead = false }()
+			k := newStoppingCluster(c, time.Millisecond)
+			conn, err := net.Dial("tcp4", k.front("n0"))
+			c.Assert(err, qt.IsNil)
+			defer conn.Close()
+			_, err = fmt.Fprint(conn, "POST /order/x HTTP/1.1\r\nHost: a.example\r\nRequest-Id: order\r\nDeadline-Ms: 15000\r\nContent-Length: 3\r\n\r\non")
+			c.Assert(err, qt.IsNil)
+			k.stop("n0")
+			c.Assert(conn.SetReadDeadline(time.Now().Add(time.Second)), qt.IsNil)
+			response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+			c.Assert(err, qt.IsNil)
+			defer response.Body.Close()
+			c.Check(response.StatusCode, qt.Equals, http.StatusServiceUnavailable)
+			c.Check(response.Header.Get("Retry-After"), qt.Not(qt.Equals), "")
+			c.Check(k.arrivals(), qt.Equals, 0)
+		})
+	}
+}
+
 // callOnce sends a request that must not be repeated. The status is 0 if there is no answer.
 func (k *cluster) callOnce(address, id string) (status int, header http.Header) {
 	request, err := http.NewRequest(http.MethodPost, "http://"+address+"/order/x", strings.NewReader("one"))
--- a/io/caller/connection.go
+++ b/io/caller/connection.go
@@ -64,6 +64,8 @@
 	running    int
 	idleSince  time.Time
 	readerDone bool
+	// refusing is true once the request that is arriving is no longer waited for.
+	refusing bool
 	// over is true once nothing is written any more: after the last response, or when the caller has left.
 	over bool
 	// left is true if the caller has left or its connection was given up.
@@ -115,9 +117,9 @@
 // linger discards input until the caller closes its side, at most for lingerTimeout.
 func (c *connection) linger() {
 	c.mutex.Lock()
-	left := c.left
+	left, refusing := c.left, c.refusing
 	c.mutex.Unlock()
-	if left || c.readError != nil {
+	if left || (c.readError != nil && !refusing) {
 		return
 	}
 	var discarded [1 << 10]byte
@@ -169,7 +171,7 @@
 	c.armedPhase, c.armedUntil = c.phase, until
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	if !c.over {
+	if !c.over && !c.refusing {
 		c.setReadDeadline(until)
 	}
 }
@@ -309,6 +311,17 @@
 	c.wakeLocked()
 }
 
+// refuseIncomplete makes the reader refuse the request that is arriving.
+func (c *connection) refuseIncomplete() {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	if c.over || c.phase == phaseIdle {
+		return
+	}
+	c.refusing = true
+	c.setReadDeadline(time.Now())
+}
+
 // closeLocked ends the connection after its last response. The reader closes it.
 func (c *connection) closeLocked() {
 	if c.over {
--- a/io/caller/request.go
+++ b/io/caller/request.go
@@ -194,7 +194,12 @@
 // endInput records why no further request can be read. It returns false.
 func (c *connection) endInput(err error) bool {
 	var network net.Error
+	c.mutex.Lock()
+	refusing := c.refusing
+	c.mutex.Unlock()
 	switch {
+	case refusing && errors.Is(err, os.ErrDeadlineExceeded):
+		return c.refuseWith(c.server.config.Refuse)
 	case errors.Is(err, io.EOF), errors.Is(err, io.ErrUnexpectedEOF), errors.Is(err, net.ErrClosed), errors.Is(err, os.ErrDeadlineExceeded):
 	case errors.As(err, &network):
 		c.leave("caller-left") // The connection was reset.
@@ -204,6 +209,15 @@
 
 // refuse puts a response of the server itself in line, after which the connection closes. It returns false.
 func (c *connection) refuse(status int, problem string) bool {
+	return c.refuseWith(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Type", "text/plain; charset=utf-8")
+		w.WriteHeader(status)
+		_, _ = io.WriteString(w, problem+"\n") // A caller that has left needs no response.
+	}))
+}
+
+// refuseWith puts a response in line to a request that was not read completely, after which the connection closes. It returns false.
+func (c *connection) refuseWith(handler http.Handler) bool {
 	r := &response{
 		connection: c,
 		length:     -1,
@@ -212,11 +226,7 @@
 			ProtoMajor: 1,
 			ProtoMinor: 1,
 		},
-		handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
-			w.Header().Set("Content-Type", "text/plain; charset=utf-8")
-			w.WriteHeader(status)
-			_, _ = io.WriteString(w, problem+"\n") // A caller that has left needs no response.
-		}),
+		handler: handler,
 	}
 	c.add(r, pipeline.Request{
 		Closes: true,
--- a/io/caller/server.go
+++ b/io/caller/server.go
@@ -40,6 +40,8 @@
 	// Handler is called once for each request. The body is complete then; its bytes are available from BodyBytes, and the time at
 	// which the header section had arrived from Arrived. The request's context ends when its caller has left.
 	Handler http.Handler
+	// Refuse answers the requests that RefuseIncomplete refuses.
+	Refuse http.Handler
 	// Classify is called with the header section of each request, without its body.
 	Classify func(*http.Request) Class
 	// Limits returns the limits in force.
@@ -203,6 +205,13 @@
 	}
 }
 
+// RefuseIncomplete refuses the requests that have begun to arrive and are not complete.
+func (s *Server) RefuseIncomplete() {
+	for _, c := range s.openConnections() {
+		c.refuseIncomplete()
+	}
+}
+
 // Close closes the listeners and all connections.
 func (s *Server) Close() error {
 	s.closeListeners()
