core/dispatch, internal/gateway: slots of an instance's earlier start are not lost when ticket IDs are used again

Cause: ticket IDs began at 1 with each start. The coordinator keeps the running tickets of a killed instance until they expire; a new ticket with the same ID replaced the old one in the pool, whose slot at its upstream then belonged to no ticket.

Change: each start begins its IDs at a random place of the 2^40 that the coordinator tells apart, so that the slots of the earlier start are held until its tickets expire. In the pool, a ticket ends if its ID is used again, as an instance of an earlier build does.

Evidence: TestSlotsAreFreeAfterTheIDsOfRunningTicketsWereUsedAgain without the change of the pool: 1 of 4 slots left; after: 4. TestRestartedInstanceUsesOtherTicketIDs with IDs from 1: ID 1 of an earlier start; after: none of three starts shares one. The tests of core/dispatch pass.

--- a/core/dispatch/pool.go
+++ b/core/dispatch/pool.go
@@ -215,8 +215,9 @@
 	bulkDelay = 50 * time.Millisecond
 )
 
-// Submit adds a ticket to the pool. A later call of Decide returns the decision.
+// Submit adds a ticket to the pool. A later call of Decide returns the decision. An earlier ticket with the same ID has ended.
 func (p *Pool) Submit(now time.Duration, t *Ticket) {
+	p.Cancel(now, t.ID)
 	t.arrived = now
 	if p.service.Mixed && !t.Bulk {
 		p.setMixed(p.mix.count(now, t.Class, p.mixed))
--- a/internal/gateway/links.go
+++ b/internal/gateway/links.go
@@ -49,9 +49,15 @@
 	cancel         context.CancelFunc
 }
 
+const (
+	ticketIDBits = 40
+	// ticketIDs is the number of ticket IDs of an instance that the coordinator tells apart.
+	ticketIDs = 1 << ticketIDBits
+)
+
 // globalID turns an instance's ticket ID into one that is unique among all instances.
 func (l *link) globalID(id uint64) uint64 {
-	return l.number<<40 | id&(1<<40-1)
+	return l.number<<ticketIDBits | id%ticketIDs
 }
 
 func (l *link) send(frame *schema.Frame) {
--- a/internal/gateway/tickets.go
+++ b/internal/gateway/tickets.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -83,8 +84,10 @@
 	coordinatorTables map[string]replica.Position
 	// coordinatorLostAt is when the last coordinator was lost, or when this instance started.
 	coordinatorLostAt time.Duration
-	nextID            uint64
-	waiters           map[uint64]*waiter
+	// nextID is the ID of the last ticket request. Each start of an instance begins elsewhere: the coordinator may still hold slots for
+	// tickets of an earlier start.
+	nextID  uint64
+	waiters map[uint64]*waiter
 	// localPools holds the local pools by service, and owners the holders of keys last reported by the coordinator.
 	localPools           map[string]*syncedPool
 	owners               map[string]*keyspace.LocalOwners
@@ -148,6 +151,7 @@
 	return &ticketClient{
 		shares:    quota.NewShares(now, quotaLimits(currentView)),
 		startedAt: now,
+		nextID:    rand.Uint64N(ticketIDs),
 
 		config:        config,
 		clock:         config.Clock,
