--- a/internal/gateway/stopping.go
+++ b/internal/gateway/stopping.go
@@ -2,6 +2,9 @@
 
 import (
 	"context"
+	"io"
+	"net/http"
+	"os"
 	"sync"
 	"time"
 
@@ -149,3 +152,23 @@
 		request.RemainingMs = min(request.GetRemainingMs(), uint32(max(1, (end-now).Milliseconds())))
 	}
 }
+
+// readBody reads a body that has not arrived completely. Once nothing is passed on any more, it is no longer waited for.
+func (h *requestHandler) readBody(w http.ResponseWriter, r *http.Request, limit int64) ([]byte, error) {
+	stop := context.AfterFunc(h.lastCall, func() {
+		if err := http.NewResponseController(w).SetReadDeadline(time.Now()); err != nil {
+			h.log.WithError(err).Warn("limiting the time of a request body failed")
+		}
+	})
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
+	if !stop() && err == nil {
+		err = os.ErrDeadlineExceeded // With the read deadline, the request counts as one whose caller has left.
+	}
+	return body, err
+}
+
+// refuseStopping responds to a request that has not arrived completely before nothing is passed on any more.
+func (h *requestHandler) refuseStopping(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("Connection", "close")
+	h.respondError(w, http.StatusServiceUnavailable, stoppingRefusal.reason, stoppingRefusal.retryAfter)
+}
