internal/gateway: TestTableRequestIsAnsweredWithNewerRows starts the instance after the configuration is written

If the instance read the store before, it had read version 0 and knew all changes since, and rightly answered a request for all rows with changes.

Change: the instance starts when the store has rows, as the assertion that the whole table is sent needs. No assertion is changed.

--- a/internal/gateway/outdated_test.go
+++ b/internal/gateway/outdated_test.go
@@ -104,8 +104,9 @@
 // TestTableRequestIsAnsweredWithNewerRows guards against a follower that keeps from the coordinator what it knows.
 func TestTableRequestIsAnsweredWithNewerRows(t *testing.T) {
 	c := qt.New(t)
-	k := newCluster(c, 1)
+	k := newCluster(c, 0)
 	k.configure(1, "plain")
+	k.start("n0") // Its first read must find rows: one that has read the empty store knows all changes, and never sends the whole table.
 	u := k.upstream("p0", "plain", "z1")
 	k.waitServing("n0")
 	coordinator := k.attachCoordinator("n0", &schema.TicketReply{
