core/execution, io/upstream, internal/gateway: the log says what an answer shows about whether the request ran

Change: execution.Evidence goes with each answer; fields of 'attempt failed', refusals and unsent in 'request given up', a line and the metric 'promised' for answers whose status says not run. No decision uses it yet. Result: tests of the packages pass; TestMetricsAreDocumented passes with the new row.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -9,6 +9,7 @@
 	"github.com/sirupsen/logrus"
 
 	"cuminlift/core/dispatch"
+	"cuminlift/core/execution"
 	"cuminlift/core/request"
 	"cuminlift/io/upstream"
 	"cuminlift/schema"
@@ -47,7 +48,8 @@
 			h.ticketClient.denyOwner(result, c.service, c.key)
 		}
 		h.ticketClient.reportEnd(result, c.service, outcome, time.Since(sentAt), report)
-		h.logFailedAttempt(c, result, sentAt, "not run", response.Status)
+		c.refusals++
+		h.logAnswer(c, result, response, sentAt).WithField("problem", "not run").Info("attempt failed")
 		if outcome == schema.TicketOutcome_misdirected {
 			sleep(ctx, misdirectedBackoff)
 		}
@@ -61,6 +63,8 @@
 	c.advance(h, state)
 	if state == request.Lost {
 		c.arrivals++
+	} else {
+		c.unsent++
 	}
 	var relayed *relayError
 	outcome := schema.TicketOutcome_unreachable
@@ -148,12 +152,32 @@
 			}()
 		}
 	}
+	if execution.Promises(response.Status) {
+		h.counters.count("promised")
+		h.logAnswer(c, result, response, sentAt).WithField("signed", signed).Warn("upstream's status says that the request did not run")
+	}
 	c.advance(h, request.Answered)
 	h.counters.recordAnswered(c, time.Since(c.receivedAt))
 	h.writeResponse(w, c, response, buffered, complete)
 	return true
 }
 
+// logAnswer returns a log entry with what an answer shows about whether the request ran.
+func (h *requestHandler) logAnswer(c *call, result ticketResult, response *upstream.Response, sentAt time.Time) *logrus.Entry {
+	return h.log.WithFields(logrus.Fields{
+		"request":        c.requestID,
+		"upstream":       result.upstream,
+		"local":          result.local,
+		"took":           time.Since(sentAt),
+		"at-most-once":   !c.state.Idempotent,
+		"status":         response.Status,
+		"marked":         response.Evidence.Marked,
+		"other-upstream": response.Evidence.OtherUpstream,
+		"identified":     response.Evidence.Identified,
+		"reused":         response.Evidence.Reused,
+	})
+}
+
 func (h *requestHandler) logFailedAttempt(c *call, result ticketResult, sentAt time.Time, problem string, status int) {
 	h.log.WithFields(logrus.Fields{
 		"request":  c.requestID,
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -61,8 +61,9 @@
 	// counts such tickets.
 	returned string
 	returns  int
-	// arrivals counts the attempts that may have reached an upstream.
-	arrivals int
+	// arrivals counts the attempts that may have reached an upstream, refusals those of them that the upstream did not run, and unsent the
+	// attempts of which nothing was sent.
+	arrivals, refusals, unsent int
 	// pathFailed is true once an upstream could not be reached from this instance.
 	pathFailed bool
 }
--- a/internal/gateway/response.go
+++ b/internal/gateway/response.go
@@ -91,6 +91,8 @@
 		"reason":   reason,
 		"known":    c.state.ExecutionStatus().String(),
 		"attempts": c.state.Attempts(),
+		"refusals": c.refusals,
+		"unsent":   c.unsent,
 		"status":   status,
 		"after":    retryDelay,
 		"held":     time.Since(c.receivedAt),
--- a/io/upstream/client.go
+++ b/io/upstream/client.go
@@ -11,6 +11,8 @@
 	"strings"
 	"syscall"
 	"time"
+
+	"cuminlift/core/execution"
 )
 
 // Headers holds the names of the HTTP headers used between instances and upstreams.
@@ -33,6 +35,8 @@
 	Pause string
 	// NotRun marks the response to a request that was not run.
 	NotRun string
+	// Upstream carries the ID of the upstream that answers.
+	Upstream string
 	// Key carries the number of the request's key.
 	Key string
 	// APIKey carries a caller's API key, which is not sent on.
@@ -76,7 +80,9 @@
 	BodyBuffered bool
 	// NotRun is true if the upstream reports that it did not run the request.
 	NotRun bool
-	Body   io.ReadCloser
+	// Evidence is what the attempt has shown.
+	Evidence execution.Evidence
+	Body     io.ReadCloser
 }
 
 // NotSentError reports an attempt of which nothing was sent, so the request did not run.
@@ -188,7 +194,7 @@
 			Cause:    err,
 		}
 	}
-	response, err := cl.readResponse(c, request)
+	response, evidence, err := cl.readResponse(c, request)
 	if err != nil {
 		stop()
 		c.abort()
@@ -200,7 +206,9 @@
 			Cause:    err,
 		}
 	}
-	return cl.newResponse(c, request, response, stop, written), nil
+	result := cl.newResponse(c, request, response, stop, written)
+	result.Evidence = evidence
+	return result, nil
 }
 
 // encodeHead encodes the request line and the headers.
@@ -240,33 +248,50 @@
 )
 
 // readResponse returns the response that carries the request's ID, and discards responses that carry another one.
-func (cl *Client) readResponse(c *connection, request Request) (*http.Response, error) {
+func (cl *Client) readResponse(c *connection, request Request) (*http.Response, execution.Evidence, error) {
+	none := execution.Evidence{
+		Sent: true,
+	}
 	for range maxMismatches {
 		response, err := c.readFinalResponse(request.Method)
 		if err != nil {
-			return nil, err
+			return nil, none, err
 		}
 		id := response.Header.Get(cl.headers.Request)
+		evidence := cl.evidence(c, request, response)
 		if cl.notRun(response) {
 			c.refused, c.lastRefused = true, request.RequestID
 		}
 		if id == request.RequestID || (id == "" && cl.notRun(response) && (!request.AtMostOnce || !c.used)) {
 			c.used = true
-			return response, nil
+			return response, evidence, nil
 		}
 		c.desynchronized = true
 		if id == "" || response.ContentLength < 0 && len(response.TransferEncoding) == 0 {
-			return nil, errors.New("response carries no request ID")
+			return nil, none, errors.New("response carries no request ID")
 		}
 		n, err := io.Copy(io.Discard, io.LimitReader(response.Body, maxMismatchBytes))
 		if err != nil {
-			return nil, err
+			return nil, none, err
 		}
 		if n == maxMismatchBytes {
-			return nil, errors.New("response to another request is too long")
+			return nil, none, errors.New("response to another request is too long")
 		}
 	}
-	return nil, errors.New("too many responses to other requests")
+	return nil, none, errors.New("too many responses to other requests")
+}
+
+// evidence returns what a response on a connection shows about a request.
+func (cl *Client) evidence(c *connection, request Request, response *http.Response) execution.Evidence {
+	id, upstream := response.Header.Get(cl.headers.Request), response.Header.Get(cl.headers.Upstream)
+	return execution.Evidence{
+		Sent:          true,
+		Status:        response.StatusCode,
+		Marked:        response.Header.Get(cl.headers.NotRun) != "",
+		OtherUpstream: upstream != "" && upstream != request.Upstream,
+		Identified:    id != "" && id == request.RequestID,
+		Reused:        c.used,
+	}
 }
 
 // readFinalResponse skips informational (1xx) responses.
