internal/soak, internal/gateway: orders that ran are refused as not run, shown by a test and two kinds of faults

Cause: nothing in the tests or the soak had upstreams that run a request and answer as if they had not, nor copies of refusals.

--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -184,14 +184,26 @@
 	return status == 429 || status == 503 || status == 408 || status == 421
 }
 
-// checkNotRun has no excuse.
+// checkNotRun excuses the status of a backend's own answer to a request that may be repeated: it is returned unchanged.
 func checkNotRun(h *History) []Violation {
 	var found []Violation
 	runs := begun(h)
+	stated := map[string]map[int]bool{}
+	for _, e := range h.Events {
+		if e.Kind == backend.Ended && promisesNotRun(e.Status) {
+			if stated[e.Request] == nil {
+				stated[e.Request] = map[int]bool{}
+			}
+			stated[e.Request][e.Status] = true
+		}
+	}
 	for _, r := range h.Results {
 		if r.Outcome != Answered || !promisesNotRun(r.Status) || len(runs[r.Request]) == 0 {
 			continue
 		}
+		if !r.Unsafe && stated[r.Request][r.Status] {
+			continue
+		}
 		found = append(found, Violation{
 			At: r.EndedAt,
 			Story: []string{
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -136,7 +136,7 @@
 		}
 	case BackendCut:
 		p.cut(k.backends[f.Target].link, f.Mode)
-	case BackendSlow, BackendBreaks:
+	case BackendSlow, BackendBreaks, BackendRepeats, BackendMisstates:
 		p.backendFaults(f, true)
 	case StoreDown, StoreSilent, StoreSlow, StoreLoses, StoreForgets:
 		p.store = append(p.store, f.Kind)
@@ -183,7 +183,7 @@
 		}
 	case BackendDrain:
 		return p.replaceDrained(f.Target)
-	case BackendSlow, BackendBreaks:
+	case BackendSlow, BackendBreaks, BackendRepeats, BackendMisstates:
 		p.backendFaults(f, false)
 	case StoreDown, StoreSilent, StoreSlow, StoreLoses, StoreForgets:
 		at := slices.Index(p.store, f.Kind)
@@ -243,13 +243,27 @@
 	}
 }
 
+// injected holds what the faults of a backend do.
+var injected = map[FaultKind]backend.Faults{
+	BackendSlow: {
+		SlowBy: 10,
+	},
+	BackendBreaks: {
+		Broken: 0.3,
+	},
+	BackendRepeats: {
+		Refused:  0.45,
+		Repeated: 0.3,
+	},
+	BackendMisstates: {
+		Misstated: 0.3,
+	},
+}
+
 func (p *player) backendFaults(f Fault, begins bool) {
 	faults := backend.Faults{}
-	if begins && f.Kind == BackendSlow {
-		faults.SlowBy = 10
-	}
-	if begins && f.Kind == BackendBreaks {
-		faults.Broken = 0.3
+	if begins {
+		faults = injected[f.Kind]
 	}
 	// A backend that is paused or gone has no faults of its own.
 	_ = p.cluster.control("http://"+p.cluster.backends[f.Target].address+backend.FaultsPath, faults)
--- a/internal/soak/schedule.go
+++ b/internal/soak/schedule.go
@@ -16,24 +16,28 @@
 
 // Kinds of faults. Those of instances and backends have a target, those of the store and the operators none.
 const (
-	InstanceKill   FaultKind = "instance-kill"
-	InstanceStop   FaultKind = "instance-stop"
-	InstancePause  FaultKind = "instance-pause"
-	StoreCut       FaultKind = "store-cut"
-	BackendKill    FaultKind = "backend-kill"
-	BackendPause   FaultKind = "backend-pause"
-	BackendDrain   FaultKind = "backend-drain"
-	BackendCut     FaultKind = "backend-cut"
-	BackendSlow    FaultKind = "backend-slow"
-	BackendBreaks  FaultKind = "backend-breaks"
-	StoreDown      FaultKind = "store-down"
-	StoreSilent    FaultKind = "store-silent"
-	StoreSlow      FaultKind = "store-slow"
-	StoreLoses     FaultKind = "store-loses-answers"
-	StoreForgets   FaultKind = "store-forgets"
-	StoreOlder     FaultKind = "store-older"
-	ZoneEvacuation FaultKind = "zone-evacuation"
-	Configuration  FaultKind = "configuration"
+	InstanceKill  FaultKind = "instance-kill"
+	InstanceStop  FaultKind = "instance-stop"
+	InstancePause FaultKind = "instance-pause"
+	StoreCut      FaultKind = "store-cut"
+	BackendKill   FaultKind = "backend-kill"
+	BackendPause  FaultKind = "backend-pause"
+	BackendDrain  FaultKind = "backend-drain"
+	BackendCut    FaultKind = "backend-cut"
+	BackendSlow   FaultKind = "backend-slow"
+	BackendBreaks FaultKind = "backend-breaks"
+	// BackendRepeats: requests are refused, and answers are written twice.
+	BackendRepeats FaultKind = "backend-repeats"
+	// BackendMisstates: requests are run and answered as if they had not been.
+	BackendMisstates FaultKind = "backend-misstates"
+	StoreDown        FaultKind = "store-down"
+	StoreSilent      FaultKind = "store-silent"
+	StoreSlow        FaultKind = "store-slow"
+	StoreLoses       FaultKind = "store-loses-answers"
+	StoreForgets     FaultKind = "store-forgets"
+	StoreOlder       FaultKind = "store-older"
+	ZoneEvacuation   FaultKind = "zone-evacuation"
+	Configuration    FaultKind = "configuration"
 )
 
 // Fault is one fault of a schedule.
@@ -87,7 +91,7 @@
 // kinds are all kinds of faults.
 var kinds = []FaultKind{
 	InstanceKill, InstanceStop, InstancePause, StoreCut, BackendKill, BackendPause, BackendDrain, BackendCut, BackendSlow, BackendBreaks,
-	StoreDown, StoreSilent, StoreSlow, StoreLoses, StoreForgets, StoreOlder, ZoneEvacuation, Configuration,
+	BackendRepeats, BackendMisstates, StoreDown, StoreSilent, StoreSlow, StoreLoses, StoreForgets, StoreOlder, ZoneEvacuation, Configuration,
 }
 
 // weight is the share of the faults that are of a kind.
@@ -99,7 +103,7 @@
 		return 5
 	case InstanceKill, InstanceStop, InstancePause, StoreCut, BackendPause, ZoneEvacuation, Configuration:
 		return 4
-	case BackendSlow, BackendBreaks:
+	case BackendSlow, BackendBreaks, BackendRepeats, BackendMisstates:
 		return 3
 	case StoreDown, StoreSilent, StoreSlow, StoreLoses, StoreForgets, StoreOlder:
 	}
@@ -146,7 +150,7 @@
 		case BackendDrain:
 			f.Target = random.IntN(backends)
 			f.ForMS = int((drainTime + startTime/2).Milliseconds())
-		case BackendKill, BackendPause, BackendSlow, BackendBreaks:
+		case BackendKill, BackendPause, BackendSlow, BackendBreaks, BackendRepeats, BackendMisstates:
 			f.Target = random.IntN(backends)
 		case BackendCut:
 			f.Target = random.IntN(backends)
@@ -192,7 +196,7 @@
 	switch kind {
 	case InstanceKill, InstanceStop, InstancePause, StoreCut:
 		return s.Instances
-	case BackendKill, BackendPause, BackendDrain, BackendCut, BackendSlow, BackendBreaks:
+	case BackendKill, BackendPause, BackendDrain, BackendCut, BackendSlow, BackendBreaks, BackendRepeats, BackendMisstates:
 		return s.Backends
 	case ZoneEvacuation:
 		return zoneCount
--- a/internal/standin/backend/backend.go
+++ b/internal/standin/backend/backend.go
@@ -47,6 +47,14 @@
 	SlowBy int `json:"slow-by,omitempty"`
 	// Broken is the share of the answers that break off, from 0 to 1.
 	Broken float64 `json:"broken,omitempty"`
+	// Refused is the share of the requests that are refused though there is room, from 0 to 1.
+	Refused float64 `json:"refused,omitempty"`
+	// Repeated is the share of the answers, also to grants and releases, that are written a second time where the next answer is
+	// expected, from 0 to 1.
+	Repeated float64 `json:"repeated,omitempty"`
+	// Misstated is the share of the requests that are run and then answered with a status that promises callers the opposite, without the
+	// header that states it, from 0 to 1.
+	Misstated float64 `json:"misstated,omitempty"`
 }
 
 // FaultsPath is the path of the control call, which takes Faults as JSON.
@@ -159,10 +167,14 @@
 
 // Run serves until ctx ends, and then drains.
 func (b *Backend) Run(ctx context.Context) error {
-	listener, err := net.Listen("tcp4", b.settings.Listen)
+	accepting, err := net.Listen("tcp4", b.settings.Listen)
 	if err != nil {
 		return fmt.Errorf("listening: %w", err)
 	}
+	listener := &repeatingListener{
+		Listener: accepting,
+		repeats:  b.repeats,
+	}
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST "+platform.CallPrefix+platform.GrantCall, b.expected(b.grant))
 	mux.HandleFunc("POST "+platform.CallPrefix+platform.ReleaseCall, b.expected(b.release))
@@ -237,6 +249,24 @@
 	b.mutex.Unlock()
 }
 
+// repeats reports whether an answer is written twice.
+func (b *Backend) repeats() bool {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	return rand.Float64() < b.faults.Repeated
+}
+
+// misstatements are the statuses that promise callers that a request has not run.
+var misstatements = []int{http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable}
+
+// misstate returns the status of the answer to a request that has run. The caller holds the mutex.
+func (b *Backend) misstate(status int) int {
+	if status == http.StatusOK && rand.Float64() < b.faults.Misstated {
+		return misstatements[rand.IntN(len(misstatements))]
+	}
+	return status
+}
+
 // serviceTime returns how long the next request takes, and whether its answer breaks off.
 func (b *Backend) serviceTime() (takes time.Duration, broken bool) {
 	mean := b.settings.ServiceMS * max(1, b.faults.SlowBy)
--- a/internal/standin/backend/event.go
+++ b/internal/standin/backend/event.go
@@ -34,6 +34,8 @@
 	// Born identifies the start of the backend, in Unix milliseconds.
 	Born    int64  `json:"born"`
 	Request string `json:"request,omitempty"`
+	// Status is the status of the answer to a request that has ended.
+	Status int `json:"status,omitempty"`
 	// Workspace is the workspace that the request named, empty for none.
 	Workspace string `json:"workspace,omitempty"`
 	// Keyed is true if the request has a key, Key.
