core/execution: one place decides what proves that a request has not run

What callers saw: an order that had run was answered 408, 429 or 503, which promise that it has not; with 421 it ran at up to three upstreams, and the caller got 503. Cause: a status was taken for a statement. An upstream's own status went on to the caller whatever it promises there, and 421 counted as not run without Not-Executed. PROTOCOL.md: no response without the header states it; yet statuses are returned unchanged. Change: execution.Evidence holds what an attempt has shown, and Proof says whether that proves 'not run': nothing sent, a marked refusal that can be no other attempt's, or 421 of an upstream that names itself another one. The state after an attempt, the status that a call gets and whether an upstream's status may go on follow from it. An order whose upstream answers 408, 421, 429 or 503 without proof gets 502 (504 after its time) without the upstream's signature, which MIXED forbids under another status. What may be repeated gets the status unchanged, as before. io/upstream has no notion of its own any more.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -9,7 +9,6 @@
 	"github.com/sirupsen/logrus"
 
 	"cuminlift/core/dispatch"
-	"cuminlift/core/execution"
 	"cuminlift/core/request"
 	"cuminlift/io/upstream"
 	"cuminlift/schema"
@@ -40,17 +39,20 @@
 	c.arrivals++
 	defer response.Body.Close()
 	report := h.parseReport(response.Status, response.Header)
-	if response.NotRun {
-		c.advance(h, request.Refused)
+	if response.Evidence.Refusal() {
+		state := stateAfter(response.Evidence)
+		c.advance(h, state)
 		outcome := schema.TicketOutcome_shed
 		if response.Status == http.StatusMisdirectedRequest {
 			outcome = schema.TicketOutcome_misdirected
 			h.ticketClient.denyOwner(result, c.service, c.key)
 		}
 		h.ticketClient.reportEnd(result, c.service, outcome, time.Since(sentAt), report)
-		c.refusals++
-		h.logAnswer(c, result, response, sentAt).WithField("problem", "not run").Info("attempt failed")
-		if outcome == schema.TicketOutcome_misdirected {
+		if state == request.Refused {
+			c.refusals++
+		}
+		h.logAnswer(c, result, response, sentAt).Info("attempt refused")
+		if outcome == schema.TicketOutcome_misdirected && c.state.CanAttempt() {
 			sleep(ctx, misdirectedBackoff)
 		}
 		return false
@@ -134,6 +136,12 @@
 		h.ticketClient.reportEnd(result, c.service, outcome, took, report)
 		h.logFailedAttempt(c, result, sentAt, "response incomplete or unsigned", response.Status)
 		return false
+	case !response.Evidence.MayPassOn(!c.state.Idempotent):
+		c.advance(h, stateAfter(response.Evidence))
+		h.ticketClient.reportEnd(result, c.service, schema.TicketOutcome_erred, took, report)
+		h.counters.count("withheld")
+		h.logAnswer(c, result, response, sentAt).WithField("signed", signed).Warn("upstream's status promises what nothing proves")
+		return false
 	case response.Status >= 500:
 		h.ticketClient.reportEnd(result, c.service, schema.TicketOutcome_erred, took, report)
 		h.logFailedAttempt(c, result, sentAt, "upstream responded with an error", response.Status)
@@ -152,10 +160,6 @@
 			}()
 		}
 	}
-	if execution.Promises(response.Status) {
-		h.counters.count("promised")
-		h.logAnswer(c, result, response, sentAt).WithField("signed", signed).Warn("upstream's status says that the request did not run")
-	}
 	c.advance(h, request.Answered)
 	h.counters.recordAnswered(c, time.Since(c.receivedAt))
 	h.writeResponse(w, c, response, buffered, complete)
@@ -171,6 +175,7 @@
 		"took":           time.Since(sentAt),
 		"at-most-once":   !c.state.Idempotent,
 		"status":         response.Status,
+		"proof":          string(response.Evidence.Proof()),
 		"marked":         response.Evidence.Marked,
 		"other-upstream": response.Evidence.OtherUpstream,
 		"identified":     response.Evidence.Identified,
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -11,6 +11,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"cuminlift/core/execution"
 	"cuminlift/core/paths"
 	"cuminlift/core/request"
 	"cuminlift/core/roster"
@@ -271,8 +272,21 @@
 func failedState(err error) request.State {
 	var notSent *upstream.NotSentError
 	var relayed *relayError
-	if (errors.As(err, &relayed) && !relayed.Sent) || (relayed == nil && errors.As(err, &notSent)) {
-		return request.Refused
+	sent := true
+	if errors.As(err, &relayed) {
+		sent = relayed.Sent
+	} else if errors.As(err, &notSent) {
+		sent = false
 	}
-	return request.Lost
+	return stateAfter(execution.Evidence{
+		Sent: sent,
+	})
+}
+
+// stateAfter returns the state of a request after an attempt that no answer for its caller came of.
+func stateAfter(evidence execution.Evidence) request.State {
+	if evidence.Proof() == execution.None {
+		return request.Lost
+	}
+	return request.Refused
 }
--- a/internal/gateway/response.go
+++ b/internal/gateway/response.go
@@ -10,6 +10,7 @@
 	"github.com/sirupsen/logrus"
 
 	"cuminlift/core/dispatch"
+	"cuminlift/core/execution"
 	"cuminlift/core/request"
 	"cuminlift/internal/mutant"
 	"cuminlift/io/upstream"
@@ -66,13 +67,11 @@
 		h.counters.count("left")
 		return
 	}
-	status := http.StatusServiceUnavailable
-	if c.state.ExecutionStatus() != request.NotRun && !mutant.Is(mutant.FalsePromise) {
-		status = http.StatusBadGateway
-		if ctx.Err() != nil {
-			status = http.StatusGatewayTimeout
-		}
+	known := c.state.ExecutionStatus()
+	if mutant.Is(mutant.FalsePromise) {
+		known = request.NotRun
 	}
+	status := execution.StatusFor(known, ctx.Err() != nil)
 	if status == http.StatusServiceUnavailable && reason == string(dispatch.OverQuota) {
 		status = http.StatusTooManyRequests
 	}
--- a/internal/standin/keyholder/keyholder.go
+++ b/internal/standin/keyholder/keyholder.go
@@ -150,11 +150,17 @@
 	return time.Now().Before(u.leases.Until(key))
 }
 
+// misdirected answers a request for another instance.
+func (u *Upstream) misdirected(w http.ResponseWriter) {
+	w.Header().Set("Instance-Id", u.config.ID)
+	w.WriteHeader(http.StatusMisdirectedRequest)
+}
+
 // requireInstance answers requests addressed to another instance with status 421.
 func (u *Upstream) requireInstance(handle http.HandlerFunc) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
 		if r.Header.Get("Expect-Instance") != u.config.ID {
-			w.WriteHeader(http.StatusMisdirectedRequest)
+			u.misdirected(w)
 			return
 		}
 		handle(w, r)
@@ -209,7 +215,7 @@
 		return
 	}
 	if r.Header.Get("Expect-Instance") != u.config.ID {
-		w.WriteHeader(http.StatusMisdirectedRequest)
+		u.misdirected(w)
 		return
 	}
 	if u.config.Keyed {
--- a/io/upstream/client.go
+++ b/io/upstream/client.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -78,9 +79,7 @@
 	Length int64
 	// BodyBuffered is true if the complete body was received together with the head.
 	BodyBuffered bool
-	// NotRun is true if the upstream reports that it did not run the request.
-	NotRun bool
-	// Evidence is what the attempt has shown.
+	// Evidence is what the attempt has shown about whether the request ran.
 	Evidence execution.Evidence
 	Body     io.ReadCloser
 }
@@ -259,10 +258,10 @@
 		}
 		id := response.Header.Get(cl.headers.Request)
 		evidence := cl.evidence(c, request, response)
-		if cl.notRun(response) {
-			c.refused, c.lastRefused = true, request.RequestID
+		if evidence.Refusal() {
+			c.refused, c.lastRefused = true, cmp.Or(id, request.RequestID)
 		}
-		if id == request.RequestID || (id == "" && cl.notRun(response) && (!request.AtMostOnce || !c.used)) {
+		if id == request.RequestID || (id == "" && evidence.Refusal() && (!request.AtMostOnce || !c.used)) {
 			c.used = true
 			return response, evidence, nil
 		}
@@ -291,6 +290,7 @@
 		OtherUpstream: upstream != "" && upstream != request.Upstream,
 		Identified:    id != "" && id == request.RequestID,
 		Reused:        c.used,
+		RefusedBefore: c.lastRefused != "" && c.lastRefused == request.RequestID,
 	}
 }
 
@@ -312,11 +312,6 @@
 	return nil, errors.New("too many informational responses")
 }
 
-// notRun reports whether the response says that the upstream did not run the request.
-func (cl *Client) notRun(response *http.Response) bool {
-	return response.Header.Get(cl.headers.NotRun) != "" || response.StatusCode == http.StatusMisdirectedRequest
-}
-
 func (cl *Client) newResponse(c *connection, request Request, response *http.Response, stop func() bool, written <-chan error) *Response {
 	body := &responseBody{
 		body:        response.Body,
@@ -336,7 +331,6 @@
 		Header:       header,
 		Length:       response.ContentLength,
 		BodyBuffered: response.ContentLength >= 0 && int64(c.reader.Buffered()) >= response.ContentLength,
-		NotRun:       cl.notRun(response),
 		Body:         body,
 	}
 }
--- a/io/upstream/refusal_test.go
+++ b/io/upstream/refusal_test.go
@@ -11,6 +11,7 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"cuminlift/core/execution"
 	"cuminlift/io/upstream"
 )
 
@@ -80,12 +81,12 @@
 				c.Assert(response.Body.Close(), qt.IsNil)
 				return response
 			}
-			c.Check(send(refused).NotRun, qt.IsTrue)
-			c.Check(send(test.next).NotRun, qt.IsFalse)
+			c.Check(send(refused).Evidence.Proof(), qt.Equals, execution.Stated)
+			c.Check(send(test.next).Evidence.Proof(), qt.Equals, execution.None)
 			c.Check(requests.Load(), qt.Equals, int64(2))
 			// The connections without a refusal are kept.
 			for i := range 5 {
-				c.Check(send(fmt.Sprint("r", i+2)).NotRun, qt.IsFalse)
+				c.Check(send(fmt.Sprint("r", i+2)).Evidence.Proof(), qt.Equals, execution.None)
 			}
 			c.Check(client.Dials() <= 2, qt.IsTrue)
 		})
@@ -113,6 +114,6 @@
 	// On a new connection there is nothing that it could stand behind.
 	response, err = post(client, address, "r2", true)
 	c.Assert(err, qt.IsNil)
-	c.Check(response.NotRun, qt.IsTrue)
+	c.Check(response.Evidence.Proof(), qt.Equals, execution.Stated)
 	response.Body.Close()
 }
