internal/mutant: the soak finds both ways in which orders that ran were refused as not run

Cause: the checks of the soak had no planted fault of either kind. Change: mutants status-trusted and copies-trusted.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -10,6 +10,7 @@
 
 	"cuminlift/core/dispatch"
 	"cuminlift/core/request"
+	"cuminlift/internal/mutant"
 	"cuminlift/io/upstream"
 	"cuminlift/schema"
 )
@@ -136,7 +137,7 @@
 		h.ticketClient.reportEnd(result, c.service, outcome, took, report)
 		h.logFailedAttempt(c, result, sentAt, "response incomplete or unsigned", response.Status)
 		return false
-	case !response.Evidence.MayPassOn(!c.state.Idempotent):
+	case !response.Evidence.MayPassOn(!c.state.Idempotent) && !mutant.Is(mutant.StatusTrusted):
 		c.advance(h, stateAfter(response.Evidence))
 		h.ticketClient.reportEnd(result, c.service, schema.TicketOutcome_erred, took, report)
 		h.counters.count("withheld")
--- a/internal/mutant/name.go
+++ b/internal/mutant/name.go
@@ -17,6 +17,10 @@
 	// DrainIgnored sends to upstreams that have said that they are draining, and ZonesIgnored to evacuated zones.
 	DrainIgnored Name = "drain-ignored"
 	ZonesIgnored Name = "zones-ignored"
+	// StatusTrusted passes on an upstream's status that promises what nothing proves, and takes 421 for a proof.
+	StatusTrusted Name = "status-trusted"
+	// CopiesTrusted takes the second copy of a refusal for the answer to the next attempt.
+	CopiesTrusted Name = "copies-trusted"
 	// StopCuts cuts off running requests when an instance is stopped.
 	StopCuts Name = "stop-cuts"
 )
--- a/io/upstream/client.go
+++ b/io/upstream/client.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"cuminlift/core/execution"
+	"cuminlift/internal/mutant"
 )
 
 // Headers holds the names of the HTTP headers used between instances and upstreams.
@@ -286,11 +287,11 @@
 	return execution.Evidence{
 		Sent:          true,
 		Status:        response.StatusCode,
-		Marked:        response.Header.Get(cl.headers.NotRun) != "",
+		Marked:        response.Header.Get(cl.headers.NotRun) != "" || (response.StatusCode == http.StatusMisdirectedRequest && mutant.Is(mutant.StatusTrusted)),
 		OtherUpstream: upstream != "" && upstream != request.Upstream,
 		Identified:    id != "" && id == request.RequestID,
 		Reused:        c.used,
-		RefusedBefore: c.lastRefused != "" && c.lastRefused == request.RequestID,
+		RefusedBefore: c.lastRefused != "" && c.lastRefused == request.RequestID && !mutant.Is(mutant.CopiesTrusted),
 	}
 }
 
--- a/io/upstream/connection.go
+++ b/io/upstream/connection.go
@@ -14,6 +14,8 @@
 	"time"
 
 	"golang.org/x/sys/unix"
+
+	"cuminlift/internal/mutant"
 )
 
 const (
@@ -127,6 +129,9 @@
 
 // confirms reports whether an answer on the connection that says that request did not run can be trusted.
 func (c *connection) confirms(request Request) bool {
+	if mutant.Is(mutant.CopiesTrusted) {
+		return true
+	}
 	if request.AtMostOnce {
 		return !c.refused
 	}
