platform: another upstream answers a call for keys only if the answer says so

What callers could have seen: keys with two owners for a moment. A holder that answers a grant or a release with status 421 itself counted as gone, and its keys went to another one at once. Change: 421 proves that another upstream has the address if it names one (Instance-Id), by core/execution. Anything else leaves the call without a known outcome, and the grant is waited out.

--- a/core/execution/execution.go
+++ b/core/execution/execution.go
@@ -49,10 +49,10 @@
 		return NothingSent
 	case e.Status < http.StatusBadRequest || !e.belongs():
 		return None
-	case e.Marked:
-		return Stated
 	case e.OtherUpstream && e.Status == http.StatusMisdirectedRequest:
 		return Misaddressed
+	case e.Marked:
+		return Stated
 	}
 	return None
 }
--- a/internal/standin/backend/serve.go
+++ b/internal/standin/backend/serve.go
@@ -32,6 +32,7 @@
 		}
 		if id := r.Header.Get(headers.ExpectedUpstream); id != "" && id != b.settings.ID {
 			w.Header().Set(headers.NotRun, "1")
+			w.Header().Set(headers.Upstream, b.settings.ID)
 			w.WriteHeader(http.StatusMisdirectedRequest)
 			return
 		}
