internal/daemon: a copy of a refusal does not hide an order that ran

What callers saw: cuminliftd answered an order 503 with the outcome not-run, and the order had run. The request's ID does not tell attempts apart. Change: connections to upstreams remember what came on them, core/execution decides, and further attempts of an order have a connection of their own. A refusal without proof leaves the outcome unknown. Result: TestSecondCopyOfARefusalDoesNotHideAnOrderThatRan failed before (503, not-run) and passes; the tests of the package pass.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -62,14 +62,16 @@
 	current         atomic.Pointer[activeConfiguration]
 	applyMutex      sync.Mutex
 	// splitterMutex guards splitter, which distributes the requests of routes that split traffic.
-	splitterMutex  sync.Mutex
-	splitter       *route.Splitter
-	tableReader    *tableReader
-	claimWriter    *claimWriter
-	trace          *tracer
-	audit          *auditor
-	peerTransport  *http.Transport
-	upstream       *http.Transport
+	splitterMutex sync.Mutex
+	splitter      *route.Splitter
+	tableReader   *tableReader
+	claimWriter   *claimWriter
+	trace         *tracer
+	audit         *auditor
+	peerTransport *http.Transport
+	upstream      *http.Transport
+	// upstreamOnce sends each request on a connection of its own.
+	upstreamOnce   *http.Transport
 	sequence       atomic.Uint64
 	stopping       atomic.Bool
 	activeRequests atomic.Int64
@@ -177,7 +179,7 @@
 	}
 	d.members = newMembers(d.self)
 	d.peerTransport = d.newPeerTransport()
-	d.upstream = d.newUpstreamTransport()
+	d.upstream, d.upstreamOnce = d.newUpstreamTransport(true), d.newUpstreamTransport(false)
 	return nil
 }
 
--- a/internal/daemon/daemon_test.go
+++ b/internal/daemon/daemon_test.go
@@ -501,3 +501,29 @@
 
 // fastEstate is the seminars example without cold starts and with more slots per upstream.
 var fastEstate = strings.NewReplacer(`"cold-start-ms": 3000`, `"cold-start-ms": 0`, `"slots": 2`, `"slots": 32`).Replace(examples.Seminars)
+
+// An upstream that writes an earlier refusal once more, where the answer to the next attempt is expected, makes an order that ran count as
+// not run.
+func TestSecondCopyOfARefusalDoesNotHideAnOrderThatRan(t *testing.T) {
+	c := qt.New(t)
+	var mutex sync.Mutex
+	copies := map[net.Conn]string{}
+	f := startFakeUpstream(c, func(connection net.Conn, request *http.Request) {
+		mutex.Lock()
+		defer mutex.Unlock()
+		fmt.Fprint(connection, copies[connection])
+		id := request.Header.Get("Cuminlift-Request")
+		if len(copies) == 0 {
+			copies[connection] = fmt.Sprintf("HTTP/1.1 503 Busy\r\nCuminlift-Request: %s\r\nCuminlift-Outcome: not-run\r\nContent-Length: 0\r\n\r\n", id)
+			fmt.Fprint(connection, copies[connection])
+			return
+		}
+		fmt.Fprintf(connection, "HTTP/1.1 200 OK\r\nCuminlift-Request: %s\r\nContent-Length: 0\r\n\r\n", id)
+	})
+	cluster := startCluster(c, f)
+	response, _, err := send(c, cluster, http.MethodPost, "/registrations/talk", nil)
+	c.Assert(err, qt.IsNil)
+	c.Check(f.runs.Load(), qt.Equals, int64(2))
+	c.Check(response.StatusCode, qt.Equals, http.StatusOK)
+	c.Check(response.Header.Get("Cuminlift-Outcome"), qt.Equals, "ran")
+}
--- a/internal/daemon/home.go
+++ b/internal/daemon/home.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"cuminlift/core/admission"
+	"cuminlift/core/execution"
 	"cuminlift/core/ownership"
 	"cuminlift/core/request"
 	"cuminlift/internal/metrics"
@@ -188,13 +189,18 @@
 	}
 	attemptContext, cancel := context.WithCancel(ctx)
 	r.running[dispatch.Upstream] = cancel
-	go r.send(attemptContext, cancel, lease)
+	// On a connection of its own, no copy of an earlier refusal can be taken for the answer.
+	transport := r.daemon.upstream
+	if !r.call.idempotent && r.request.Attempts() > 1 {
+		transport = r.daemon.upstreamOnce
+	}
+	go r.send(attemptContext, cancel, lease, transport)
 	return nil
 }
 
 // send makes one attempt and delivers its result, or discards it if the call has already ended.
-func (r *attemptSet) send(ctx context.Context, cancel context.CancelFunc, lease ownership.Lease) {
-	a := r.daemon.sendUpstream(ctx, r.call, lease)
+func (r *attemptSet) send(ctx context.Context, cancel context.CancelFunc, lease ownership.Lease, transport *http.Transport) {
+	a := r.daemon.sendUpstream(ctx, r.call, lease, transport)
 	a.cancel = cancel
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
@@ -317,7 +323,7 @@
 
 // sendUpstream sends the call once. The result distinguishes an attempt that certainly did not run from one that may
 // have.
-func (d *Daemon) sendUpstream(ctx context.Context, c *call, lease ownership.Lease) *attempt {
+func (d *Daemon) sendUpstream(ctx context.Context, c *call, lease ownership.Lease, transport *http.Transport) *attempt {
 	a := &attempt{
 		upstream: lease.Upstream,
 	}
@@ -326,9 +332,10 @@
 		a.err = fmt.Errorf("upstream %s is unreachable: connections to it are not permitted", lease.Upstream)
 		return a
 	}
-	connected := false
+	// net/http may take another connection if nothing was written on the first.
+	var conn *upstreamConn
 	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
-		GotConn: func(httptrace.GotConnInfo) { connected = true },
+		GotConn: func(info httptrace.GotConnInfo) { conn, _ = info.Conn.(*upstreamConn) },
 	})
 	outgoing, err := http.NewRequestWithContext(ctx, c.method, "http://"+lease.Address+c.uri, bytes.NewReader(c.body))
 	if err != nil {
@@ -341,19 +348,21 @@
 	outgoing.Header.Set(headerHash, strconv.FormatUint(c.hash, 16))
 	outgoing.Header.Set(headerFence, strconv.FormatUint(lease.Fence, 10))
 	outgoing.Header.Set(headerDeadline, strconv.FormatInt(c.remainingMs(), 10))
-	a.response, a.err = d.upstream.RoundTrip(outgoing)
+	a.response, a.err = transport.RoundTrip(outgoing)
 	if a.err != nil {
-		a.notRun = !connected
+		a.notRun = execution.Evidence{
+			Sent: conn != nil,
+		}.Proof() != execution.None
 		return a
 	}
-	d.classifyResponse(c, a, lease.Incarnation)
+	d.classifyResponse(c, a, lease.Incarnation, conn.evidence(c, a.response))
 	return a
 }
 
 // classifyResponse checks whether the response is the upstream's refusal and whether it belongs to the call. An
 // incarnation that has returned the request ID once does so in every response, so a later response without the ID
 // belongs to another request.
-func (d *Daemon) classifyResponse(c *call, a *attempt, incarnation string) {
+func (d *Daemon) classifyResponse(c *call, a *attempt, incarnation string, evidence execution.Evidence) {
 	echoedID := a.response.Header.Get(headerRequestID)
 	if echoedID == c.id {
 		d.echoingIncarnations.Store(a.upstream, incarnation)
@@ -369,7 +378,13 @@
 		d.logs.For("home").WithError(a.err).Error("response belongs to another request")
 		return
 	}
-	if a.response.StatusCode != http.StatusServiceUnavailable || a.response.Header.Get(headerOutcome) != request.NotRun.String() {
+	if !evidence.Marked {
+		return
+	}
+	if !c.idempotent && evidence.Proof() == execution.None {
+		a.err = &UnprovenRefusalError{
+			Upstream: a.upstream,
+		}
 		return
 	}
 	a.notRun = true
@@ -394,17 +409,18 @@
 // maxIdleUpstreamConnections bounds the idle connections to one upstream. Its slots bound the connections in use.
 const maxIdleUpstreamConnections = 128
 
-// newUpstreamTransport returns the transport for upstreams. It follows no redirects, and retries a request that is not
+// newUpstreamTransport returns a transport for upstreams, whose connections are upstreamConns. It follows no redirects, and retries a request that is not
 // idempotent only if no byte of it was written.
-func (d *Daemon) newUpstreamTransport() *http.Transport {
+func (d *Daemon) newUpstreamTransport(reuse bool) *http.Transport {
 	return &http.Transport{
+		DisableKeepAlives:      !reuse,
 		MaxIdleConnsPerHost:    maxIdleUpstreamConnections,
 		IdleConnTimeout:        time.Minute,
 		DisableCompression:     true,
 		MaxResponseHeaderBytes: maxHeaderBytes,
-		DialContext: (&net.Dialer{
+		DialContext: dialTracked(&net.Dialer{
 			Timeout: time.Second,
-		}).DialContext,
+		}),
 	}
 }
 
