io/upstream: close expired connections of upstreams that have ended

Cause: idle connections were closed only when one to the same address was taken, and an upstream that has ended is never taken again. Change: after 64 connections have become idle, the expired ones of all upstreams are closed.

--- a/io/upstream/connection.go
+++ b/io/upstream/connection.go
@@ -33,6 +33,8 @@
 	maxAtMostOnceIdle = 4 * time.Second
 	// maxIdlePerUpstream bounds the idle connections from this instance to one upstream.
 	maxIdlePerUpstream = 2
+	// addedBeforeExpiry is the number of connections that become idle before the expired ones of all upstreams are closed.
+	addedBeforeExpiry = 64
 	// maxInlineBody is the largest body that is written before the response is read. It fits into any socket's send buffer.
 	maxInlineBody = 8 << 10
 	// readBufferSize is the size of a connection's read buffer.
@@ -117,6 +119,8 @@
 	dial  DialFunc
 	mutex sync.Mutex
 	idle  map[string][]*connection
+	// added counts the connections added since the expired ones were last closed.
+	added int
 	dials atomic.Int64
 }
 
@@ -192,6 +196,10 @@
 func (p *connectionPool) add(address string, c *connection) {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
+	if p.added++; p.added >= addedBeforeExpiry {
+		p.added = 0
+		p.expire(time.Now())
+	}
 	list := p.idle[address]
 	if len(list) >= maxIdlePerUpstream {
 		// One that carried a refusal can't be used for all requests.
@@ -206,6 +214,22 @@
 	p.idle[address] = append(list, c)
 }
 
+// expire closes the connections whose idle timeout has passed. Those of upstreams that have ended are never taken again.
+func (p *connectionPool) expire(now time.Time) {
+	for address, list := range p.idle {
+		kept := slices.DeleteFunc(list, func(c *connection) bool {
+			expired := !now.Before(c.idleUntil)
+			if expired {
+				c.abort()
+			}
+			return expired
+		})
+		if p.idle[address] = kept; len(kept) == 0 {
+			delete(p.idle, address)
+		}
+	}
+}
+
 // Dialer returns a dialer whose connections fail within unackedTimeout if the peer becomes unreachable.
 func Dialer(timeout time.Duration) *net.Dialer {
 	return &net.Dialer{
