internal/gateway: forget tickets that were refused

Cause: a refused ticket, or one whose end was not reported, left its service's list but not that of the link. Change: both forget it; open-tickets in the queue statistics tells their number.

--- a/internal/gateway/queue.go
+++ b/internal/gateway/queue.go
@@ -21,6 +21,7 @@
 		}
 		if decision.Upstream == "" {
 			delete(s.tickets, id)
+			delete(origin.link.ticketServices, origin.id)
 		} else {
 			origin.expires = decision.Ticket.Deadline + ticketGrace
 			s.tickets[id] = origin
@@ -46,6 +47,7 @@
 	for id, origin := range s.tickets {
 		if origin.expires != 0 && now > origin.expires {
 			delete(s.tickets, id)
+			delete(origin.link.ticketServices, origin.id)
 			s.pool.Cancel(now, id)
 		}
 	}
--- a/internal/gateway/services.go
+++ b/internal/gateway/services.go
@@ -15,29 +15,34 @@
 	}
 	c.lastQueueLog = now
 	logRefusals(c.log, c.quota.Refusals(now), false)
+	openTickets := 0
+	for _, l := range c.links {
+		openTickets += len(l.ticketServices)
+	}
 	for _, s := range c.services {
 		stats := s.pool.Stats(now)
 		c.log.WithFields(logrus.Fields{
-			"service":     s.name,
-			"waiting":     stats.Waiting,
-			"running":     stats.Running,
-			"usable":      stats.Usable,
-			"full":        stats.Full,
-			"limited":     stats.Limited,
-			"cold":        stats.Cold,
-			"blocked":     stats.Blocked,
-			"unreachable": stats.Unreachable,
-			"usual":       stats.MedianLatency,
-			"lead":        stats.Overcommit,
-			"sent":        stats.Sent,
-			"refused":     stats.Refused,
-			"events":      len(c.ticketEvents),
-			"predicted":   stats.Predicted,
-			"observed":    stats.Observed,
-			"error":       stats.PredictionError,
-			"held-bound":  stats.HeldBound,
-			"retries":     stats.Retries,
-			"max-retries": stats.MaxRetries,
+			"service":      s.name,
+			"waiting":      stats.Waiting,
+			"running":      stats.Running,
+			"usable":       stats.Usable,
+			"full":         stats.Full,
+			"limited":      stats.Limited,
+			"cold":         stats.Cold,
+			"blocked":      stats.Blocked,
+			"unreachable":  stats.Unreachable,
+			"usual":        stats.MedianLatency,
+			"lead":         stats.Overcommit,
+			"sent":         stats.Sent,
+			"refused":      stats.Refused,
+			"events":       len(c.ticketEvents),
+			"open-tickets": openTickets,
+			"predicted":    stats.Predicted,
+			"observed":     stats.Observed,
+			"error":        stats.PredictionError,
+			"held-bound":   stats.HeldBound,
+			"retries":      stats.Retries,
+			"max-retries":  stats.MaxRetries,
 		}).Info("queue statistics")
 		c.counters.setCosts(s.name, s.pool.Pool)
 	}
