internal/gateway: callers that close their sending half get no empty success

Cause: net/http ends a request's context at the half-close, and a handler that writes nothing counts as a success. Change: the connection of a caller that has left is closed, which promises nothing.

--- a/internal/gateway/response.go
+++ b/internal/gateway/response.go
@@ -65,7 +65,8 @@
 func (h *requestHandler) failCall(ctx context.Context, w http.ResponseWriter, r *http.Request, c *call, reason string, retryDelay time.Duration) {
 	if r.Context().Err() != nil {
 		h.counters.count("left")
-		return
+		// One that has closed only its sending half must not get an empty success.
+		panic(http.ErrAbortHandler)
 	}
 	known := c.state.ExecutionStatus()
 	if mutant.Is(mutant.FalsePromise) {
