io/upstream, internal/gateway: answers to HEAD are complete

Cause: the body that the head of an answer to HEAD names was waited for. Change: no body is expected in an answer to HEAD, and its Content-Length goes on.

--- a/internal/gateway/callers_test.go
+++ b/internal/gateway/callers_test.go
@@ -45,3 +45,28 @@
 		})
 	}
 }
+
+// An answer to HEAD, which names the length of a body that does not follow, counts as one that broke off.
+func TestAnswerToHeadCountsAsBrokenOff(t *testing.T) {
+	c := qt.New(t)
+	k := newCluster(c, 1)
+	k.configure(1, "plain")
+	u := k.answeringUpstreams("n0")
+	u.setAnswer(func(w http.ResponseWriter) bool {
+		w.Header().Set("Content-Length", "1234")
+		return answerOK(w)
+	})
+	conn := k.dial("n0")
+	reader := bufio.NewReader(conn)
+	for i := range 3 {
+		_, err := io.WriteString(conn, requestText(http.MethodHead, "/read/x", fmt.Sprint("head-", i)))
+		c.Assert(err, qt.IsNil)
+		response, err := http.ReadResponse(reader, &http.Request{
+			Method: http.MethodHead,
+		})
+		c.Assert(err, qt.IsNil)
+		c.Check(response.StatusCode, qt.Equals, http.StatusOK)
+		c.Check(response.ContentLength, qt.Equals, int64(1234))
+		c.Check(u.ran(fmt.Sprint("head-", i)), qt.Equals, 1)
+	}
+}
--- a/internal/gateway/response.go
+++ b/internal/gateway/response.go
@@ -31,7 +31,7 @@
 			header[name] = nil
 		}
 	}
-	if complete && bodyAllowed(response.Status) {
+	if complete && bodyAllowed(response.Status) && !response.Bodyless {
 		header.Set("Content-Length", strconv.Itoa(len(buffered)))
 	}
 	if h.stopping.Load() {
--- a/io/upstream/client.go
+++ b/io/upstream/client.go
@@ -76,8 +76,10 @@
 type Response struct {
 	Status int
 	Header http.Header
-	// Length is the length of the body, -1 if it is not known.
+	// Length is the length of the body that follows, -1 if it is not known.
 	Length int64
+	// Bodyless is true if no body follows whatever length the head names, as in the response to HEAD.
+	Bodyless bool
 	// BodyBuffered is true if the complete body was received together with the head.
 	BodyBuffered bool
 	// Evidence is what the attempt has shown about whether the request ran.
@@ -314,6 +316,11 @@
 }
 
 func (cl *Client) newResponse(c *connection, request Request, response *http.Response, stop func() bool, written <-chan error) *Response {
+	bodyless := request.Method == http.MethodHead
+	length := response.ContentLength
+	if bodyless {
+		length = 0
+	}
 	body := &responseBody{
 		body:        response.Body,
 		connection:  c,
@@ -321,7 +328,7 @@
 		written:     written,
 		pool:        cl.pool,
 		address:     request.Address,
-		length:      response.ContentLength,
+		length:      length,
 		reusable:    !response.Close && !c.desynchronized,
 		idleTimeout: parseKeepAlive(response.Header.Get("Keep-Alive")),
 	}
@@ -330,8 +337,9 @@
 	return &Response{
 		Status:       response.StatusCode,
 		Header:       header,
-		Length:       response.ContentLength,
-		BodyBuffered: response.ContentLength >= 0 && int64(c.reader.Buffered()) >= response.ContentLength,
+		Length:       length,
+		Bodyless:     bodyless,
+		BodyBuffered: length >= 0 && int64(c.reader.Buffered()) >= length,
 		Body:         body,
 	}
 }
