core/pipeline, internal/gateway: requests behind an answer that breaks off are answered

Cause: they were started while a part of the answer was on its way to the caller, after which only a close tells that it is incomplete.

--- a/core/pipeline/pipeline.go
+++ b/core/pipeline/pipeline.go
@@ -40,6 +40,8 @@
 type entry struct {
 	Request
 	started, finished, headSent bool
+	// held is true if nothing behind the request may start before it has finished.
+	held bool
 }
 
 // Line holds the requests of one connection that have been read and not yet answered, in the order in which they were read. They are
@@ -102,7 +104,7 @@
 	for i := range l.entries {
 		e := &l.entries[i]
 		if e.started {
-			if e.Kind == Exclusive && !e.finished {
+			if (e.Kind == Exclusive || e.held) && !e.finished {
 				return 0, false
 			}
 			continue
@@ -117,6 +119,14 @@
 	return 0, false
 }
 
+// Hold makes nothing more start behind a request until that has finished, and reports whether anything behind it has started. A response
+// that breaks off once a part of it has been sent ends the connection, so that nothing behind it can be answered.
+func (l *Line) Hold(number uint64) (followed bool) {
+	i := int(number - l.first)
+	l.entries[i].held = true
+	return i+1 < len(l.entries) && l.entries[i+1].started
+}
+
 // Finish records that a started request has finished, answered or not.
 //
 // A connection counts as one caller when capacity is short: after a refusal it runs one request at a time, and one more with each
--- a/core/pipeline/pipeline_test.go
+++ b/core/pipeline/pipeline_test.go
@@ -322,3 +322,27 @@
 		}
 	})
 }
+
+// Requests that start behind a response of which a part has been sent are lost if it breaks off.
+func TestNothingStartsBehindAHeldRequest(t *testing.T) {
+	c := qt.New(t)
+	l := pipeline.NewLine(limits)
+	starts := func() (numbers []uint64) {
+		for number, ok := l.Start(); ok; number, ok = l.Start() {
+			numbers = append(numbers, number)
+		}
+		return numbers
+	}
+	l.Add(pipeline.Request{})
+	l.Add(pipeline.Request{})
+	c.Assert(starts(), qt.DeepEquals, []uint64{0, 1})
+	c.Check(l.Hold(0), qt.IsTrue)
+	l.Add(pipeline.Request{})
+	c.Check(starts(), qt.HasLen, 0)
+	c.Check(l.Hold(1), qt.IsFalse)
+	l.Finish(0, pipeline.Outcome{})
+	l.Answered()
+	c.Check(starts(), qt.HasLen, 0, qt.Commentf("request 1 holds as well"))
+	l.Finish(1, pipeline.Outcome{})
+	c.Check(starts(), qt.DeepEquals, []uint64{2})
+}
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -11,6 +11,7 @@
 	"cuminlift/core/dispatch"
 	"cuminlift/core/request"
 	"cuminlift/internal/mutant"
+	"cuminlift/io/caller"
 	"cuminlift/io/upstream"
 	"cuminlift/schema"
 )
@@ -124,6 +125,11 @@
 	reserved := h.buffers.reserve(response.Length)
 	defer h.buffers.release(reserved)
 	buffered, complete, err := readBody(response, reserved)
+	if err == nil && !complete {
+		var more int64
+		buffered, complete, more, err = h.buffers.readFollowed(w, response, buffered)
+		defer h.buffers.budget.Release(caller.ReadAhead, more)
+	}
 	took := time.Since(sentAt)
 	signed := response.Header.Get(h.config.Headers.Signature) != ""
 	success := response.Status >= 200 && response.Status < 300
--- a/internal/gateway/body.go
+++ b/internal/gateway/body.go
@@ -2,6 +2,7 @@
 
 import (
 	"io"
+	"net/http"
 
 	"cuminlift/io/caller"
 	"cuminlift/io/upstream"
@@ -13,6 +14,8 @@
 	maxBufferedBody = 256 << 10
 	// minBufferedBody is the same while many responses are buffered.
 	minBufferedBody = 8 << 10
+	// maxFollowedBody is the same for a response behind whose request others of its connection run.
+	maxFollowedBody = 4 << 20
 	// bufferMemoryShare is the share of the memory limit that buffered responses may take, and defaultBufferMemory their memory
 	// without a limit.
 	bufferMemoryShare   = 8
@@ -65,3 +68,39 @@
 	}
 	return buffered, response.Length <= limit, nil
 }
+
+// followerHolder is implemented by the ResponseWriter of a connection whose requests are read ahead.
+type followerHolder interface {
+	// HoldFollowers makes no request start behind this one until its handler has returned, and reports whether any has started.
+	HoldFollowers() (followed bool)
+}
+
+// readFollowed reads the rest of a response that did not fit into its buffer if requests behind it on the caller's connection already run:
+// they could not be answered if it broke off after its first part had been written. It returns the bytes that it has reserved, which the
+// caller must release. A response that is too large for it is passed on as it arrives.
+func (b *bodyBuffers) readFollowed(w http.ResponseWriter, response *upstream.Response, buffered []byte) (body []byte, complete bool, reserved int64, err error) {
+	holder, ahead := w.(followerHolder)
+	if !ahead || !holder.HoldFollowers() {
+		return buffered, false, 0, nil
+	}
+	body = buffered
+	for len(body) < maxFollowedBody {
+		size := int64(maxBufferedBody)
+		if response.Length >= 0 {
+			size = response.Length - int64(len(body))
+		}
+		if int64(len(body))+size > maxFollowedBody || !b.budget.Reserve(caller.ReadAhead, size) {
+			return body, false, reserved, nil
+		}
+		reserved += size
+		part, err := io.ReadAll(io.LimitReader(response.Body, size))
+		body = append(body, part...)
+		if err != nil {
+			return nil, false, reserved, err
+		}
+		if response.Length >= 0 || int64(len(part)) < size {
+			return body, response.Length < 0 || int64(len(body)) == response.Length, reserved, nil
+		}
+	}
+	return body, false, reserved, nil
+}
--- a/io/caller/response.go
+++ b/io/caller/response.go
@@ -109,6 +109,15 @@
 	}
 }
 
+// HoldFollowers makes no request start behind this one on its connection until its handler has returned, and reports whether any has
+// started. These are lost if the response breaks off after a part of it has been written.
+func (r *response) HoldFollowers() (followed bool) {
+	c := r.connection
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	return !c.over && c.line.Hold(r.number)
+}
+
 func (r *response) bodyAllowed() bool {
 	return r.status != http.StatusNoContent && r.status != http.StatusNotModified
 }
