--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -89,6 +89,10 @@
 			Promise: "nothing cut by a planned stop",
 			Check:   checkStops,
 		},
+		{
+			Promise: "a planned stop answers what was read",
+			Check:   checkAnsweredAtStops,
+		},
 		{
 			Promise: "workspaces are kept apart",
 			Check:   checkWorkspaces,
@@ -316,6 +320,41 @@
 	return found
 }
 
+const (
+	// lossSlack is how long after its last byte a request may still be closed without an answer by a stop.
+	lossSlack = 200 * time.Millisecond
+	// longestSend is the longest time that a caller needs to send a request.
+	longestSend = 300 * time.Millisecond
+)
+
+// checkAnsweredAtStops looks at requests that no backend has begun. Requests that one has begun are checkStops'.
+func checkAnsweredAtStops(h *History) []Violation {
+	var found []Violation
+	runs := begun(h)
+	for _, r := range h.Results {
+		if r.Outcome != Dropped || len(runs[r.Request]) > 0 || r.EndedAt-r.SentAt <= (lossSlack+longestSend).Nanoseconds() {
+			continue
+		}
+		for _, stop := range h.Spans {
+			if stop.Kind != InstanceStop || stop.Target != r.Instance || r.EndedAt < stop.From || r.EndedAt-stop.From > stopTimeout.Nanoseconds() {
+				continue
+			}
+			if h.overlaps(r.SentAt-contact.Nanoseconds(), r.EndedAt, cutters) {
+				continue
+			}
+			found = append(found, Violation{
+				At: r.EndedAt,
+				Story: []string{
+					fmt.Sprintf("%s instance %d is told to stop", clockText(stop.From), stop.Target),
+					fmt.Sprintf("%s %s is sent", clockText(r.SentAt), r.Request),
+					fmt.Sprintf("%s the caller's connection ends without an answer", clockText(r.EndedAt)),
+				},
+			})
+		}
+	}
+	return found
+}
+
 // cutters are the disturbances that cut off requests themselves.
 var cutters = map[FaultKind]bool{
 	InstanceKill:  true,
--- a/internal/soak/check_test.go
+++ b/internal/soak/check_test.go
@@ -55,6 +55,13 @@
 	}
 }
 
+// droppedAfter is a request whose connection ends without an answer after some milliseconds.
+func droppedAfter(request string, milliseconds int64) soak.Result {
+	r := dropped(request)
+	r.EndedAt = at(milliseconds)
+	return r
+}
+
 func dropped(request string) soak.Result {
 	r := answered(request, 0)
 	r.Outcome = soak.Dropped
@@ -198,6 +205,10 @@
 		kept("not passed on", "nothing cut by a planned stop", results{dropped("r")}, spans{stopped}),
 		kept("its backend ended", "nothing cut by a planned stop", events{run(1, "a", backend.Begun, "r")}, results{dropped("r")}, spans{stopped, during(soak.BackendKill, 50, 500)}),
 
+		broken("closed", "a planned stop answers what was read", results{droppedAfter("r", 600)}, spans{stopped}),
+		kept("closed at once", "a planned stop answers what was read", results{droppedAfter("r", 400)}, spans{stopped}),
+		kept("not stopped", "a planned stop answers what was read", results{droppedAfter("r", 600)}),
+
 		broken("another's name", "workspaces are kept apart", events{runOf(1, "second")}, ofWorkspace("first", 200)),
 		broken("no name", "workspaces are kept apart", events{runOf(1, "")}, ofWorkspace("first", 200)),
 		broken("unknown key is served", "workspaces are kept apart", ofWorkspace("", 200)),
@@ -249,7 +260,7 @@
 			kinds[f.Kind] = true
 		}
 	}
-	c.Check(kinds, qt.HasLen, 20)
+	c.Check(kinds, qt.HasLen, 21)
 }
 
 func TestUnusableSchedulesAreRejected(t *testing.T) {
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -136,7 +136,7 @@
 		}
 	case BackendCut:
 		p.cut(k.backends[f.Target].link, f.Mode)
-	case BackendSlow, BackendBreaks, BackendRepeats, BackendMisstates:
+	case BackendSlow, BackendBreaks, BackendRepeats, BackendBabbles, BackendMisstates:
 		p.backendFaults(f, true)
 	case StoreDown, StoreSilent, StoreSlow, StoreLoses, StoreForgets:
 		p.store = append(p.store, f.Kind)
@@ -183,7 +183,7 @@
 		}
 	case BackendDrain:
 		return p.replaceDrained(f.Target)
-	case BackendSlow, BackendBreaks, BackendRepeats, BackendMisstates:
+	case BackendSlow, BackendBreaks, BackendRepeats, BackendBabbles, BackendMisstates:
 		p.backendFaults(f, false)
 	case StoreDown, StoreSilent, StoreSlow, StoreLoses, StoreForgets:
 		at := slices.Index(p.store, f.Kind)
@@ -255,6 +255,10 @@
 		Refused:  0.45,
 		Repeated: 0.3,
 	},
+	BackendBabbles: {
+		Refused:    0.2,
+		Additional: 0.1,
+	},
 	BackendMisstates: {
 		Misstated: 0.3,
 	},
--- a/internal/soak/schedule.go
+++ b/internal/soak/schedule.go
@@ -28,6 +28,8 @@
 	BackendBreaks FaultKind = "backend-breaks"
 	// BackendRepeats: requests are refused, and answers are written twice.
 	BackendRepeats FaultKind = "backend-repeats"
+	// BackendBabbles: bytes that belong to no request are written behind answers.
+	BackendBabbles FaultKind = "backend-babbles"
 	// BackendMisstates: requests are run and answered as if they had not been.
 	BackendMisstates FaultKind = "backend-misstates"
 	StoreDown        FaultKind = "store-down"
@@ -91,7 +93,7 @@
 // kinds are all kinds of faults.
 var kinds = []FaultKind{
 	InstanceKill, InstanceStop, InstancePause, StoreCut, BackendKill, BackendPause, BackendDrain, BackendCut, BackendSlow, BackendBreaks,
-	BackendRepeats, BackendMisstates, StoreDown, StoreSilent, StoreSlow, StoreLoses, StoreForgets, StoreOlder, ZoneEvacuation, Configuration,
+	BackendRepeats, BackendBabbles, BackendMisstates, StoreDown, StoreSilent, StoreSlow, StoreLoses, StoreForgets, StoreOlder, ZoneEvacuation, Configuration,
 }
 
 // weight is the share of the faults that are of a kind.
@@ -103,7 +105,7 @@
 		return 5
 	case InstanceKill, InstanceStop, InstancePause, StoreCut, BackendPause, ZoneEvacuation, Configuration:
 		return 4
-	case BackendSlow, BackendBreaks, BackendRepeats, BackendMisstates:
+	case BackendSlow, BackendBreaks, BackendRepeats, BackendBabbles, BackendMisstates:
 		return 3
 	case StoreDown, StoreSilent, StoreSlow, StoreLoses, StoreForgets, StoreOlder:
 	}
@@ -150,7 +152,7 @@
 		case BackendDrain:
 			f.Target = random.IntN(backends)
 			f.ForMS = int((drainTime + startTime/2).Milliseconds())
-		case BackendKill, BackendPause, BackendSlow, BackendBreaks, BackendRepeats, BackendMisstates:
+		case BackendKill, BackendPause, BackendSlow, BackendBreaks, BackendRepeats, BackendBabbles, BackendMisstates:
 			f.Target = random.IntN(backends)
 		case BackendCut:
 			f.Target = random.IntN(backends)
@@ -160,10 +162,44 @@
 			f.ForMS = int(evacuationTime.Milliseconds())
 		}
 		s.Faults = append(s.Faults, f)
+		s.Faults = append(s.Faults, followUps(random, f, s)...)
 	}
 	return s
 }
 
+const (
+	// loopKills is how often an instance that crashes in a loop is killed, each time loopInterval after its last start.
+	loopKills    = 6
+	loopInterval = 1200 * time.Millisecond
+	loopRestart  = 100 * time.Millisecond
+)
+
+// followUps returns the faults that come with one: a killed instance may crash in a loop, and one may be stopped while requests wait for
+// slow backends.
+func followUps(random *rand.Rand, f Fault, s Schedule) (faults []Fault) {
+	switch {
+	case f.Kind == InstanceKill && random.IntN(4) == 0:
+		for i := 1; i <= loopKills; i++ {
+			faults = append(faults, Fault{
+				AtMS:   f.AtMS + f.ForMS + i*int(loopInterval.Milliseconds()),
+				ForMS:  int(loopRestart.Milliseconds()),
+				Kind:   InstanceKill,
+				Target: f.Target,
+			})
+		}
+	case f.Kind == InstanceStop && random.IntN(2) == 0:
+		for i := range s.Backends {
+			faults = append(faults, Fault{
+				AtMS:   f.AtMS,
+				ForMS:  int(stopTimeout.Milliseconds()),
+				Kind:   BackendSlow,
+				Target: i,
+			})
+		}
+	}
+	return faults
+}
+
 // Check returns a *ScheduleError if the schedule can't be played.
 func (s Schedule) Check() error {
 	switch {
@@ -196,7 +232,7 @@
 	switch kind {
 	case InstanceKill, InstanceStop, InstancePause, StoreCut:
 		return s.Instances
-	case BackendKill, BackendPause, BackendDrain, BackendCut, BackendSlow, BackendBreaks, BackendRepeats, BackendMisstates:
+	case BackendKill, BackendPause, BackendDrain, BackendCut, BackendSlow, BackendBreaks, BackendRepeats, BackendBabbles, BackendMisstates:
 		return s.Backends
 	case ZoneEvacuation:
 		return zoneCount
--- a/internal/standin/backend/backend.go
+++ b/internal/standin/backend/backend.go
@@ -52,6 +52,9 @@
 	// Repeated is the share of the answers, also to grants and releases, that are written a second time where the next answer is
 	// expected, from 0 to 1.
 	Repeated float64 `json:"repeated,omitempty"`
+	// Additional is the share of the answers, also to grants and releases, behind which bytes that belong to no request are written
+	// where the next answer is expected, from 0 to 1.
+	Additional float64 `json:"additional,omitempty"`
 	// Misstated is the share of the requests that are run and then answered with a status that promises callers the opposite, without the
 	// header that states it, from 0 to 1.
 	Misstated float64 `json:"misstated,omitempty"`
@@ -173,7 +176,7 @@
 	}
 	listener := &repeatingListener{
 		Listener: accepting,
-		repeats:  b.repeats,
+		late:     b.late,
 	}
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST "+platform.CallPrefix+platform.GrantCall, b.expected(b.grant))
@@ -249,11 +252,27 @@
 	b.mutex.Unlock()
 }
 
-// repeats reports whether an answer is written twice.
-func (b *Backend) repeats() bool {
+// additional are bytes that belong to no request, each of another form: refusals, a success, and no answer at all.
+var additional = []string{
+	"HTTP/1.1 503 Service Unavailable\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n",
+	"HTTP/1.1 421 Misdirected Request\r\nInstance-Id: another\r\nContent-Length: 0\r\n\r\n",
+	"HTTP/1.1 421 Misdirected Request\r\nRequest-Id: another\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n",
+	"HTTP/1.1 409 Conflict\r\nContent-Length: 0\r\n\r\n",
+	"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nother",
+	"no answer at all\r\n\r\n",
+}
+
+// late returns what is written in place of the next answer behind an answer, usually nothing.
+func (b *Backend) late(answer []byte) []byte {
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
-	return rand.Float64() < b.faults.Repeated
+	switch draw := rand.Float64(); {
+	case draw < b.faults.Repeated:
+		return answer
+	case draw < b.faults.Repeated+b.faults.Additional:
+		return []byte(additional[rand.IntN(len(additional))])
+	}
+	return nil
 }
 
 // misstatements are the statuses that promise callers that a request has not run.
--- a/internal/standin/backend/repeat.go
+++ b/internal/standin/backend/repeat.go
@@ -6,11 +6,11 @@
 	"sync"
 )
 
-// repeatingListener accepts connections on which some answers are written twice.
+// repeatingListener accepts connections on which bytes that belong to no request are written behind some answers.
 type repeatingListener struct {
 	net.Listener
-	// repeats reports whether the next answer is written twice.
-	repeats func() bool
+	// late returns what is written behind an answer, nil for nothing.
+	late func(answer []byte) []byte
 }
 
 // Accept implements net.Listener.
@@ -20,19 +20,19 @@
 		return nil, err
 	}
 	return &repeatingConn{
-		Conn:    conn,
-		repeats: l.repeats,
+		Conn:   conn,
+		behind: l.late,
 	}, nil
 }
 
-// repeatingConn writes the second copy of an answer where the next one is expected: after the next request has been read.
+// repeatingConn writes bytes where the next answer is expected: after the next request has been read.
 type repeatingConn struct {
 	net.Conn
-	repeats func() bool
-	mutex   sync.Mutex
+	behind func(answer []byte) []byte
+	mutex  sync.Mutex
 	// answer is what was written since a request was last read.
 	answer []byte
-	// late is the copy that comes before the next answer.
+	// late is what comes before the next answer.
 	late []byte
 }
 
@@ -42,9 +42,7 @@
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	if n > 0 && len(c.answer) > 0 {
-		if c.repeats() {
-			c.late = c.answer
-		}
+		c.late = c.behind(c.answer)
 		c.answer = nil
 	}
 	return n, err
