io/upstream: heads of answers to grants and health checks are bounded

Cause: net/http's own limit on heads. Change: NewHTTPClient, with the limit of 256 KB that requests have, in place of the client in internal/boot.

--- a/internal/boot/boot.go
+++ b/internal/boot/boot.go
@@ -147,15 +147,10 @@
 	flushTimeout = 200 * time.Millisecond
 )
 
-// newHTTPClient returns an HTTP client without proxy and compression. Callers bound each call with its context.
+// newHTTPClient returns a client with a number of connections to each address.
 func newHTTPClient(connections int) *http.Client {
-	return &http.Client{
-		Transport: &http.Transport{
-			DialContext:         upstream.DialWithReset(dialTimeout),
-			MaxConnsPerHost:     connections,
-			MaxIdleConnsPerHost: connections,
-			IdleConnTimeout:     8 * time.Second,
-			DisableCompression:  true,
-		},
-	}
+	return upstream.NewHTTPClient(upstream.HTTPConfig{
+		Connections: connections,
+		DialTimeout: dialTimeout,
+	})
 }
--- a/io/upstream/endless_test.go
+++ b/io/upstream/endless_test.go
@@ -143,3 +143,20 @@
 	watchdog.Stop()
 	once.Do(func() { close(release) })
 }
+
+// The head of an answer to a grant or a health check takes 10 MB of memory for each call.
+func TestEndlessHeadOfAnAnswerToACallIsGivenUp(t *testing.T) {
+	c := qt.New(t)
+	const libraryLimit = 10 << 20
+	var sent atomic.Int64
+	address, _ := serve(c, func(conn net.Conn, _ int, _ string) {
+		writeForever(conn, "HTTP/1.1 200 OK\r\n", strings.Repeat("X-Filler: some bytes\r\n", 100), &sent)
+	})
+	client := upstream.NewHTTPClient(upstream.HTTPConfig{
+		Connections: 1,
+		DialTimeout: time.Second,
+	})
+	_, err := client.Get("http://" + address + "/healthz")
+	c.Check(err, qt.IsNotNil)
+	c.Check(sent.Load() < libraryLimit, qt.IsTrue, qt.Commentf("%d bytes were read", sent.Load()))
+}
