core/execution: a marked success is no refusal

Cause: read in the diff. Change: only a failure is a refusal; such an answer goes to its caller. Result: TestMarkedSuccessIsNoRefusal fails without the change and passes; two names and a comment are clearer.

--- a/core/execution/execution.go
+++ b/core/execution/execution.go
@@ -64,7 +64,7 @@
 
 // Refusal reports whether the answer has the form of a refusal, whether it proves anything or not.
 func (e Evidence) Refusal() bool {
-	return e.Marked || e.Status == http.StatusMisdirectedRequest
+	return e.Status == http.StatusMisdirectedRequest || (e.Marked && e.Status >= http.StatusBadRequest)
 }
 
 // Promises reports whether a status tells a caller that its request has not run and will not run.
--- a/core/execution/execution_test.go
+++ b/core/execution/execution_test.go
@@ -121,6 +121,20 @@
 	}
 }
 
+// A marked success contradicts itself. It goes to its caller, and the request is not sent again.
+func TestMarkedSuccessIsNoRefusal(t *testing.T) {
+	c := qt.New(t)
+	success := first(http.StatusOK)
+	success.Marked = true
+	c.Check(success.Refusal(), qt.IsFalse)
+	c.Check(success.MayPassOn(true), qt.IsTrue)
+	refusal := first(http.StatusBadRequest)
+	refusal.Marked = true
+	c.Check(refusal.Refusal(), qt.IsTrue)
+	c.Check(first(http.StatusMisdirectedRequest).Refusal(), qt.IsTrue)
+	c.Check(first(http.StatusServiceUnavailable).Refusal(), qt.IsFalse)
+}
+
 // Whatever an upstream sends, a caller whose request must not be repeated is told that it has not run only if that is proved.
 func TestNoStatusPromisesWithoutProof(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
--- a/internal/daemon/home.go
+++ b/internal/daemon/home.go
@@ -409,8 +409,8 @@
 // maxIdleUpstreamConnections bounds the idle connections to one upstream. Its slots bound the connections in use.
 const maxIdleUpstreamConnections = 128
 
-// newUpstreamTransport returns a transport for upstreams, whose connections are upstreamConns. It follows no redirects, and retries a request that is not
-// idempotent only if no byte of it was written.
+// newUpstreamTransport returns a transport for upstreams, whose connections are upstreamConns and serve one request each unless reuse is
+// set. It follows no redirects, and retries a request that is not idempotent only if no byte of it was written.
 func (d *Daemon) newUpstreamTransport(reuse bool) *http.Transport {
 	return &http.Transport{
 		DisableKeepAlives:      !reuse,
--- a/io/upstream/client.go
+++ b/io/upstream/client.go
@@ -251,13 +251,13 @@
 
 // readResponse returns the response that carries the request's ID, and discards responses that carry another one.
 func (cl *Client) readResponse(c *connection, request Request) (*http.Response, execution.Evidence, error) {
-	none := execution.Evidence{
+	unanswered := execution.Evidence{
 		Sent: true,
 	}
 	for range maxMismatches {
 		response, err := c.readFinalResponse(request.Method)
 		if err != nil {
-			return nil, none, err
+			return nil, unanswered, err
 		}
 		id := response.Header.Get(cl.headers.Request)
 		evidence := cl.evidence(c, request, response)
@@ -270,17 +270,17 @@
 		}
 		c.desynchronized = true
 		if id == "" || response.ContentLength < 0 && len(response.TransferEncoding) == 0 {
-			return nil, none, errors.New("response carries no request ID")
+			return nil, unanswered, errors.New("response carries no request ID")
 		}
 		n, err := io.Copy(io.Discard, io.LimitReader(response.Body, maxMismatchBytes))
 		if err != nil {
-			return nil, none, err
+			return nil, unanswered, err
 		}
 		if n == maxMismatchBytes {
-			return nil, none, errors.New("response to another request is too long")
+			return nil, unanswered, errors.New("response to another request is too long")
 		}
 	}
-	return nil, none, errors.New("too many responses to other requests")
+	return nil, unanswered, errors.New("too many responses to other requests")
 }
 
 // evidence returns what a response on a connection shows about a request.
