--- a/internal/gateway/stopping.go
+++ b/internal/gateway/stopping.go
@@ -11,7 +11,6 @@
 	"cuminlift"
 	"cuminlift/core/roster"
 	"cuminlift/core/shutdown"
-	"cuminlift/internal/mutant"
 	"cuminlift/schema"
 )
 
@@ -126,9 +125,6 @@
 }
 
 func (t *ticketClient) refuseWaiting() {
-	if mutant.Is(mutant.StopCloses) {
-		return
-	}
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
 	refused := map[shutdown.Request]bool{}
@@ -152,9 +148,6 @@
 
 // shortenDeadline makes a ticket request end with this instance, so that it is refused at once if it would have to wait for longer.
 func (t *ticketClient) shortenDeadline(now time.Duration, request *schema.TicketRequest) {
-	if mutant.Is(mutant.StopCloses) {
-		return
-	}
 	if end, stopping := t.stopper.end(); stopping {
 		request.RemainingMs = min(request.GetRemainingMs(), uint32(max(1, (end-now).Milliseconds())))
 	}
