--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -300,13 +300,7 @@
 		if r.Outcome != Dropped || len(runs[r.Request]) == 0 {
 			continue
 		}
-		for _, stop := range h.Spans {
-			if stop.Kind != InstanceStop || stop.Target != r.Instance || r.EndedAt < stop.From || r.EndedAt-stop.From > stopTimeout.Nanoseconds() {
-				continue
-			}
-			if h.overlaps(r.SentAt-contact.Nanoseconds(), r.EndedAt, cutters) {
-				continue
-			}
+		for _, stop := range h.stopsAround(r) {
 			found = append(found, Violation{
 				At: r.EndedAt,
 				Story: []string{
@@ -320,6 +314,19 @@
 	return found
 }
 
+// stopsAround returns the planned stops of a request's instance during which the request ended, none if a disturbance may have cut it off.
+func (h *History) stopsAround(r Result) (stops []Span) {
+	if h.overlaps(r.SentAt-contact.Nanoseconds(), r.EndedAt, cutters) {
+		return nil
+	}
+	for _, s := range h.Spans {
+		if s.Kind == InstanceStop && s.Target == r.Instance && r.EndedAt >= s.From && r.EndedAt-s.From <= stopTimeout.Nanoseconds() {
+			stops = append(stops, s)
+		}
+	}
+	return stops
+}
+
 const (
 	// lossSlack is how long after its last byte a request may still be closed without an answer by a stop.
 	lossSlack = 200 * time.Millisecond
@@ -335,13 +342,7 @@
 		if r.Outcome != Dropped || len(runs[r.Request]) > 0 || r.EndedAt-r.SentAt <= (lossSlack+longestSend).Nanoseconds() {
 			continue
 		}
-		for _, stop := range h.Spans {
-			if stop.Kind != InstanceStop || stop.Target != r.Instance || r.EndedAt < stop.From || r.EndedAt-stop.From > stopTimeout.Nanoseconds() {
-				continue
-			}
-			if h.overlaps(r.SentAt-contact.Nanoseconds(), r.EndedAt, cutters) {
-				continue
-			}
+		for _, stop := range h.stopsAround(r) {
 			found = append(found, Violation{
 				At: r.EndedAt,
 				Story: []string{
