internal/gateway: rows are forwarded compressed to instances that can read that

Change: from 32 KB on, rows go compressed to instances whose heartbeat replies say that they read it (packed-rows, unpacks-rows). Earlier builds get and send what they did. A message that can't be read closes its connection.

--- a/internal/gateway/coordinator_conn.go
+++ b/internal/gateway/coordinator_conn.go
@@ -60,6 +60,12 @@
 
 // handleFrame handles a message of a coordinator. It reports false if the connection is to be closed.
 func (t *ticketClient) handleFrame(conn frameConn, frame *schema.Frame) bool {
+	if rows := frame.GetRows(); rows != nil {
+		if err := unpackRows(rows); err != nil {
+			t.log.WithError(err).Error("message of the coordinator can't be read")
+			return false
+		}
+	}
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
 	switch body := frame.GetBody().(type) {
@@ -147,6 +153,7 @@
 		StoreReached: t.storeReachable(),
 
 		AnswersTableRequests: true,
+		UnpacksRows:          true,
 
 		FailedUpstreams: uint32(t.paths.failedCount()),
 		LostPaths:       t.paths.anyLost(),
--- a/internal/gateway/links.go
+++ b/internal/gateway/links.go
@@ -42,8 +42,9 @@
 	tableVersions map[string]replica.Position
 	tablesSent    bool
 	// readsStore is true while the instance is told that the store fails for the coordinator, so that it reads the store itself, and
-	// storeReached is true if it reaches the store. handsUpRows is true if it answers requests for rows.
-	readsStore, storeReached, handsUpRows bool
+	// storeReached is true if it reaches the store. handsUpRows is true if it answers requests for rows, and unpacksRows if it reads
+	// compressed rows.
+	readsStore, storeReached, handsUpRows, unpacksRows bool
 	// ticketServices holds the service of each open ticket, by the instance's ID of the ticket.
 	ticketServices map[uint64]*serviceState
 	cancel         context.CancelFunc
@@ -128,7 +129,7 @@
 			l.pathsKnown = false
 			l.coordinator.sendRelays(l)
 			// What the instance has, it tells in its first heartbeat reply: it may have restarted.
-			l.tablesSent, l.storeReached, l.handsUpRows = false, false, false
+			l.tablesSent, l.storeReached, l.handsUpRows, l.unpacksRows = false, false, false, false
 			clear(l.tableVersions)
 		})
 		l.serve(ctx, f)
@@ -253,7 +254,7 @@
 // forwardPages sends the pages that have been read since the last call.
 func (c *coordinator) forwardPages() {
 	for _, frame := range c.pages.take() {
-		c.broadcast(frame)
+		c.forwardRows(frame)
 	}
 }
 
@@ -276,7 +277,7 @@
 	for _, feed := range c.tables {
 		known := l.tableVersions[feed.table]
 		if frame, ok := feed.frameSince(known.Era, known.Version); ok {
-			l.send(frame)
+			l.sendRows(frame)
 		} else {
 			l.tablesSent = false
 		}
--- a/internal/gateway/queue.go
+++ b/internal/gateway/queue.go
@@ -58,7 +58,7 @@
 	for table, position := range decodePositions(reply.GetTables()) {
 		l.tableVersions[table] = position
 	}
-	l.storeReached, l.handsUpRows = reply.GetStoreReached(), reply.GetAnswersTableRequests()
+	l.storeReached, l.handsUpRows, l.unpacksRows = reply.GetStoreReached(), reply.GetAnswersTableRequests(), reply.GetUnpacksRows()
 	l.failedUpstreams, l.lostPaths, l.pathsKnown = int(reply.GetFailedUpstreams()), reply.GetLostPaths(), true
 	c.store.learnEra(reply.GetEra())
 	c.sendTables(l)
