internal/gateway: rows for instances that connect together are compressed once

Cause: read in the diff: after a change of coordinator, each of dozens of instances would have the same rows compressed for it on the coordinator's event loop. Change: the last compressed rows of each table are kept for the next instance that lacks the same. Result: TestLargeConfigurationFillsTheCoordinatorsLink and TestUnreadableRowsCloseOnlyTheirConnection pass.

--- a/internal/gateway/coordinator.go
+++ b/internal/gateway/coordinator.go
@@ -64,6 +64,8 @@
 	tables   []*tableFeed
 	readers  replica.Readers
 	catchUps map[string]*replica.CatchUp
+	// packed holds the rows of each table that were last compressed for an instance that had connected.
+	packed map[string]packedRows
 	// spread holds the upstreams of which all instances have been told that they leave.
 	departures departureKeeper
 	spread     roster.Departures
@@ -169,6 +171,7 @@
 		suspects:      &dispatch.Suspects{},
 		withheld:      map[withheldKey]*withheldTickets{},
 		catchUps:      map[string]*replica.CatchUp{},
+		packed:        map[string]packedRows{},
 		handover: handoverState{
 			retriesKnown: dispatch.NewRetryCoverage(config.Clock.Now(), config.Settings.RetryWindow),
 		},
--- a/internal/gateway/links.go
+++ b/internal/gateway/links.go
@@ -277,7 +277,7 @@
 	for _, feed := range c.tables {
 		known := l.tableVersions[feed.table]
 		if frame, ok := feed.frameSince(known.Era, known.Version); ok {
-			l.sendRows(frame)
+			c.sendRows(l, frame)
 		} else {
 			l.tablesSent = false
 		}
--- a/internal/gateway/packing.go
+++ b/internal/gateway/packing.go
@@ -115,10 +115,30 @@
 	}
 }
 
-// sendRows sends rows to the instance, compressed if it can read that.
-func (l *link) sendRows(frame *schema.Frame) {
-	if l.unpacksRows {
-		frame = packRows(frame)
+// packedRows holds compressed rows, because instances that connect at the same time get the same.
+type packedRows struct {
+	era, since, version uint64
+	whole               bool
+	frame               *schema.Frame
+}
+
+// sendRows sends rows to an instance that has connected, compressed if it can read that.
+func (c *coordinator) sendRows(l *link, frame *schema.Frame) {
+	if !l.unpacksRows {
+		l.send(frame)
+		return
+	}
+	rows := frame.GetRows()
+	wanted := packedRows{
+		era:     rows.GetEra(),
+		since:   rows.GetSince(),
+		version: rows.GetVersion(),
+		whole:   rows.GetWhole(),
+	}
+	last := c.packed[rows.GetTable()]
+	if wanted.frame = last.frame; wanted != last || last.frame == nil {
+		wanted.frame = packRows(frame)
+		c.packed[rows.GetTable()] = wanted
 	}
-	l.send(frame)
+	l.send(wanted.frame)
 }
