--- a/internal/gateway/stop_test.go
+++ b/internal/gateway/stop_test.go
@@ -149,8 +149,9 @@
 	for _, readsAhead := range []bool{false, true} {
 		t.Run(fmt.Sprint("read-ahead=", readsAhead), func(t *testing.T) {
 			c := qt.New(t)
-			readAhead = readsAhead
-			defer func() { readAhead = false }()
+			if readsAhead {
+				withReadAhead(c)
+			}
 			k := newStoppingCluster(c, longWork)
 			address := k.front("n0")
 			results, calls := k.stopUnderLoad(acceptingTime, func(number int) string {
@@ -223,8 +224,9 @@
 	for _, readsAhead := range []bool{false, true} {
 		t.Run(fmt.Sprint("read-ahead=", readsAhead), func(t *testing.T) {
 			c := qt.New(t)
-			readAhead = readsAhead
-			defer func() { readAhead = false }()
+			if readsAhead {
+				withReadAhead(c)
+			}
 			k := newStoppingCluster(c, time.Millisecond)
 			address := k.front("n0")
 			statuses := make(chan int, 10)
@@ -269,8 +271,9 @@
 	for _, readsAhead := range []bool{false, true} {
 		t.Run(fmt.Sprint("read-ahead=", readsAhead), func(t *testing.T) {
 			c := qt.New(t)
-			readAhead = readsAhead
-			defer func() { readAhead = false }()
+			if readsAhead {
+				withReadAhead(c)
+			}
 			k := newStoppingCluster(c, time.Millisecond)
 			conn, err := net.Dial("tcp4", k.front("n0"))
 			c.Assert(err, qt.IsNil)
