core/pipeline, io/caller: nothing starts behind a response that has broken off

Cause: a response that breaks off was treated like one whose handler closes the connection. Line.Stop keeps one request behind a head that has been sent, whose response announces the close. Behind an incomplete response that request was started.

Now an incomplete response ends the line at the last request that has started.

--- a/core/pipeline/pipeline.go
+++ b/core/pipeline/pipeline.go
@@ -35,6 +35,8 @@
 	Refused bool
 	// Closes is true if the response is to close the connection.
 	Closes bool
+	// BreaksOff is true if the response is incomplete, so that no other can follow it on the connection.
+	BreaksOff bool
 }
 
 type entry struct {
@@ -140,7 +142,10 @@
 	case l.width < l.limits.Running:
 		l.width++
 	}
-	if outcome.Closes {
+	switch {
+	case outcome.BreaksOff:
+		l.truncate(l.lastStarted())
+	case outcome.Closes:
 		l.Stop()
 	}
 }
@@ -169,20 +174,31 @@
 // more, the one after it does, which may still have to be read. It returns the number of requests that left the line.
 func (l *Line) Stop() (removed int) {
 	l.stopping = true
-	last := -1
-	for last+1 < len(l.entries) && l.entries[last+1].started {
-		last++
-	}
+	last := l.lastStarted()
 	if last < 0 || l.entries[last].headSent {
 		last++
 	}
 	if last >= len(l.entries) {
 		return 0
 	}
-	removed = len(l.entries) - last - 1
+	return l.truncate(last)
+}
+
+// lastStarted returns the index of the last request that has started, -1 if none. Requests start in the order of the line.
+func (l *Line) lastStarted() int {
+	last := -1
+	for last+1 < len(l.entries) && l.entries[last+1].started {
+		last++
+	}
+	return last
+}
+
+// truncate removes the requests behind the one at index last, which count as not read, and ends the line. It returns their number.
+func (l *Line) truncate(last int) (removed int) {
 	for _, e := range l.entries[last+1:] {
 		l.bytes -= e.Bytes
 	}
+	removed = len(l.entries) - last - 1
 	l.entries = l.entries[:last+1]
 	l.ended = true
 	return removed
--- a/core/pipeline/pipeline_test.go
+++ b/core/pipeline/pipeline_test.go
@@ -346,3 +346,29 @@
 	l.Finish(1, pipeline.Outcome{})
 	c.Check(starts(), qt.DeepEquals, []uint64{2})
 }
+
+// A request that starts behind an incomplete response runs, although its own response can't be sent (LOST).
+func TestNothingStartsBehindAResponseThatBrokeOff(t *testing.T) {
+	for _, headSent := range []bool{false, true} {
+		c := qt.New(t)
+		l := pipeline.NewLine(limits)
+		_, ok := l.Add(pipeline.Request{})
+		c.Assert(ok, qt.IsTrue)
+		_, ok = l.Start()
+		c.Assert(ok, qt.IsTrue)
+		c.Assert(l.Hold(0), qt.IsFalse)
+		if headSent {
+			l.Head(0)
+		}
+		_, ok = l.Add(pipeline.Request{})
+		c.Assert(ok, qt.IsTrue)
+		l.Finish(0, pipeline.Outcome{
+			BreaksOff: true,
+		})
+		_, ok = l.Start()
+		c.Check(ok, qt.IsFalse, qt.Commentf("head sent: %v", headSent))
+		c.Check(l.Len(), qt.Equals, 1)
+		_, ok = l.Add(pipeline.Request{})
+		c.Check(ok, qt.IsFalse, qt.Commentf("read while the rest is written, head sent: %v", headSent))
+	}
+}
--- a/io/caller/caller_test.go
+++ b/io/caller/caller_test.go
@@ -373,6 +373,36 @@
 	c.Check(started.Load(), qt.Equals, int64(16))
 }
 
+// TestNothingStartsBehindAResponseThatBreaksOffInItsBody guards against a request that starts when the rest of a response whose head has
+// been sent does not come, and whose own response can't be sent (LOST).
+func TestNothingStartsBehindAResponseThatBreaksOffInItsBody(t *testing.T) {
+	c := qt.New(t)
+	var started atomic.Int64
+	arrived := make(chan struct{})
+	s := start(t, func(w http.ResponseWriter, r *http.Request) {
+		if started.Add(1); r.URL.Path != "/0" {
+			return
+		}
+		c.Check(w.(interface{ HoldFollowers() bool }).HoldFollowers(), qt.IsFalse)
+		w.Header().Set("Content-Length", "20000")
+		_, err := io.WriteString(w, strings.Repeat("x", 10000))
+		c.Check(err, qt.IsNil)
+		<-arrived
+		panic(http.ErrAbortHandler)
+	})
+	conn := s.dial()
+	send(c, conn, get("/0"))
+	reader := bufio.NewReader(conn)
+	response, err := http.ReadResponse(reader, nil)
+	c.Assert(err, qt.IsNil)
+	send(c, conn, get("/1")+get("/2"))
+	time.Sleep(50 * time.Millisecond) // The requests have no effect that can be waited for while they are held.
+	close(arrived)
+	_, err = io.ReadAll(response.Body)
+	c.Check(err, qt.ErrorIs, io.ErrUnexpectedEOF)
+	c.Check(started.Load(), qt.Equals, int64(1))
+}
+
 // TestInterimResponseWaitsForItsTurn guards against "100 Continue" within or before the response to an earlier request.
 func TestInterimResponseWaitsForItsTurn(t *testing.T) {
 	c := qt.New(t)
--- a/io/caller/connection.go
+++ b/io/caller/connection.go
@@ -274,8 +274,9 @@
 	}
 	r.finished = true
 	c.line.Finish(r.number, pipeline.Outcome{
-		Refused: r.status == http.StatusServiceUnavailable || r.status == http.StatusTooManyRequests,
-		Closes:  r.aborted || r.closes,
+		Refused:   r.status == http.StatusServiceUnavailable || r.status == http.StatusTooManyRequests,
+		Closes:    r.closes,
+		BreaksOff: r.aborted,
 	})
 	c.removeNotRead()
 	c.startLocked()
