core/dispatch: tickets belong to one start of an instance

Slots of requests that ended while their instance was not connected to the coordinator stayed in use until the requests' deadlines plus 1 s. An instance that started again with the IDs of its former start ended tickets whose requests still ran.

Tickets belong to an incarnation of an instance, which it tells with its open tickets on each connection, together with the last message. What it does not tell has ended. Tickets of a former start end when their deadlines have passed.

--- a/core/dispatch/end.go
+++ b/core/dispatch/end.go
@@ -16,6 +16,13 @@
 	p.observe(now, granted, took)
 }
 
+// Vacate releases the slot of a ticket whose response has begun at a time that is not known. End must still be called.
+func (p *Pool) Vacate(now time.Duration, id uint64) {
+	if granted := p.running[id]; granted.upstream != nil {
+		p.releaseSlot(now, granted, id, nil)
+	}
+}
+
 // releaseSlot releases the slot of a ticket. It returns false if the slot was released before.
 func (p *Pool) releaseSlot(now time.Duration, granted assignment, id uint64, report *Report) bool {
 	u := granted.upstream
--- a/core/dispatch/stats.go
+++ b/core/dispatch/stats.go
@@ -14,6 +14,8 @@
 	// Waiting and Running count requests. Usable, Cold, Blocked, Full and Limited count upstreams; an upstream is full when all
 	// of its slots are in use, limited while it names a limit, and unreachable from a failed connection to its next answer.
 	Waiting, Running, Usable, Cold, Blocked, Full, Limited, Unreachable int
+	// SlotsInUse counts the slots of running tickets, of upstreams that are not usable as well.
+	SlotsInUse int
 	// MedianLatency is the median of the upstreams' average latencies.
 	MedianLatency time.Duration
 	// Overcommit is the number of requests sent to an upstream beyond its slots, as a fraction of the slots.
@@ -51,6 +53,7 @@
 		stats.HeldBound = p.heldCeiling.bytes
 	}
 	for _, u := range p.sorted {
+		stats.SlotsInUse += len(u.running)
 		if !u.state.Usable {
 			continue
 		}
--- a/core/dispatch/takeover.go
+++ b/core/dispatch/takeover.go
@@ -25,8 +25,8 @@
 // Restore takes over a ticket, so that the pool grants neither its slot nor its part of the cold-start rate again before End. It
 // reports false if the ticket is not running in the pool afterwards, for example because its upstream has left.
 func (p *Pool) Restore(now time.Duration, t OpenTicket) bool {
-	if granted, known := p.running[t.ID]; known {
-		return granted.upstream.state.ID == t.Upstream && granted.incarnation == t.Incarnation
+	if _, known := p.running[t.ID]; known {
+		return p.runs(t.ID, t)
 	}
 	u := p.upstreams[t.Upstream]
 	if u == nil || u.state.Incarnation != t.Incarnation {
@@ -50,6 +50,12 @@
 	return true
 }
 
+// runs reports whether a ticket runs at the start of an upstream that t names.
+func (p *Pool) runs(id uint64, t OpenTicket) bool {
+	granted, known := p.running[id]
+	return known && granted.upstream.state.ID == t.Upstream && granted.incarnation == t.Incarnation
+}
+
 // RetryUsage holds the numbers of requests and retries of one service in consecutive spans of time, the newest first.
 type RetryUsage struct {
 	Span              time.Duration
--- a/internal/gateway/coordinator.go
+++ b/internal/gateway/coordinator.go
@@ -50,15 +50,16 @@
 	// the era of the store in which it was given out.
 	store *watchedStore
 	// register writes the row of the coordinator's own instance unless it is up to date.
-	register       func(ctx context.Context) error
-	leaseVersion   uint64
-	leaseEra       uint64
-	leaseBeat      uint64
-	renewing       bool
-	lastRenewal    time.Duration
-	links          map[string]*link
-	nextLinkNumber uint64
-	services       map[string]*serviceState
+	register     func(ctx context.Context) error
+	leaseVersion uint64
+	leaseEra     uint64
+	leaseBeat    uint64
+	renewing     bool
+	lastRenewal  time.Duration
+	links        map[string]*link
+	services     map[string]*serviceState
+	// sessions holds the tickets of all instances.
+	sessions *dispatch.Sessions
 	// tables are forwarded to all instances. While the store fails, readers read it, and catchUps gets the rows of each table that the
 	// coordinator lacks.
 	tables   []*tableFeed
@@ -118,17 +119,7 @@
 	holdersView  *view
 	holdersSetAt time.Duration
 	// owners is what instances were told of the holders.
-	owners  ownerPublication
-	tickets map[uint64]ticketOrigin
-}
-
-// ticketOrigin records which instance requested a ticket, and its ID there.
-type ticketOrigin struct {
-	link *link
-	id   uint64
-	// expires is when the slot of a running ticket is reclaimed, because its instance or the report of its end was lost. It is
-	// 0 for a ticket that waits.
-	expires time.Duration
+	owners ownerPublication
 }
 
 const (
@@ -168,6 +159,7 @@
 		lastRenewal:   sentAt,
 		links:         map[string]*link{},
 		services:      map[string]*serviceState{},
+		sessions:      dispatch.NewSessions(ticketGrace),
 		suspects:      &dispatch.Suspects{},
 		withheld:      map[withheldKey]*withheldTickets{},
 		catchUps:      map[string]*replica.CatchUp{},
@@ -371,8 +363,8 @@
 		s.pool.sync(now, v, s.name)
 		c.advanceKeys(now, s, v)
 		c.decide(now, s)
-		c.reclaimExpired(now, s)
 	}
+	c.sessions.Expire(now)
 	c.renewWithheld(now)
 	c.probeUnreachable(now, v)
 	c.logQueues(now)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -98,6 +98,7 @@
 		lost:   map[string]bool{},
 	}
 	g.ticketClient.paths = g.paths
+	g.ticketClient.incarnation = hex.EncodeToString(incarnation)
 	g.paths.onLost = g.ticketClient.pathsLost
 	lastCall, endLastCall := context.WithCancel(context.Background())
 	g.endLastCall = endLastCall
@@ -125,7 +126,7 @@
 		departures:   g.follower,
 		paths:        g.paths,
 		store:        store,
-		incarnation:  hex.EncodeToString(incarnation),
+		incarnation:  g.ticketClient.incarnation,
 		readPause:    storeRetryPause,
 	}
 	return g, nil
--- a/internal/gateway/links.go
+++ b/internal/gateway/links.go
@@ -32,9 +32,7 @@
 	rowVersion uint64
 	downSince  time.Duration
 	// index is the position of the instance among all instances, sorted by name.
-	index uint32
-	// number distinguishes the links of one coordinator.
-	number      uint64
+	index       uint32
 	coordinator *coordinator
 	// current is nil while disconnected. Only the coordinator's goroutine accesses it.
 	current frameConn
@@ -45,20 +43,9 @@
 	// storeReached is true if it reaches the store. handsUpRows is true if it answers requests for rows, and unpacksRows if it reads
 	// compressed rows.
 	readsStore, storeReached, handsUpRows, unpacksRows bool
-	// ticketServices holds the service of each open ticket, by the instance's ID of the ticket.
-	ticketServices map[uint64]*serviceState
-	cancel         context.CancelFunc
-}
-
-const (
-	ticketIDBits = 40
-	// ticketIDs is the number of ticket IDs of an instance that the coordinator tells apart.
-	ticketIDs = 1 << ticketIDBits
-)
-
-// globalID turns an instance's ticket ID into one that is unique among all instances.
-func (l *link) globalID(id uint64) uint64 {
-	return l.number<<ticketIDBits | id%ticketIDs
+	// session holds the instance's tickets.
+	session *dispatch.Session
+	cancel  context.CancelFunc
 }
 
 func (l *link) send(frame *schema.Frame) {
@@ -76,22 +63,20 @@
 
 // addLink starts a link to an instance.
 func (c *coordinator) addLink(now time.Duration, instance registeredInstance) {
-	c.nextLinkNumber++
 	ctx, cancel := context.WithCancel(c.ctx)
 	l := &link{
-		name:           instance.GetName(),
-		zone:           instance.GetZone(),
-		address:        instance.GetAddress(),
-		relayAddress:   instance.GetRelayAddress(),
-		resources:      rowResources(instance.InstanceRow),
-		rowVersion:     instance.version,
-		downSince:      now,
-		number:         c.nextLinkNumber,
-		coordinator:    c,
-		tableVersions:  map[string]replica.Position{},
-		ticketServices: map[uint64]*serviceState{},
-		cancel:         cancel,
+		name:          instance.GetName(),
+		zone:          instance.GetZone(),
+		address:       instance.GetAddress(),
+		relayAddress:  instance.GetRelayAddress(),
+		resources:     rowResources(instance.InstanceRow),
+		rowVersion:    instance.version,
+		downSince:     now,
+		coordinator:   c,
+		tableVersions: map[string]replica.Position{},
+		cancel:        cancel,
 	}
+	l.session = c.sessions.Open(l.sendDecision)
 	c.links[l.name] = l
 	go l.maintain(ctx)
 }
@@ -198,8 +183,8 @@
 	}
 }
 
-// handleDisconnect drops the connection and the tickets that its instance waits for. Slots of running requests are kept
-// until their tickets expire, because the requests may still run.
+// handleDisconnect drops the connection and the tickets that its instance waits for. Slots of running requests are kept until the
+// instance tells which of them have ended, or until their tickets expire.
 func (c *coordinator) handleDisconnect(now time.Duration, l *link, f frameConn) {
 	if l.current != f {
 		return
@@ -210,14 +195,7 @@
 	if c.links[l.name] == l {
 		c.quota.Leave(now, l.name)
 	}
-	for id, s := range l.ticketServices {
-		globalID := l.globalID(id)
-		if origin := s.tickets[globalID]; origin.expires == 0 {
-			delete(s.tickets, globalID)
-			s.pool.Cancel(now, globalID)
-		}
-	}
-	l.ticketServices = map[uint64]*serviceState{}
+	l.session.Disconnect(now)
 }
 
 // forwardTables sends all changes of the operators' and upstreams' tables to all instances.
--- a/internal/gateway/queue.go
+++ b/internal/gateway/queue.go
@@ -13,44 +13,25 @@
 		return
 	}
 	for _, decision := range s.pool.Decide(now) {
-		id := decision.Ticket.ID
-		origin, known := s.tickets[id]
-		if !known {
-			s.pool.Cancel(now, id)
-			continue
-		}
-		if decision.Upstream == "" {
-			delete(s.tickets, id)
-			delete(origin.link.ticketServices, origin.id)
-		} else {
-			origin.expires = decision.Ticket.Deadline + ticketGrace
-			s.tickets[id] = origin
-		}
-		origin.link.send(&schema.Frame{
-			Body: &schema.Frame_Reply{
-				Reply: &schema.TicketReply{
-					Id:           origin.id,
-					Upstream:     decision.Upstream,
-					Address:      decision.Address,
-					Born:         decision.Incarnation,
-					Reason:       string(decision.Reason),
-					RetryAfterMs: uint32(decision.RetryAfter.Milliseconds()),
-					Counted:      c.quota.Counts(decision.Ticket.Workspace),
-				},
-			},
-		})
+		c.sessions.Deliver(now, s.pool.Pool, decision)
 	}
 }
 
-// reclaimExpired reclaims the slots of tickets whose end was not reported in time.
-func (c *coordinator) reclaimExpired(now time.Duration, s *serviceState) {
-	for id, origin := range s.tickets {
-		if origin.expires != 0 && now > origin.expires {
-			delete(s.tickets, id)
-			delete(origin.link.ticketServices, origin.id)
-			s.pool.Cancel(now, id)
-		}
-	}
+// sendDecision tells the instance the decision on a ticket.
+func (l *link) sendDecision(id uint64, decision dispatch.Decision) {
+	l.send(&schema.Frame{
+		Body: &schema.Frame_Reply{
+			Reply: &schema.TicketReply{
+				Id:           id,
+				Upstream:     decision.Upstream,
+				Address:      decision.Address,
+				Born:         decision.Incarnation,
+				Reason:       string(decision.Reason),
+				RetryAfterMs: uint32(decision.RetryAfter.Milliseconds()),
+				Counted:      l.coordinator.quota.Counts(decision.Ticket.Workspace),
+			},
+		},
+	})
 }
 
 // handleBeatReply handles an instance's acknowledgement of a heartbeat.
@@ -111,41 +92,35 @@
 		l.send(refusal(request.GetId(), dispatch.NoUpstream, 10*localPoolInterval))
 		return
 	}
-	id := l.globalID(request.GetId())
 	deadline := now + time.Duration(request.GetRemainingMs())*time.Millisecond
 	objective := now + time.Duration(request.GetObjectiveMs())*time.Millisecond
-	s.tickets[id] = ticketOrigin{
-		link: l,
-		id:   request.GetId(),
-	}
-	l.ticketServices[request.GetId()] = s
 	if request.GetReturned() {
 		c.withhold(now, l, s, request.GetAvoid())
 	} else if s.assigner != nil && request.GetKey() > 0 && request.GetAttempt() == 0 {
 		s.assigner.Count(request.GetKey() - 1)
 	}
-	s.pool.Submit(now, newTicket(request, id, l.name, l.zone, deadline, objective))
+	l.session.Submit(now, s.name, s.pool.Pool, newTicket(request, request.GetId(), l.name, l.zone, deadline, objective))
 	c.decide(now, s)
 }
 
 func (c *coordinator) handleHead(now time.Duration, l *link, head *schema.TicketHead) {
-	s := l.ticketServices[head.GetId()]
-	if s == nil {
+	ticket, ok := l.session.Find(head.GetId())
+	if !ok {
 		return
 	}
-	c.noteLeaving(s, l.globalID(head.GetId()), head.GetReport())
-	s.pool.Head(now, l.globalID(head.GetId()), time.Duration(head.GetTookUs())*time.Microsecond, decodeReport(head.GetLoad(), head.GetReport()))
-	c.decide(now, s)
+	c.noteLeaving(ticket, head.GetReport())
+	ticket.Pool.Head(now, ticket.ID, time.Duration(head.GetTookUs())*time.Microsecond, decodeReport(head.GetLoad(), head.GetReport()))
+	c.decide(now, c.services[ticket.Service])
 }
 
 func (c *coordinator) handleEnd(now time.Duration, l *link, end *schema.TicketEnd) {
-	s, id := c.removeTicket(l, end.GetId())
-	if s == nil {
+	ticket, ok := l.session.Take(end.GetId())
+	if !ok {
 		return
 	}
-	c.noteLeaving(s, id, end.GetReport())
-	s.pool.End(now, id, dispatch.Outcome(end.GetOutcome()), time.Duration(end.GetTookUs())*time.Microsecond, decodeReport(end.GetLoad(), end.GetReport()))
-	c.decide(now, s)
+	c.noteLeaving(ticket, end.GetReport())
+	ticket.Pool.End(now, ticket.ID, dispatch.Outcome(end.GetOutcome()), time.Duration(end.GetTookUs())*time.Microsecond, decodeReport(end.GetLoad(), end.GetReport()))
+	c.decide(now, c.services[ticket.Service])
 }
 
 // handleNotice handles what an upstream has said to an instance before that was connected.
@@ -160,8 +135,8 @@
 }
 
 // noteLeaving takes out of use the upstream of a ticket whose answer says that it leaves.
-func (c *coordinator) noteLeaving(s *serviceState, id uint64, report *schema.UpstreamReport) {
-	if upstream, incarnation, ok := s.pool.Assigned(id); ok && report.GetLeaving() {
+func (c *coordinator) noteLeaving(ticket dispatch.SessionTicket, report *schema.UpstreamReport) {
+	if upstream, incarnation, ok := ticket.Pool.Assigned(ticket.ID); ok && report.GetLeaving() {
 		c.spreadLeaving(upstream, incarnation)
 	}
 }
@@ -175,23 +150,10 @@
 }
 
 func (c *coordinator) handleCancel(now time.Duration, l *link, cancel *schema.TicketCancel) {
-	s, id := c.removeTicket(l, cancel.GetId())
-	if s == nil {
+	ticket, ok := l.session.Take(cancel.GetId())
+	if !ok {
 		return
 	}
-	s.pool.Cancel(now, id)
-	c.decide(now, s)
-}
-
-// removeTicket removes the ticket that an instance calls localID. It returns the ticket's service, nil if the ticket is
-// unknown, and its global ID.
-func (c *coordinator) removeTicket(l *link, localID uint64) (s *serviceState, id uint64) {
-	s = l.ticketServices[localID]
-	if s == nil {
-		return nil, 0
-	}
-	id = l.globalID(localID)
-	delete(l.ticketServices, localID)
-	delete(s.tickets, id)
-	return s, id
+	ticket.Pool.Cancel(now, ticket.ID)
+	c.decide(now, c.services[ticket.Service])
 }
--- a/internal/gateway/services.go
+++ b/internal/gateway/services.go
@@ -15,16 +15,13 @@
 	}
 	c.lastQueueLog = now
 	logRefusals(c.log, c.quota.Refusals(now), false)
-	openTickets := 0
-	for _, l := range c.links {
-		openTickets += len(l.ticketServices)
-	}
 	for _, s := range c.services {
 		stats := s.pool.Stats(now)
 		c.log.WithFields(logrus.Fields{
 			"service":      s.name,
 			"waiting":      stats.Waiting,
 			"running":      stats.Running,
+			"slots-in-use": stats.SlotsInUse,
 			"usable":       stats.Usable,
 			"full":         stats.Full,
 			"limited":      stats.Limited,
@@ -36,7 +33,7 @@
 			"sent":         stats.Sent,
 			"refused":      stats.Refused,
 			"events":       len(c.ticketEvents),
-			"open-tickets": openTickets,
+			"open-tickets": c.sessions.Len(),
 			"predicted":    stats.Predicted,
 			"observed":     stats.Observed,
 			"error":        stats.PredictionError,
@@ -52,9 +49,8 @@
 	s := c.services[name]
 	if s == nil {
 		s = &serviceState{
-			name:    name,
-			keyed:   keyed,
-			tickets: map[uint64]ticketOrigin{},
+			name:  name,
+			keyed: keyed,
 			owners: ownerPublication{
 				sent: map[frameConn]bool{},
 			},
--- a/internal/gateway/takeover.go
+++ b/internal/gateway/takeover.go
@@ -107,12 +107,13 @@
 	}
 }
 
-// sendState tells a new coordinator what it can't know: the requests at upstreams, the used part of the retry budget, and how fast
-// upstreams have answered. It must go before the first request, and is sent even if it is empty, since the coordinator waits for it.
+// sendState tells a coordinator what it can't know: the requests at upstreams, the used part of the retry budget, and how fast upstreams
+// have answered. It must go before the first request, and is sent even if it is empty, since the coordinator waits for it.
 func (t *ticketClient) sendState(now time.Duration) {
 	t.stopper.forgetServices(t.view())
 	tickets := &schema.OpenTickets{}
 	flush := func() {
+		tickets.Incarnation = t.incarnation
 		t.frameConn.Send(&schema.Frame{
 			Body: &schema.Frame_OpenTickets{
 				OpenTickets: tickets,
@@ -126,15 +127,18 @@
 		}
 		tickets.Tickets = append(tickets.Tickets, open.encode(now))
 	}
+	var answering []uint64
 	for id, open := range t.open {
 		if now > open.deadline+ticketGrace {
 			delete(t.open, id)
 			continue
 		}
-		if !open.headed {
-			open.announced = t.frameConn
-			add(open)
+		if open.headed {
+			answering = append(answering, id)
+			continue
 		}
+		open.announced = t.frameConn
+		add(open)
 	}
 	t.coldSends = recentSends(now, t.coldSends)
 	for _, open := range t.coldSends {
@@ -142,6 +146,8 @@
 	}
 	tickets.Retries = t.retryUsage(now)
 	tickets.RetriesKnownMs = uint32(max(1, t.retriesKnown(now).Milliseconds()))
+	tickets.Answering = answering
+	tickets.Last = true
 	flush()
 	t.sendLatencies(now)
 }
@@ -279,11 +285,22 @@
 	}
 }
 
-// handleOpenTickets takes over the running tickets of an instance and, once for each instance, its part of the retry budget.
+// handleOpenTickets takes over the running tickets of an instance, ends those that it no longer runs, and takes over, once for each
+// instance, its part of the retry budget.
 func (c *coordinator) handleOpenTickets(now time.Duration, l *link, open *schema.OpenTickets) {
+	l.session.Identify(open.GetIncarnation())
 	for _, t := range open.GetTickets() {
 		c.restore(now, l, t)
 	}
+	if open.GetLast() {
+		if ended := l.session.Complete(now, open.GetAnswering()); ended > 0 {
+			c.log.WithFields(logrus.Fields{
+				"instance":    l.name,
+				"incarnation": open.GetIncarnation(),
+				"ended":       ended,
+			}).Info("tickets have ended while the instance was not connected")
+		}
+	}
 	if c.handover.told == nil {
 		c.handover.told = map[string]bool{}
 	}
@@ -317,9 +334,9 @@
 	if s == nil {
 		return
 	}
-	id := l.globalID(t.GetId())
-	restored := s.pool.Restore(now, dispatch.OpenTicket{
-		ID:          id,
+	deadline := now + time.Duration(t.GetRemainingMs())*time.Millisecond
+	restored := l.session.Restore(now, s.name, s.pool.Pool, dispatch.OpenTicket{
+		ID:          t.GetId(),
 		Upstream:    t.GetUpstream(),
 		Incarnation: t.GetBorn(),
 		Sent:        now - time.Duration(t.GetSentUsAgo())*time.Microsecond,
@@ -329,16 +346,9 @@
 			Caller:  t.GetCaller(),
 		},
 		Ended: t.GetEnded(),
-	})
-	if !restored {
-		return
-	}
-	c.handover.restored++
-	l.ticketServices[t.GetId()] = s
-	s.tickets[id] = ticketOrigin{
-		link:    l,
-		id:      t.GetId(),
-		expires: now + time.Duration(t.GetRemainingMs())*time.Millisecond + ticketGrace,
+	}, deadline)
+	if restored {
+		c.handover.restored++
 	}
 }
 
--- a/internal/gateway/tickets.go
+++ b/internal/gateway/tickets.go
@@ -65,6 +65,8 @@
 	// instances do so.
 	storeReachable    func() bool
 	requestStoreProbe func(instances int)
+	// incarnation distinguishes this start of the instance from others.
+	incarnation string
 	// store tells the era.
 	store *watchedStore
 	// departures keeps the upstreams that have said that they leave.
@@ -146,12 +148,15 @@
 	deadline, objective time.Duration
 }
 
+// maxFirstTicketID bounds the ID from which a start of an instance counts. Coordinators of earlier builds tell apart 2^40 IDs.
+const maxFirstTicketID = 1 << 40
+
 func newTicketClient(config Config, log *logrus.Entry, currentView func() *view) *ticketClient {
 	now := config.Clock.Now()
 	return &ticketClient{
 		shares:    quota.NewShares(now, quotaLimits(currentView)),
 		startedAt: now,
-		nextID:    rand.Uint64N(ticketIDs),
+		nextID:    rand.Uint64N(maxFirstTicketID),
 
 		config:        config,
 		clock:         config.Clock,
