internal/soak: slots come back once all requests have ended

The coordinator publishes the slots in use by service. The mutant slots-kept does not end the tickets of instances that were killed.

--- a/internal/gateway/coordinator.go
+++ b/internal/gateway/coordinator.go
@@ -16,6 +16,7 @@
 	"cuminlift/core/quota"
 	"cuminlift/core/replica"
 	"cuminlift/core/roster"
+	"cuminlift/internal/mutant"
 	"cuminlift/schema"
 )
 
@@ -262,6 +263,7 @@
 	}
 	c.leadership.Resign()
 	c.cancel()
+	c.counters.setSlots(nil)
 	for _, feed := range c.tables {
 		feed.setListener(nil)
 	}
@@ -364,7 +366,9 @@
 		c.advanceKeys(now, s, v)
 		c.decide(now, s)
 	}
-	c.sessions.Expire(now)
+	if !mutant.Is(mutant.SlotsKept) {
+		c.sessions.Expire(now)
+	}
 	c.renewWithheld(now)
 	c.probeUnreachable(now, v)
 	c.logQueues(now)
--- a/internal/gateway/counters.go
+++ b/internal/gateway/counters.go
@@ -22,6 +22,8 @@
 	// costs holds the cost of requests by service and class, as last set by the coordinator.
 	costs      map[string]map[string]map[string]int64
 	workspaces workspace.Tally
+	// slots holds the slots in use by service, as last set by the coordinator, and is empty on other instances.
+	slots map[string]int
 }
 
 // Range and precision of the latency histograms, in microseconds and digits.
@@ -88,6 +90,19 @@
 	c.costs[service] = classes
 }
 
+// setSlots replaces what is published of the slots in use.
+func (c *counters) setSlots(slots map[string]int) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.slots = slots
+}
+
+func (c *counters) slotsInUse() any {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	return maps.Clone(c.slots)
+}
+
 // requestCosts returns what the coordinator has learned of the cost of requests, by service and class.
 func (c *counters) requestCosts() any {
 	c.mutex.Lock()
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -273,6 +273,7 @@
 	vars.Set("events", g.counters.events)
 	vars.Set("latency-us", expvar.Func(g.counters.latencies))
 	vars.Set("buffered-bytes", expvar.Func(func() any { return g.requestHandler.buffers.budget.Used() }))
+	vars.Set("slots-in-use", expvar.Func(g.counters.slotsInUse))
 	vars.Set("cost", expvar.Func(g.counters.requestCosts))
 	vars.Set("workspaces", expvar.Func(g.counters.workspaceCounts))
 	vars.Set("upstream-connections", expvar.Func(func() any { return g.requestHandler.upstreamClient.Dials() }))
--- a/internal/gateway/services.go
+++ b/internal/gateway/services.go
@@ -15,8 +15,10 @@
 	}
 	c.lastQueueLog = now
 	logRefusals(c.log, c.quota.Refusals(now), false)
+	slots := map[string]int{}
 	for _, s := range c.services {
 		stats := s.pool.Stats(now)
+		slots[s.name] = stats.SlotsInUse
 		c.log.WithFields(logrus.Fields{
 			"service":      s.name,
 			"waiting":      stats.Waiting,
@@ -43,6 +45,7 @@
 		}).Info("queue statistics")
 		c.counters.setCosts(s.name, s.pool.Pool)
 	}
+	c.counters.setSlots(slots)
 }
 
 func (c *coordinator) ensureService(name string, keyed bool) *serviceState {
--- a/internal/mutant/name.go
+++ b/internal/mutant/name.go
@@ -21,6 +21,8 @@
 	StatusTrusted Name = "status-trusted"
 	// CopiesTrusted takes the second copy of a refusal for the answer to the next attempt.
 	CopiesTrusted Name = "copies-trusted"
+	// SlotsKept keeps the slots of requests whose instance was killed.
+	SlotsKept Name = "slots-kept"
 	// StopCuts cuts off running requests when an instance is stopped.
 	StopCuts Name = "stop-cuts"
 )
--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -93,6 +93,10 @@
 			Promise: "a planned stop answers what was read",
 			Check:   checkAnsweredAtStops,
 		},
+		{
+			Promise: "slots come back",
+			Check:   checkSlots,
+		},
 		{
 			Promise: "workspaces are kept apart",
 			Check:   checkWorkspaces,
--- a/internal/soak/check_test.go
+++ b/internal/soak/check_test.go
@@ -100,6 +100,7 @@
 	exits   []soak.Exit
 
 	noWorkspaces struct{}
+	slots        map[int]map[string]int
 )
 
 func broken(name, promise string, parts ...any) trace {
@@ -127,6 +128,8 @@
 			t.history.Orders = p
 		case exits:
 			t.history.Exits = p
+		case slots:
+			t.history.SlotsInUse = p
 		default:
 			panic(part)
 		}
@@ -209,6 +212,9 @@
 		kept("closed at once", "a planned stop answers what was read", results{droppedAfter("r", 400)}, spans{stopped}),
 		kept("not stopped", "a planned stop answers what was read", results{droppedAfter("r", 600)}),
 
+		broken("two in use", "slots come back", slots{1: {"orders": 2}}),
+		kept("none in use", "slots come back", slots{}),
+
 		broken("another's name", "workspaces are kept apart", events{runOf(1, "second")}, ofWorkspace("first", 200)),
 		broken("no name", "workspaces are kept apart", events{runOf(1, "")}, ofWorkspace("first", 200)),
 		broken("unknown key is served", "workspaces are kept apart", ofWorkspace("", 200)),
--- a/internal/soak/cluster.go
+++ b/internal/soak/cluster.go
@@ -79,6 +79,7 @@
 	frontPort    = 7000
 	readyPort    = 7001
 	peerPort     = 7002
+	metricsPort  = 7003
 	storeLinks   = 7100
 	backendLinks = 7300
 	backendPort  = 7500
--- a/internal/soak/history.go
+++ b/internal/soak/history.go
@@ -70,6 +70,8 @@
 	Spans   []Span
 	Orders  []Order
 	Exits   []Exit
+	// SlotsInUse holds the slots that coordinators still counted as in use when all requests must have ended, by instance and service.
+	SlotsInUse map[int]map[string]int
 }
 
 // sorted orders the events by time.
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -59,6 +59,9 @@
 	playErr := p.play(ctx, time.Now())
 	<-ctx.Done()
 	<-called
+	if playErr == nil && !errors.Is(ctx.Err(), context.Canceled) {
+		k.awaitFreeSlots()
+	}
 	k.stop()
 	if playErr != nil {
 		return Summary{}, fmt.Errorf("playing the schedule: %w", playErr)
