internal/gateway, internal/soak: one loop sends to many instances

forwardRows repeated the loop of broadcast, and encoded rows in both forms even if all connected instances read one. Both now call sendTo, which encodes a message when the first instance needs it. What rows were compressed last is compared by a type of its own. Two checks of the soak share how they tell their story.

--- a/internal/gateway/links.go
+++ b/internal/gateway/links.go
@@ -237,11 +237,20 @@
 }
 
 func (c *coordinator) broadcast(frame *schema.Frame) {
-	message := frames.Encode(frame)
+	c.sendTo(frame, func(*link) bool { return true })
+}
+
+// sendTo sends a message to the connected instances that accept chooses. It is encoded once, if there is any.
+func (c *coordinator) sendTo(frame *schema.Frame, accept func(*link) bool) {
+	var message []byte
 	for _, l := range c.links {
-		if l.current != nil {
-			l.current.SendEncoded(message)
+		if l.current == nil || !accept(l) {
+			continue
+		}
+		if message == nil {
+			message = frames.Encode(frame)
 		}
+		l.current.SendEncoded(message)
 	}
 }
 
--- a/internal/gateway/packing.go
+++ b/internal/gateway/packing.go
@@ -8,7 +8,6 @@
 
 	"google.golang.org/protobuf/proto"
 
-	"cuminlift/io/frames"
 	"cuminlift/schema"
 )
 
@@ -99,27 +98,20 @@
 
 // forwardRows sends rows to all instances, compressed to those that can read it.
 func (c *coordinator) forwardRows(frame *schema.Frame) {
-	plain := frames.Encode(frame)
-	packed := plain
-	if short := packRows(frame); short != frame {
-		packed = frames.Encode(short)
-	}
-	for _, l := range c.links {
-		switch {
-		case l.current == nil:
-		case l.unpacksRows:
-			l.current.SendEncoded(packed)
-		default:
-			l.current.SendEncoded(plain)
-		}
-	}
+	c.sendTo(frame, func(l *link) bool { return !l.unpacksRows })
+	c.sendTo(packRows(frame), func(l *link) bool { return l.unpacksRows })
 }
 
-// packedRows holds compressed rows, because instances that connect at the same time get the same.
-type packedRows struct {
+// rowsVersion identifies the rows of a table that an instance is sent.
+type rowsVersion struct {
 	era, since, version uint64
 	whole               bool
-	frame               *schema.Frame
+}
+
+// packedRows holds compressed rows, because instances that connect at the same time get the same.
+type packedRows struct {
+	rowsVersion
+	frame *schema.Frame
 }
 
 // sendRows sends rows to an instance that has connected, compressed if it can read that.
@@ -129,16 +121,19 @@
 		return
 	}
 	rows := frame.GetRows()
-	wanted := packedRows{
+	wanted := rowsVersion{
 		era:     rows.GetEra(),
 		since:   rows.GetSince(),
 		version: rows.GetVersion(),
 		whole:   rows.GetWhole(),
 	}
-	last := c.packed[rows.GetTable()]
-	if wanted.frame = last.frame; wanted != last || last.frame == nil {
-		wanted.frame = packRows(frame)
-		c.packed[rows.GetTable()] = wanted
+	last, packed := c.packed[rows.GetTable()]
+	if !packed || last.rowsVersion != wanted {
+		last = packedRows{
+			rowsVersion: wanted,
+			frame:       packRows(frame),
+		}
+		c.packed[rows.GetTable()] = last
 	}
-	l.send(wanted.frame)
+	l.send(last.frame)
 }
--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -305,19 +305,24 @@
 			continue
 		}
 		for _, stop := range h.stopsAround(r) {
-			found = append(found, Violation{
-				At: r.EndedAt,
-				Story: []string{
-					fmt.Sprintf("%s instance %d is told to stop", clockText(stop.From), stop.Target),
-					describe(runs[r.Request][0]),
-					fmt.Sprintf("%s the caller's connection ends without an answer to %s", clockText(r.EndedAt), r.Request),
-				},
-			})
+			found = append(found, endedWithoutAnswer(r, stop, describe(runs[r.Request][0])))
 		}
 	}
 	return found
 }
 
+// endedWithoutAnswer is the violation by a request that got no answer in a planned stop. fate tells what had become of it.
+func endedWithoutAnswer(r Result, stop Span, fate string) Violation {
+	return Violation{
+		At: r.EndedAt,
+		Story: []string{
+			fmt.Sprintf("%s instance %d is told to stop", clockText(stop.From), stop.Target),
+			fate,
+			fmt.Sprintf("%s the caller's connection ends without an answer to %s", clockText(r.EndedAt), r.Request),
+		},
+	}
+}
+
 // stopsAround returns the planned stops of a request's instance during which the request ended, none if a disturbance may have cut it off.
 func (h *History) stopsAround(r Result) (stops []Span) {
 	if h.overlaps(r.SentAt-contact.Nanoseconds(), r.EndedAt, cutters) {
@@ -347,14 +352,7 @@
 			continue
 		}
 		for _, stop := range h.stopsAround(r) {
-			found = append(found, Violation{
-				At: r.EndedAt,
-				Story: []string{
-					fmt.Sprintf("%s instance %d is told to stop", clockText(stop.From), stop.Target),
-					fmt.Sprintf("%s %s is sent", clockText(r.SentAt), r.Request),
-					fmt.Sprintf("%s the caller's connection ends without an answer", clockText(r.EndedAt)),
-				},
-			})
+			found = append(found, endedWithoutAnswer(r, stop, fmt.Sprintf("%s %s is sent", clockText(r.SentAt), r.Request)))
 		}
 	}
 	return found
