core/authority: the lease is read as soon as the coordinator is silent

While a coordinator was frozen for 2 s, often no instance took over at all: the next term began 3.2 s after the freeze.

Cause: the takeover delay counts from when an instance has seen the lease's version. Instances took the version from heartbeats and read the row only when the delay seemed to be over. If the last renewal had not been told in a heartbeat, the row had another version then, and the delay began anew. Instances that come first in the order of takeover now read the row once the coordinator is silent, at most about 64 of them. When a lease may be taken is unchanged.

--- a/core/authority/authority.go
+++ b/core/authority/authority.go
@@ -221,6 +221,8 @@
 	leaseVersion uint64
 	versionSince time.Duration
 	leaseKnown   bool
+	// readAt is when the lease was last read.
+	readAt time.Duration
 	// readFailing is true while the lease cannot be read, and readRecovered is when reading last started to work again.
 	readFailing   bool
 	readRecovered time.Duration
@@ -289,6 +291,7 @@
 // LeaseRead records the lease's version, 0 if there is no lease, and term, as returned by a read that was answered at
 // answered. The store may have executed the read at any time before, so the version may be younger than the read.
 func (m *Monitor) LeaseRead(answered time.Duration, leaseVersion, leaseTerm uint64) {
+	m.readAt = answered
 	if m.readFailing {
 		m.readFailing = false
 		m.readRecovered = answered
@@ -312,9 +315,20 @@
 	m.leaseKnown = false
 }
 
-// NextLeaseRead returns the earliest time at which reading the lease again may allow a takeover.
-func (m *Monitor) NextLeaseRead(rank int) time.Duration {
-	if !m.leaseKnown || m.resigned() {
+// maxEarlyReaders is about how many instances read the lease as soon as the coordinator is silent, if all come first in the order of
+// takeover.
+const maxEarlyReaders = 64
+
+// readsEarly reports whether an instance of a rank is among them, of a number of instances.
+func readsEarly(rank, instances int) bool {
+	return First(rank) && rank < max(1, rankCount*maxEarlyReaders/max(1, instances))
+}
+
+// NextLeaseRead returns the earliest time at which reading the lease again may allow a takeover, then or later. The last heartbeats may
+// not have told the last renewal. Whoever finds that out when the coordinator falls silent needs not wait for another takeover delay. Of
+// many instances, only some look.
+func (m *Monitor) NextLeaseRead(rank, instances int) time.Duration {
+	if !m.leaseKnown || m.resigned() || (readsEarly(rank, instances) && m.readAt <= m.lastHeartbeat) {
 		return 0
 	}
 	return max(m.versionSince+rankedTakeoverDelay(rank), m.earliestTakeover(rank))
--- a/core/authority/authority_test.go
+++ b/core/authority/authority_test.go
@@ -76,7 +76,7 @@
 			c.Check(m.ShouldReadLease(turn-1, rank), qt.IsFalse, qt.Commentf("rank %d", rank))
 		}
 		c.Check(m.ShouldReadLease(turn, rank), qt.IsTrue, qt.Commentf("rank %d", rank))
-		c.Check(m.NextLeaseRead(rank) <= turn, qt.IsTrue, qt.Commentf("rank %d", rank))
+		c.Check(m.NextLeaseRead(rank, 65) <= turn, qt.IsTrue, qt.Commentf("rank %d", rank))
 		m.LeaseRead(turn, 10, 3)
 		version, ok := m.CanTakeLease(turn, rank)
 		c.Check(ok, qt.IsTrue)
@@ -85,10 +85,32 @@
 		m.LeaseRead(turn, 11, 4)
 		_, ok = m.CanTakeLease(turn, rank)
 		c.Check(ok, qt.IsFalse)
-		c.Check(m.NextLeaseRead(rank) > turn, qt.IsTrue)
+		c.Check(m.NextLeaseRead(rank, 65) > turn, qt.IsTrue)
 	}
 }
 
+// A renewal that no heartbeat has told of makes the takeover wait for twice the takeover delay.
+func TestUntoldRenewalDoublesTheTakeoverDelay(t *testing.T) {
+	c := qt.New(t)
+	silent := 10 * time.Second
+	m := authority.NewMonitor(0)
+	m.HeartbeatReceived(silent, 0, 7, 1)
+	const rank = 1
+	takenAt := time.Duration(0)
+	for now := silent; takenAt == 0 && now < silent+10*time.Second; now += 10 * time.Millisecond {
+		if !m.ShouldReadLease(now, rank) || now < m.NextLeaseRead(rank, 65) {
+			continue
+		}
+		m.LeaseRead(now, 8, 1)
+		if version, ok := m.CanTakeLease(now, rank); ok {
+			c.Check(version, qt.Equals, uint64(8))
+			takenAt = now
+		}
+	}
+	c.Check(takenAt-silent < authority.TakeoverDelay+time.Second, qt.IsTrue, qt.Commentf("taken %v after the last heartbeat", takenAt-silent))
+	c.Check(takenAt-silent >= authority.TakeoverDelay, qt.IsTrue)
+}
+
 // TestReadExecutedLateDelaysTakeover guards against a second coordinator: the store executed a read long after it was sent, so
 // the version that it returned was written after the read was sent.
 func TestReadExecutedLateDelaysTakeover(t *testing.T) {
@@ -273,7 +295,7 @@
 		s.lead(i)
 		return
 	}
-	if i.takeoverPending || !i.monitor.ShouldReadLease(s.now, 0) || s.now < i.monitor.NextLeaseRead(0) || s.now-i.lastRead < 250*time.Millisecond || s.storeDown || i.storeDenied {
+	if i.takeoverPending || !i.monitor.ShouldReadLease(s.now, 0) || s.now < i.monitor.NextLeaseRead(0, 3) || s.now-i.lastRead < 250*time.Millisecond || s.storeDown || i.storeDenied {
 		if s.takeoverTooEarly && !i.takeoverPending && i.monitor.ShouldReadLease(s.now, 0) {
 			s.takeOver(i, s.era, s.lease.version, s.lease.term)
 		}
--- a/core/authority/rank_test.go
+++ b/core/authority/rank_test.go
@@ -41,7 +41,7 @@
 		const back = 10 * time.Second
 		m.LeaseRead(back, 7, 1)
 		for now := back; ; now += 10 * time.Millisecond {
-			if now < m.NextLeaseRead(rank) {
+			if now < m.NextLeaseRead(rank, 65) {
 				continue
 			}
 			if version, ok := m.CanTakeLease(now, rank); ok {
--- a/internal/gateway/election.go
+++ b/internal/gateway/election.go
@@ -212,7 +212,7 @@
 	}
 	rank = e.backoff.Rank(now, rank)
 	suspects := t.monitor.ShouldReadLease(now, rank)
-	due := now >= t.monitor.NextLeaseRead(rank) && now-e.lastRead > e.readPause
+	due := now >= t.monitor.NextLeaseRead(rank, t.instanceCount) && now-e.lastRead > e.readPause
 	t.mutex.Unlock()
 	if !suspects || !due {
 		return 0, 0, false
