core/authority: a takeover is not followed by another within its burst

Cause: a coordinator that is strained for a second yields to a fitter peer at once. All instances connect when a term begins, which strains any coordinator. Strain now counts from the length of the shortest term on (3 s), as it does where the store refuses the coordinator: two terms take longer than 5 s. A coordinator that is less fit still yields after 3 s.

Result: TestTakeoverIsNotFollowedByAnotherWithinItsBurst, 1 s before, 3 s now.

--- a/core/authority/strain.go
+++ b/core/authority/strain.go
@@ -90,7 +90,8 @@
 		if s.unfitSince == 0 {
 			s.unfitSince = now
 		}
-		return s.Strained(now) || now-s.unfitSince >= unfitPeriod
+		// All instances connect when a term begins, which strains every coordinator.
+		return (s.Strained(now) && now-s.startedAt >= minTerm) || now-s.unfitSince >= unfitPeriod
 	}
 	s.unfitSince = 0
 	if !s.Strained(now) {
--- a/core/authority/strain_test.go
+++ b/core/authority/strain_test.go
@@ -224,6 +224,24 @@
 	}
 }
 
+// A coordinator resigns in its second second, for a fitter instance that has just come back: the burst of the takeover strains it.
+func TestTakeoverIsNotFollowedByAnotherWithinItsBurst(t *testing.T) {
+	c := qt.New(t)
+	needed := mixedLoad.Needs()
+	small, large := resources(400, 10), resources(800, 200)
+	const startedAt = 17 * time.Second
+	s := authority.NewStrain(startedAt, 0)
+	yieldedAt := time.Duration(0)
+	for now := startedAt; yieldedAt == 0 && now < startedAt+10*time.Second; now += electionStep {
+		s.Observe(now, authority.Sample{Lag: 700 * time.Millisecond})
+		if s.Yields(now, small, needed, []authority.Resources{large}) {
+			yieldedAt = now
+		}
+	}
+	// Two terms together last longer than 5 s, and the fitter instance gets the lease all the same.
+	c.Check(yieldedAt-startedAt, qt.Equals, 3*time.Second)
+}
+
 // TestShortStallsAreNoStrain guards against resignations for a pause of the process or a single burst, and for peers that are gone.
 func TestShortStallsAreNoStrain(t *testing.T) {
 	c := qt.New(t)
