internal/gateway: responses that nobody reads are given up

Answers stayed in memory, and whole answers kept their tickets' slots, as long as a caller that read nothing kept its connection.

Cause: the server of net/http bounds whole responses alone. A deadline was set for the rest of an answer that is passed on as it arrives, after its first 256 KB had been written, and for whole answers there was none. If writing that part fails, the connection is aborted.

The test also looked for answers under way only after it had opened 900 connections; beside load those opened first had ended by then. It now looks while it opens them, too. Its bounds are the same.

--- a/internal/gateway/endless_test.go
+++ b/internal/gateway/endless_test.go
@@ -85,15 +85,16 @@
 	runtime.GC()
 	runtime.ReadMemStats(&before)
 	var open []net.Conn
+	highest, mostSending := uint64(0), int64(0)
 	for i := range callers {
 		conn := k.openSilently("n0", fmt.Sprint("e", i))
+		mostSending = max(mostSending, sending.Load()) // Opening all may take longer than the first answers.
 		if i%4 == 0 {
 			conn.Close()
 			continue
 		}
 		open = append(open, conn)
 	}
-	highest, mostSending := uint64(0), int64(0)
 	for start := time.Now(); time.Since(start) < 1500*time.Millisecond; time.Sleep(100 * time.Millisecond) {
 		runtime.GC()
 		runtime.ReadMemStats(&during)
--- a/internal/gateway/response.go
+++ b/internal/gateway/response.go
@@ -37,14 +37,20 @@
 	if h.stopping.Load() {
 		header.Set("Connection", "close")
 	}
-	w.WriteHeader(response.Status)
-	if _, err := w.Write(buffered); err != nil || complete {
-		return // The caller has disconnected, or has received everything.
-	}
-	// A caller that reads too slowly must not keep the rest of the response, which may have no end, beyond the request's time.
 	controller := http.NewResponseController(w)
-	if err := controller.SetWriteDeadline(c.deadline); err != nil {
-		h.log.WithField("request", c.requestID).WithError(err).Warn("limiting the time of an answer failed")
+	if !complete {
+		// A caller that reads too slowly must not keep a response, which may have no end, beyond the request's time.
+		if err := controller.SetWriteDeadline(c.deadline); err != nil {
+			h.log.WithField("request", c.requestID).WithError(err).Warn("limiting the time of an answer failed")
+		}
+	}
+	w.WriteHeader(response.Status)
+	_, err := w.Write(buffered)
+	switch {
+	case complete:
+		return // The caller has received everything, or has disconnected.
+	case err != nil:
+		panic(http.ErrAbortHandler)
 	}
 	// The server's own way of copying would take four times as much for each.
 	if _, err := io.CopyBuffer(struct{ io.Writer }{w}, response.Body, make([]byte, streamBufferBytes)); err != nil {
--- a/internal/gateway/servers.go
+++ b/internal/gateway/servers.go
@@ -26,7 +26,7 @@
 func newHTTPServer(handler http.Handler) *httpServer {
 	s := &httpServer{}
 	s.server = &http.Server{
-		Handler:           handler,
+		Handler:           boundUnread(handler),
 		ReadHeaderTimeout: headerTimeout,
 		IdleTimeout:       idleTimeout,
 		ConnState: func(_ net.Conn, state http.ConnState) {
