internal/gateway: slow readers get their answers

Callers that have many responses on their way and read 30 to 150 KB/s were cut off by a reset after 5.5 to 7.7 s, on instances without read-ahead.

Cause: gave a response up if a write of 64 KB did not end within 5 s. The system's buffer of a connection holds megabytes, and a write that waits for room goes on only after a large part of them has been read, which at such rates takes longer. Change: the listener's connections go on with a write that has timed out as long as the caller's system acknowledges anything; without that, the response ends, 5 to 10 s after the last byte was read. The bound on each part of 64 KB and the writer around the handler go.

--- a/internal/gateway/servers.go
+++ b/internal/gateway/servers.go
@@ -26,7 +26,7 @@
 func newHTTPServer(handler http.Handler) *httpServer {
 	s := &httpServer{}
 	s.server = &http.Server{
-		Handler:           boundUnread(handler),
+		Handler:           handler,
 		ReadHeaderTimeout: headerTimeout,
 		IdleTimeout:       idleTimeout,
 		ConnState: func(_ net.Conn, state http.ConnState) {
@@ -52,7 +52,9 @@
 		listener.Close()
 		return http.ErrServerClosed
 	}
-	err := s.server.Serve(listener)
+	err := s.server.Serve(&unreadListener{
+		Listener: listener,
+	})
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	if s.stopping {
--- a/internal/gateway/unread.go
+++ b/internal/gateway/unread.go
@@ -1,64 +1,118 @@
 package gateway
 
 import (
-	"net/http"
+	"errors"
+	"net"
+	"os"
+	"sync"
+	"syscall"
 	"time"
-)
 
-// maxUnreadPart is how much is written at a time, so that a caller that reads slowly is told from one that reads nothing.
-const maxUnreadPart = 64 << 10
+	"golang.org/x/sys/unix"
+)
 
-// unreadWriter gives up a response of which the caller reads nothing for unreadTimeout. The server of net/http only knows bounds for whole
-// responses.
-type unreadWriter struct {
-	http.ResponseWriter
-	controller *http.ResponseController
-	// until is when the response ends at the latest, if the handler has set that.
-	until time.Time
+// unreadListener accepts connections whose responses are given up if their callers read nothing of them for unreadTimeout, after twice that
+// at the latest. The server of net/http only knows bounds for whole responses.
+type unreadListener struct {
+	net.Listener
 }
 
-// boundUnread makes a handler's responses end if they are not read.
-func boundUnread(handler http.Handler) http.Handler {
-	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		bounded := &unreadWriter{
-			ResponseWriter: w,
-			controller:     http.NewResponseController(w),
+// Accept implements net.Listener.
+func (l *unreadListener) Accept() (net.Conn, error) {
+	conn, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	bounded := &unreadConn{
+		Conn: conn,
+	}
+	if descriptor, ok := conn.(syscall.Conn); ok {
+		if raw, err := descriptor.SyscallConn(); err == nil {
+			bounded.raw = raw
 		}
-		// What the handler has written is still buffered in part, and is sent after it has returned.
-		defer bounded.arm()
-		handler.ServeHTTP(bounded, r)
-	})
+	}
+	return bounded, nil
 }
 
-// Unwrap returns the server's writer. It is called by http.ResponseController.
-func (w *unreadWriter) Unwrap() http.ResponseWriter { return w.ResponseWriter }
+// unreadConn is a connection to a caller.
+type unreadConn struct {
+	net.Conn
+	// raw is nil if the system's state of the connection is unknown.
+	raw   syscall.RawConn
+	mutex sync.Mutex
+	// until is when writing ends at the latest, if the server has set that.
+	until time.Time
+	// acknowledgedBefore is what isRead has found when it looked last. Only the goroutine that writes uses it.
+	acknowledgedBefore uint64
+	looked             bool
+}
 
-// SetWriteDeadline bounds the time of writing. It is called by http.ResponseController.
-func (w *unreadWriter) SetWriteDeadline(at time.Time) error {
-	w.until = at
-	return nil
+// SetWriteDeadline implements net.Conn.
+func (c *unreadConn) SetWriteDeadline(at time.Time) error {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.until = at
+	return c.Conn.SetWriteDeadline(at) // A write may wait already.
 }
 
-// arm bounds the next write.
-func (w *unreadWriter) arm() {
-	at := time.Now().Add(unreadTimeout)
-	if !w.until.IsZero() && w.until.Before(at) {
-		at = w.until
+// SetDeadline implements net.Conn.
+func (c *unreadConn) SetDeadline(at time.Time) error {
+	return errors.Join(c.SetReadDeadline(at), c.SetWriteDeadline(at))
+}
+
+// CloseWrite lets net/http end a connection without losing its last response.
+func (c *unreadConn) CloseWrite() error {
+	if closer, ok := c.Conn.(interface{ CloseWrite() error }); ok {
+		return closer.CloseWrite()
 	}
-	_ = w.controller.SetWriteDeadline(at) // It fails only on a closed connection, which the write reports.
+	return nil
 }
 
-// Write implements io.Writer.
-func (w *unreadWriter) Write(data []byte) (written int, err error) {
-	for first := true; first || len(data) > 0; first = false {
-		part := data[:min(len(data), maxUnreadPart)]
-		w.arm()
-		n, err := w.ResponseWriter.Write(part)
+// Write implements net.Conn. A caller that reads slowly takes longer than unreadTimeout to make room for more, as the system's buffer may
+// hold megabytes; what its own system has acknowledged meanwhile tells it from one that reads nothing.
+func (c *unreadConn) Write(data []byte) (written int, err error) {
+	for {
+		until := c.arm()
+		n, err := c.Conn.Write(data[written:])
 		written += n
-		if err != nil {
+		switch {
+		case err == nil, !errors.Is(err, os.ErrDeadlineExceeded), !until.IsZero() && !time.Now().Before(until):
+			return written, err
+		case !c.isRead():
 			return written, err
 		}
-		data = data[len(part):]
 	}
-	return written, nil
+}
+
+// isRead reports whether the caller's system has acknowledged anything since the last call, which was unreadTimeout ago or more.
+func (c *unreadConn) isRead() bool {
+	acknowledged := c.acknowledged()
+	read := !c.looked || acknowledged != c.acknowledgedBefore
+	c.looked, c.acknowledgedBefore = true, acknowledged
+	return read
+}
+
+// arm bounds the next write, and returns when writing ends at the latest.
+func (c *unreadConn) arm() (until time.Time) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	at := time.Now().Add(unreadTimeout)
+	if !c.until.IsZero() && c.until.Before(at) {
+		at = c.until
+	}
+	_ = c.Conn.SetWriteDeadline(at) // It fails only on a closed connection, which the write reports.
+	return c.until
+}
+
+// acknowledged returns the number of bytes that the caller's system has acknowledged, 0 if it is unknown.
+func (c *unreadConn) acknowledged() (bytes uint64) {
+	if c.raw == nil {
+		return 0
+	}
+	_ = c.raw.Control(func(fd uintptr) { // It fails only on a closed connection, which the write reports.
+		if info, err := unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO); err == nil {
+			bytes = info.Bytes_acked
+		}
+	})
+	return bytes
 }
--- a/internal/gateway/unread_test.go
+++ b/internal/gateway/unread_test.go
@@ -3,18 +3,22 @@
 import (
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
 	qt "github.com/frankban/quicktest"
 )
 
-// An answer whose caller reads nothing is written for ever, and keeps its memory and its slot.
-func TestUnreadAnswersAreGivenUp(t *testing.T) {
-	c := qt.New(t)
+// unreadTimeout is how long a caller may read nothing.
+const unreadTimeout = 5 * time.Second
+
+// largeAnswers is a service whose answers are passed on whole.
+func largeAnswers(c *qt.C) *cluster {
 	k := newCluster(c, 1)
 	k.configure(1, "plain")
 	body := strings.Repeat("x", 240<<10)
@@ -28,13 +32,24 @@
 	k.put("servers", "p0", fmt.Sprintf(`{"service":"plain","addr":%q,"zone":"z1","slots":20,"state":"ready","warmup_left":"0ms","born":1}`,
 		server.Listener.Addr().String()))
 	k.waitPlain("n0")
-	conn := k.dial("n0")
-	defer conn.Close()
-	// The system's buffers take the first answers.
+	return k
+}
+
+// dialForMany sends so many requests on a connection that the system's buffers can't take all answers.
+func (k *cluster) dialForMany(instance string) net.Conn {
+	conn := k.dial(instance)
 	for i := range 100 {
-		_, err := io.WriteString(conn, requestText(http.MethodGet, "/read/x", fmt.Sprint("unread-", i)))
-		c.Assert(err, qt.IsNil)
+		_, err := io.WriteString(conn, requestText(http.MethodGet, "/read/x", fmt.Sprint(conn.LocalAddr(), "-", i)))
+		k.c.Assert(err, qt.IsNil)
 	}
+	return conn
+}
+
+// An answer whose caller reads nothing is written for ever, and keeps its memory and its slot.
+func TestUnreadAnswersAreGivenUp(t *testing.T) {
+	c := qt.New(t)
+	k := largeAnswers(c)
+	k.dialForMany("n0")
 	writing := func(since time.Time, wanted bool) bool {
 		for (answering() > 0) != wanted {
 			if time.Since(since) > 12*time.Second {
@@ -50,3 +65,24 @@
 	c.Assert(writing(time.Now(), true), qt.IsTrue)
 	c.Check(writing(time.Now(), false), qt.IsTrue, qt.Commentf("%d answers are written although nothing is read", answering()))
 }
+
+// A caller that reads slowly is cut off as if it read nothing.
+func TestSlowReadersGetTheirAnswers(t *testing.T) {
+	const interval = 100 * time.Millisecond
+	c := qt.New(t)
+	k := largeAnswers(c)
+	var group sync.WaitGroup
+	for _, rate := range []int{30 << 10, 60 << 10, 150 << 10} {
+		conn := k.dialForMany("n0")
+		group.Go(func() {
+			part := make([]byte, int64(rate)*int64(interval)/int64(time.Second))
+			for start := time.Now(); time.Since(start) < 4*unreadTimeout; time.Sleep(interval) {
+				if _, err := io.ReadFull(conn, part); err != nil {
+					c.Errorf("at %d bytes/s, cut off after %v: %v", rate, time.Since(start), err)
+					return
+				}
+			}
+		})
+	}
+	group.Wait()
+}
