internal/soak: requests wait when an instance ends its stop

Cause: nothing but traces showed that the check "a planned stop answers what was read" finds anything: the soak's requests end after 2 s, a stop after 6 s, and any disturbance of any instance or backend excused a request that was closed without an answer. Change: half of the seeds give instances 2 s to stop. Their stops come with slow backends and 200 more callers, whose requests may wait for 6 s. A disturbance of another instance excuses nothing any more, one of a backend only what that has begun.

--- a/internal/gateway/stopping.go
+++ b/internal/gateway/stopping.go
@@ -11,6 +11,7 @@
 	"cuminlift"
 	"cuminlift/core/roster"
 	"cuminlift/core/shutdown"
+	"cuminlift/internal/mutant"
 	"cuminlift/schema"
 )
 
@@ -72,7 +73,7 @@
 func (s *stopper) latestSend(request shutdown.Request) (at time.Duration, stopping bool) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	if s.plan == nil {
+	if s.plan == nil || mutant.Is(mutant.StopCloses) {
 		return 0, false
 	}
 	return s.plan.LatestSend(s.durations.Longest(s.clock.Now(), request)), true
@@ -88,7 +89,7 @@
 func (s *stopper) end() (at time.Duration, stopping bool) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	if s.plan == nil {
+	if s.plan == nil || mutant.Is(mutant.StopCloses) {
 		return 0, false
 	}
 	return s.plan.End, true
--- a/internal/mutant/name.go
+++ b/internal/mutant/name.go
@@ -23,6 +23,8 @@
 	CopiesTrusted Name = "copies-trusted"
 	// SlotsKept keeps the slots of requests whose instance was killed.
 	SlotsKept Name = "slots-kept"
+	// StopCloses does not refuse the requests that wait when an instance is stopped.
+	StopCloses Name = "stop-closes"
 	// StopCuts cuts off running requests when an instance is stopped.
 	StopCuts Name = "stop-cuts"
 )
--- a/internal/soak/callers.go
+++ b/internal/soak/callers.go
@@ -21,8 +21,14 @@
 	// callerCount is the number of callers. Each waits for callerPause on average between requests.
 	callerCount = 40
 	callerPause = 60 * time.Millisecond
+	// burstCallers is the number of further callers during a CallerBurst.
+	burstCallers = 200
+	// burstPoll is the interval at which they look for one.
+	burstPoll = 20 * time.Millisecond
 	// requestTime is the deadline of a request.
 	requestTime = 2 * time.Second
+	// patientTime is that of a request of a burst, which waits until a short stop ends.
+	patientTime = 6 * time.Second
 	// readinessInterval is the time between readiness checks of an instance.
 	readinessInterval = 200 * time.Millisecond
 	// hotKeys are asked for by half of the requests.
@@ -34,6 +40,8 @@
 	cluster *cluster
 	ready   []atomic.Bool
 	number  atomic.Int64
+	// bursts is the number of CallerBurst faults at this time.
+	bursts atomic.Int64
 }
 
 // run sends requests until ctx ends.
@@ -42,8 +50,8 @@
 	for i := range c.ready {
 		group.Go(func() { c.watch(ctx, i) })
 	}
-	for i := range callerCount {
-		group.Go(func() { c.call(ctx, rand.New(rand.NewPCG(seed, uint64(i)))) })
+	for i := range callerCount + burstCallers {
+		group.Go(func() { c.call(ctx, rand.New(rand.NewPCG(seed, uint64(i))), i >= callerCount) })
 	}
 	group.Wait()
 }
@@ -79,12 +87,17 @@
 	}
 }
 
-// call sends one request after another. A caller stays on its connection while it is answered.
-func (c *callers) call(ctx context.Context, random *rand.Rand) {
+// call sends one request after another, and only during bursts if inBursts is true. A caller stays on its connection while it is answered.
+func (c *callers) call(ctx context.Context, random *rand.Rand, inBursts bool) {
 	client := newCaller()
 	defer client.CloseIdleConnections()
 	instance := random.IntN(len(c.ready))
 	for ctx.Err() == nil {
+		if inBursts && c.bursts.Load() == 0 {
+			client.CloseIdleConnections()
+			time.Sleep(burstPoll)
+			continue
+		}
 		if !c.ready[instance].Load() {
 			instance = random.IntN(len(c.ready))
 			time.Sleep(5 * time.Millisecond)
@@ -92,7 +105,7 @@
 				continue
 			}
 		}
-		result := c.send(ctx, client, instance, random)
+		result := c.send(ctx, client, instance, random, inBursts)
 		c.cluster.mutex.Lock()
 		c.cluster.history.Results = append(c.cluster.history.Results, result)
 		c.cluster.mutex.Unlock()
@@ -108,9 +121,12 @@
 	}
 }
 
-// send sends one request and waits for its end.
-func (c *callers) send(ctx context.Context, client *http.Client, instance int, random *rand.Rand) Result {
-	path := []string{"/read/", "/list/", "/book/", "/order/"}[random.IntN(4)]
+// send sends one request and waits for its end. A patient one may wait for patientTime.
+func (c *callers) send(ctx context.Context, client *http.Client, instance int, random *rand.Rand, patient bool) Result {
+	path, deadline := []string{"/read/", "/list/", "/book/", "/order/"}[random.IntN(4)], requestTime
+	if patient {
+		path, deadline = "/export/", patientTime
+	}
 	key := random.IntN(platform.KeyCount)
 	if random.IntN(2) == 0 {
 		key = random.IntN(hotKeys)
@@ -125,7 +141,7 @@
 	if !c.cluster.history.NoWorkspaces {
 		r.Workspace, apiKey = drawWorkspace(random)
 	}
-	limit := requestTime
+	limit := deadline
 	if random.IntN(30) == 0 {
 		limit = time.Duration(5+random.IntN(100)) * time.Millisecond // The caller leaves early.
 	}
@@ -152,7 +168,7 @@
 	headers := platform.Headers()
 	request.Host = callerHost
 	request.Header.Set(headers.Request, r.Request)
-	request.Header.Set(headers.Deadline, strconv.FormatInt(requestTime.Milliseconds(), 10))
+	request.Header.Set(headers.Deadline, strconv.FormatInt(deadline.Milliseconds(), 10))
 	request.Header.Set(headers.Key, strconv.Itoa(key))
 	if apiKey != "" {
 		request.Header.Set(headers.APIKey, apiKey)
--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -304,6 +304,9 @@
 		if r.Outcome != Dropped || len(runs[r.Request]) == 0 {
 			continue
 		}
+		if h.overlaps(r.SentAt-contact.Nanoseconds(), r.EndedAt, cutters) {
+			continue
+		}
 		for _, stop := range h.stopsAround(r) {
 			found = append(found, endedWithoutAnswer(r, stop, describe(runs[r.Request][0])))
 		}
@@ -323,13 +326,14 @@
 	}
 }
 
-// stopsAround returns the planned stops of a request's instance during which the request ended, none if a disturbance may have cut it off.
+// stopsAround returns the planned stops of a request's instance during which the request ended, none if that was killed or paused.
 func (h *History) stopsAround(r Result) (stops []Span) {
-	if h.overlaps(r.SentAt-contact.Nanoseconds(), r.EndedAt, cutters) {
-		return nil
-	}
 	for _, s := range h.Spans {
-		if s.Kind == InstanceStop && s.Target == r.Instance && r.EndedAt >= s.From && r.EndedAt-s.From <= stopTimeout.Nanoseconds() {
+		disturbed := s.Kind == InstanceKill || s.Kind == InstancePause
+		if disturbed && s.Target == r.Instance && s.From <= r.EndedAt && s.To >= r.SentAt-contact.Nanoseconds() {
+			return nil
+		}
+		if s.Kind == InstanceStop && s.Target == r.Instance && r.EndedAt >= s.From && r.EndedAt-s.From <= h.StopTimeout.Nanoseconds() {
 			stops = append(stops, s)
 		}
 	}
@@ -358,10 +362,8 @@
 	return found
 }
 
-// cutters are the disturbances that cut off requests themselves.
+// cutters are the disturbances of backends that cut off answers.
 var cutters = map[FaultKind]bool{
-	InstanceKill:  true,
-	InstancePause: true,
 	BackendKill:   true,
 	BackendPause:  true,
 	BackendCut:    true,
--- a/internal/soak/check_test.go
+++ b/internal/soak/check_test.go
@@ -114,6 +114,7 @@
 		name:    name,
 		promise: promise,
 	}
+	t.history.StopTimeout = 6 * time.Second
 	for _, part := range parts {
 		switch p := part.(type) {
 		case noWorkspaces:
@@ -211,6 +212,8 @@
 		broken("closed", "a planned stop answers what was read", results{droppedAfter("r", 600)}, spans{stopped}),
 		kept("closed at once", "a planned stop answers what was read", results{droppedAfter("r", 400)}, spans{stopped}),
 		kept("not stopped", "a planned stop answers what was read", results{droppedAfter("r", 600)}),
+		kept("instance paused", "a planned stop answers what was read", results{droppedAfter("r", 600)}, spans{stopped, during(soak.InstancePause, 50, 500)}),
+		broken("backend killed", "a planned stop answers what was read", results{droppedAfter("r", 600)}, spans{stopped, during(soak.BackendKill, 50, 500)}),
 
 		broken("two in use", "slots come back", slots{1: {"orders": 2}}),
 		kept("none in use", "slots come back", slots{}),
@@ -266,7 +269,7 @@
 			kinds[f.Kind] = true
 		}
 	}
-	c.Check(kinds, qt.HasLen, 21)
+	c.Check(kinds, qt.HasLen, 22)
 }
 
 func TestUnusableSchedulesAreRejected(t *testing.T) {
@@ -276,6 +279,7 @@
 		func(s *soak.Schedule) { s.Instances = 0 },
 		func(s *soak.Schedule) { s.Backends = 1000 },
 		func(s *soak.Schedule) { s.DurationMS = 0 },
+		func(s *soak.Schedule) { s.StopMS = -1 },
 		func(s *soak.Schedule) { s.Faults[0].Kind = "unknown" },
 		func(s *soak.Schedule) { s.Faults[0].Target = 1000 },
 		func(s *soak.Schedule) { s.Faults[0].AtMS = -1 },
--- a/internal/soak/cluster.go
+++ b/internal/soak/cluster.go
@@ -21,8 +21,6 @@
 const maxProcesses = 100
 
 const (
-	// stopTimeout is how long an instance may take to stop.
-	stopTimeout = 6 * time.Second
 	// drainTime is how long a backend serves after it has reported that it is draining.
 	drainTime = 4 * time.Second
 	// callTimeout bounds a call of the soak itself.
@@ -93,6 +91,7 @@
 		schedule: schedule,
 		history: History{
 			NoWorkspaces: schedule.Seed%2 == 0,
+			StopTimeout:  schedule.stopTimeout(),
 		},
 	}
 	var err error
@@ -186,7 +185,7 @@
 		PeerAddress:      loopback.Address(instanceHost+number, peerPort),
 		StoreAddress:     loopback.Address(linkHost, storeLinks+number),
 		MaxGrantDuration: 4 * time.Second,
-		ShutdownTimeout:  stopTimeout,
+		ShutdownTimeout:  k.schedule.stopTimeout(),
 		RetryRatio:       0.2,
 		RetryWindow:      10 * time.Second,
 		RetrySlack:       60,
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -16,6 +16,7 @@
 // player carries out the faults of a schedule. Only one goroutine uses it.
 type player struct {
 	cluster *cluster
+	callers *callers
 	// store holds the faults of the store that overlap, and links and paused those of the same target.
 	store  []FaultKind
 	links  map[*link]int
@@ -150,6 +151,8 @@
 		go k.evacuate(ctx, zoneName(f.Target), time.Duration(f.ForMS)*time.Millisecond)
 	case Configuration:
 		go k.rewrite()
+	case CallerBurst:
+		p.callers.bursts.Add(1)
 	}
 	return nil
 }
@@ -165,7 +168,7 @@
 	case InstanceStop:
 		select {
 		case <-k.instances[f.Target].ended:
-		case <-time.After(stopTimeout):
+		case <-time.After(k.schedule.stopTimeout()):
 			k.instances[f.Target].kill()
 		}
 		return p.restart(ctx, f.Target)
@@ -189,6 +192,8 @@
 		at := slices.Index(p.store, f.Kind)
 		p.store = slices.Delete(p.store, at, at+1)
 		return p.storeFaults()
+	case CallerBurst:
+		p.callers.bursts.Add(-1)
 	case StoreOlder, ZoneEvacuation, Configuration:
 	}
 	return nil
@@ -215,7 +220,7 @@
 	}
 	select {
 	case <-b.process.ended:
-	case <-time.After(drainTime + stopTimeout):
+	case <-time.After(drainTime + defaultStopTimeout):
 		p.cluster.killBackend(slot)
 	}
 	return p.cluster.startBackend(slot)
--- a/internal/soak/history.go
+++ b/internal/soak/history.go
@@ -64,6 +64,8 @@
 type History struct {
 	// NoWorkspaces is true if the configuration has no workspaces, as in runs with even seeds.
 	NoWorkspaces bool
+	// StopTimeout is how long an instance may take to stop.
+	StopTimeout time.Duration
 
 	Events  []backend.Event
 	Results []Result
--- a/internal/soak/platform.go
+++ b/internal/soak/platform.go
@@ -46,6 +46,7 @@
 			routeTo("book", "/book/", route.AtMostOnce, keyedService),
 			routeTo("order", "/order/", route.AtMostOnce, plainService),
 			routeTo("list", "/list/", route.Idempotent, plainService),
+			patient(routeTo("export", "/export/", route.Idempotent, plainService)),
 		},
 		Services: []route.Service{
 			{
@@ -93,6 +94,13 @@
 	}
 }
 
+// patient gives the requests of a route more time.
+func patient(r route.Route) route.Route {
+	r.Timeout = patientTime
+	r.Objective = patientTime / 2
+	return r
+}
+
 const (
 	// heartbeat is the time between registrations of a backend, and expiryTime how long an entry is kept without one.
 	heartbeat  = 300 * time.Millisecond
--- a/internal/soak/schedule.go
+++ b/internal/soak/schedule.go
@@ -40,6 +40,8 @@
 	StoreOlder       FaultKind = "store-older"
 	ZoneEvacuation   FaultKind = "zone-evacuation"
 	Configuration    FaultKind = "configuration"
+	// CallerBurst: there are burstCallers more. It comes with other faults only.
+	CallerBurst FaultKind = "caller-burst"
 )
 
 // Fault is one fault of a schedule.
@@ -58,11 +60,13 @@
 
 // Schedule is what one run plays.
 type Schedule struct {
-	Seed       uint64  `json:"seed"`
-	DurationMS int     `json:"duration-ms"`
-	Instances  int     `json:"instances"`
-	Backends   int     `json:"backends"`
-	Faults     []Fault `json:"faults"`
+	Seed       uint64 `json:"seed"`
+	DurationMS int    `json:"duration-ms"`
+	Instances  int    `json:"instances"`
+	Backends   int    `json:"backends"`
+	// StopMS is how long an instance may take to stop, 0 for defaultStopTimeout.
+	StopMS int     `json:"stop-ms,omitempty"`
+	Faults []Fault `json:"faults"`
 }
 
 // ScheduleError reports an unusable schedule.
@@ -74,6 +78,20 @@
 	return "schedule: " + e.Problem + ": correct it and run again"
 }
 
+const (
+	// defaultStopTimeout is longer than any request. With shortStopTimeout, a stop ends while requests still wait.
+	defaultStopTimeout = 6 * time.Second
+	shortStopTimeout   = 2 * time.Second
+)
+
+// stopTimeout returns how long an instance may take to stop.
+func (s Schedule) stopTimeout() time.Duration {
+	if s.StopMS == 0 {
+		return defaultStopTimeout
+	}
+	return time.Duration(s.StopMS) * time.Millisecond
+}
+
 // zoneCount is the number of availability zones.
 const zoneCount = 3
 
@@ -94,6 +112,7 @@
 var kinds = []FaultKind{
 	InstanceKill, InstanceStop, InstancePause, StoreCut, BackendKill, BackendPause, BackendDrain, BackendCut, BackendSlow, BackendBreaks,
 	BackendRepeats, BackendBabbles, BackendMisstates, StoreDown, StoreSilent, StoreSlow, StoreLoses, StoreForgets, StoreOlder, ZoneEvacuation, Configuration,
+	CallerBurst,
 }
 
 // weight is the share of the faults that are of a kind.
@@ -107,6 +126,8 @@
 		return 4
 	case BackendSlow, BackendBreaks, BackendRepeats, BackendBabbles, BackendMisstates:
 		return 3
+	case CallerBurst:
+		return 0
 	case StoreDown, StoreSilent, StoreSlow, StoreLoses, StoreForgets, StoreOlder:
 	}
 	return 2
@@ -121,6 +142,10 @@
 		Instances:  instances,
 		Backends:   backends,
 	}
+	// A generator of its own, so that the faults of a seed stay the same.
+	if rand.New(rand.NewPCG(seed, 2)).IntN(2) == 0 {
+		s.StopMS = int(shortStopTimeout.Milliseconds())
+	}
 	total := 0
 	for _, k := range kinds {
 		total += k.weight()
@@ -143,7 +168,7 @@
 		switch kind {
 		case InstanceStop:
 			f.Target = random.IntN(instances)
-			f.ForMS = int(stopTimeout.Milliseconds())
+			f.ForMS = int(s.stopTimeout().Milliseconds())
 		case InstanceKill, InstancePause:
 			f.Target = random.IntN(instances)
 		case StoreCut:
@@ -172,10 +197,12 @@
 	loopKills    = 6
 	loopInterval = 1200 * time.Millisecond
 	loopRestart  = 100 * time.Millisecond
+	// slowBefore is how long before a stop backends get slow, so that requests wait when it begins.
+	slowBefore = 1500 * time.Millisecond
 )
 
 // followUps returns the faults that come with one: a killed instance may crash in a loop, and one may be stopped while requests wait for
-// slow backends.
+// slow backends. They wait until a short stop ends if there are many callers.
 func followUps(random *rand.Rand, f Fault, s Schedule) (faults []Fault) {
 	switch {
 	case f.Kind == InstanceKill && random.IntN(4) == 0:
@@ -187,11 +214,18 @@
 				Target: f.Target,
 			})
 		}
-	case f.Kind == InstanceStop && random.IntN(2) == 0:
+	case f.Kind == InstanceStop && (random.IntN(2) == 0 || s.StopMS != 0):
+		if s.StopMS != 0 {
+			faults = append(faults, Fault{
+				AtMS:  f.AtMS - int(slowBefore.Milliseconds()),
+				ForMS: int((slowBefore + s.stopTimeout()).Milliseconds()),
+				Kind:  CallerBurst,
+			})
+		}
 		for i := range s.Backends {
 			faults = append(faults, Fault{
-				AtMS:   f.AtMS,
-				ForMS:  int(stopTimeout.Milliseconds()),
+				AtMS:   f.AtMS - int(slowBefore.Milliseconds()),
+				ForMS:  int((slowBefore + s.stopTimeout()).Milliseconds()),
 				Kind:   BackendSlow,
 				Target: i,
 			})
@@ -211,6 +245,10 @@
 		return &ScheduleError{
 			Problem: fmt.Sprintf("%d backends, not 2 to %d", s.Backends, maxProcesses),
 		}
+	case s.StopMS < 0:
+		return &ScheduleError{
+			Problem: fmt.Sprintf("instances have %d ms to stop", s.StopMS),
+		}
 	case s.DurationMS < 1000:
 		return &ScheduleError{
 			Problem: "it lasts less than a second",
@@ -236,7 +274,7 @@
 		return s.Backends
 	case ZoneEvacuation:
 		return zoneCount
-	case StoreDown, StoreSilent, StoreSlow, StoreLoses, StoreForgets, StoreOlder, Configuration:
+	case StoreDown, StoreSilent, StoreSlow, StoreLoses, StoreForgets, StoreOlder, Configuration, CallerBurst:
 	}
 	return 1
 }
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -53,6 +53,7 @@
 	}()
 	p := &player{
 		cluster: k,
+		callers: c,
 		links:   map[*link]int{},
 		paused:  map[*process]int{},
 	}
