core/dispatch: the model of sessions knows at which upstream a request runs

Change: a request of an instance that is not connected may be granted anew at another upstream, and the upstreams of running requests are compared.

--- a/core/dispatch/sessions_test.go
+++ b/core/dispatch/sessions_test.go
@@ -48,6 +48,7 @@
 	instances []*sessionInstance
 	sessions  *dispatch.Sessions
 	pools     map[string]*dispatch.Pool
+	upstreams []dispatch.UpstreamState
 	slots     map[heldSlot]time.Duration
 	// counts tells which events have taken place.
 	counts map[string]int
@@ -55,9 +56,10 @@
 
 func newSessionModel(c *qt.C, seed uint64) *sessionModel {
 	m := &sessionModel{
-		c:      c,
-		random: rand.New(rand.NewPCG(seed, 3)),
-		counts: map[string]int{},
+		c:         c,
+		random:    rand.New(rand.NewPCG(seed, 3)),
+		upstreams: states(2),
+		counts:    map[string]int{},
 	}
 	for i := range 4 {
 		m.instances = append(m.instances, &sessionInstance{
@@ -87,7 +89,7 @@
 	m.pools = map[string]*dispatch.Pool{}
 	for _, service := range []string{"a", "b"} {
 		pool := newPool(dispatch.Share{})
-		pool.SetUpstreams(m.now, states(2))
+		pool.SetUpstreams(m.now, m.upstreams)
 		m.pools[service] = pool
 	}
 	for i, v := range m.instances {
@@ -201,6 +203,15 @@
 	v.session.Complete(m.now, answering)
 }
 
+// grantElsewhere gives the requests of an instance that is not connected to the coordinator other upstreams, as another one does.
+func (m *sessionModel) grantElsewhere(v *sessionInstance) {
+	for _, r := range v.requests {
+		if !v.attached && r.granted && !r.headed {
+			r.upstream = m.upstreams[m.random.IntN(len(m.upstreams))].ID
+		}
+	}
+}
+
 // lose makes both sides know that the connection is lost.
 func (m *sessionModel) lose(v *sessionInstance) {
 	if v.attached {
@@ -252,6 +263,9 @@
 	case n < 89:
 		event = "take over"
 		m.takeOver()
+	case n < 92:
+		event = "grant elsewhere"
+		m.grantElsewhere(v)
 	}
 	m.counts[event]++
 	m.now += time.Duration(m.random.IntN(40)) * time.Millisecond
@@ -277,6 +291,23 @@
 		inUse += pool.Stats(m.now).SlotsInUse
 	}
 	m.c.Assert(inUse, qt.Equals, len(m.slots), qt.Commentf("slots in use, of running tickets %v", m.slots))
+	for _, v := range m.instances {
+		m.checkUpstreams(v)
+	}
+}
+
+// checkUpstreams checks that the coordinator keeps the slots of a connected instance at the upstreams that run its requests.
+func (m *sessionModel) checkUpstreams(v *sessionInstance) {
+	for id, r := range v.requests {
+		if !v.delivers || !r.granted || r.headed {
+			continue
+		}
+		t, ok := v.session.Find(id)
+		m.c.Assert(ok, qt.IsTrue)
+		upstream, _, ok := t.Pool.Assigned(t.ID)
+		m.c.Assert(ok, qt.IsTrue)
+		m.c.Assert(t.Service+" at "+upstream, qt.Equals, r.service+" at "+r.upstream)
+	}
 }
 
 // Slots of an instance that is killed, or not connected for a while, are lost or granted while its requests run: in random histories of
@@ -301,7 +332,7 @@
 		m.settle()
 		c.Assert(m.sessions.Len(), qt.Equals, 0)
 	}
-	for _, event := range []string{"submit", "head", "end", "connect", "break", "lose", "kill", "take over"} {
+	for _, event := range []string{"submit", "head", "end", "connect", "break", "lose", "kill", "take over", "grant elsewhere"} {
 		qt.Check(t, counts[event] > 100, qt.IsTrue, qt.Commentf("%s: %d", event, counts[event]))
 	}
 }
