internal/soak: grants that are not answered and are carried out later

Cause: an upstream may carry out a grant that it left unanswered seconds later, after newer ones. The mutant late-grants-ignored takes an unanswered grant for one that was not sent.

--- a/internal/gateway/keys.go
+++ b/internal/gateway/keys.go
@@ -123,7 +123,7 @@
 		return keyspace.Gone
 	case errors.As(err, &notSent) && refused:
 		return keyspace.Refused
-	case errors.As(err, &notSent):
+	case errors.As(err, &notSent), mutant.Is(mutant.LateGrantsIgnored):
 		return keyspace.NotSent
 	case errors.Is(err, context.DeadlineExceeded):
 		return keyspace.NotAnswered
--- a/internal/mutant/name.go
+++ b/internal/mutant/name.go
@@ -10,6 +10,8 @@
 const (
 	// ReleaseSkipped counts keys as released that their holder was not told to give up.
 	ReleaseSkipped Name = "release-skipped"
+	// LateGrantsIgnored takes unanswered grants for grants that were not sent.
+	LateGrantsIgnored Name = "late-grants-ignored"
 	// RepeatUnsafe sends requests again that may have run and must run once at most.
 	RepeatUnsafe Name = "repeat-unsafe"
 	// FalsePromise says of each request that was not answered that it has not run.
--- a/internal/soak/check_test.go
+++ b/internal/soak/check_test.go
@@ -280,6 +280,7 @@
 		func(s *soak.Schedule) { s.Backends = 1000 },
 		func(s *soak.Schedule) { s.DurationMS = 0 },
 		func(s *soak.Schedule) { s.StopMS = -1 },
+		func(s *soak.Schedule) { s.LateGrants = 2 },
 		func(s *soak.Schedule) { s.Faults[0].Kind = "unknown" },
 		func(s *soak.Schedule) { s.Faults[0].Target = 1000 },
 		func(s *soak.Schedule) { s.Faults[0].AtMS = -1 },
--- a/internal/soak/cluster.go
+++ b/internal/soak/cluster.go
@@ -218,6 +218,9 @@
 		ServiceMS:   15,
 		HeartbeatMS: int(heartbeat.Milliseconds()),
 		DrainMS:     int(drainTime.Milliseconds()),
+		Faults: backend.Faults{
+			LateGrants: k.schedule.LateGrants,
+		},
 	})
 	if err != nil {
 		return err
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -274,6 +274,7 @@
 	if begins {
 		faults = injected[f.Kind]
 	}
+	faults.LateGrants = p.cluster.schedule.LateGrants
 	// A backend that is paused or gone has no faults of its own.
 	_ = p.cluster.control("http://"+p.cluster.backends[f.Target].address+backend.FaultsPath, faults)
 }
--- a/internal/soak/schedule.go
+++ b/internal/soak/schedule.go
@@ -65,8 +65,10 @@
 	Instances  int    `json:"instances"`
 	Backends   int    `json:"backends"`
 	// StopMS is how long an instance may take to stop, 0 for defaultStopTimeout.
-	StopMS int     `json:"stop-ms,omitempty"`
-	Faults []Fault `json:"faults"`
+	StopMS int `json:"stop-ms,omitempty"`
+	// LateGrants is the share of the grants that backends don't answer and carry out later.
+	LateGrants float64 `json:"late-grants,omitempty"`
+	Faults     []Fault `json:"faults"`
 }
 
 // ScheduleError reports an unusable schedule.
@@ -84,6 +86,9 @@
 	shortStopTimeout   = 2 * time.Second
 )
 
+// lateGrants is the share of the grants that are carried out late in some runs.
+const lateGrants = 0.3
+
 // stopTimeout returns how long an instance may take to stop.
 func (s Schedule) stopTimeout() time.Duration {
 	if s.StopMS == 0 {
@@ -143,9 +148,13 @@
 		Backends:   backends,
 	}
 	// A generator of its own, so that the faults of a seed stay the same.
-	if rand.New(rand.NewPCG(seed, 2)).IntN(2) == 0 {
+	wholeRun := rand.New(rand.NewPCG(seed, 2))
+	if wholeRun.IntN(2) == 0 {
 		s.StopMS = int(shortStopTimeout.Milliseconds())
 	}
+	if wholeRun.IntN(3) == 0 {
+		s.LateGrants = lateGrants
+	}
 	total := 0
 	for _, k := range kinds {
 		total += k.weight()
@@ -249,6 +258,10 @@
 		return &ScheduleError{
 			Problem: fmt.Sprintf("instances have %d ms to stop", s.StopMS),
 		}
+	case !(s.LateGrants >= 0 && s.LateGrants <= 1):
+		return &ScheduleError{
+			Problem: fmt.Sprintf("a share of %g of the grants is late, not 0 to 1", s.LateGrants),
+		}
 	case s.DurationMS < 1000:
 		return &ScheduleError{
 			Problem: "it lasts less than a second",
--- a/internal/standin/backend/backend.go
+++ b/internal/standin/backend/backend.go
@@ -39,6 +39,8 @@
 	HeartbeatMS int `json:"heartbeat-ms"`
 	// DrainMS is how long a backend that is stopped serves after it has reported so, in milliseconds.
 	DrainMS int `json:"drain-ms"`
+	// Faults are those from the start on.
+	Faults Faults `json:"faults,omitzero"`
 }
 
 // Faults are the faults that a Backend injects. The zero value is none.
@@ -58,6 +60,8 @@
 	// Misstated is the share of the requests that are run and then answered with a status that promises callers the opposite, without the
 	// header that states it, from 0 to 1.
 	Misstated float64 `json:"misstated,omitempty"`
+	// LateGrants is the share of the grants that are not answered and carried out up to maxLateness later, from 0 to 1.
+	LateGrants float64 `json:"late-grants,omitempty"`
 }
 
 // FaultsPath is the path of the control call, which takes Faults as JSON.
@@ -123,6 +127,7 @@
 	}
 	return &Backend{
 		settings: settings,
+		faults:   settings.Faults,
 		store:    platform.NewStore(settings.Store, http.DefaultClient),
 		born:     time.Now().UnixMilli(),
 		events:   json.NewEncoder(out),
--- a/internal/standin/backend/serve.go
+++ b/internal/standin/backend/serve.go
@@ -9,6 +9,7 @@
 	"strconv"
 	"time"
 
+	"cuminlift"
 	"cuminlift/platform"
 )
 
@@ -55,6 +56,9 @@
 	}
 }
 
+// maxLateness is how long after its arrival an unanswered grant is carried out at the latest.
+const maxLateness = 3 * time.Second
+
 // grant takes a lease on all keys of a range, or on none if one of them was granted under a higher fence.
 func (b *Backend) grant(w http.ResponseWriter, r *http.Request) {
 	arrived := time.Now()
@@ -66,9 +70,25 @@
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
 	until := arrived.Add(grant.Hold)
-	if !b.leases.Grant(grant, until) {
+	if rand.Float64() < b.faults.LateGrants {
+		time.AfterFunc(rand.N(maxLateness), func() {
+			b.mutex.Lock()
+			defer b.mutex.Unlock()
+			if time.Now().Before(until) {
+				b.take(grant, until)
+			}
+		})
+		panic(http.ErrAbortHandler)
+	}
+	if !b.take(grant, until) {
 		w.WriteHeader(http.StatusConflict)
-		return
+	}
+}
+
+// take carries out a grant. The caller holds the mutex.
+func (b *Backend) take(grant cuminlift.KeyGrant, until time.Time) (taken bool) {
+	if !b.leases.Grant(grant, until) {
+		return false
 	}
 	b.record(Event{
 		Kind:  Granted,
@@ -78,6 +98,7 @@
 		Until: until.UnixNano(),
 	})
 	b.notify()
+	return true
 }
 
 // release ends the leases on a range, and answers when the requests that run on it have ended.
