internal/soak: a grant that is carried out late counts from its arrival

The grants of fences 54 and 48 had been sent to a backend while it was paused (both calls of each ended by their deadline, no other call of these fences failed); the backend read them after its thaw, left them unanswered and carried them out up to 2.5 s later. Grants that arrive during a pause, or up to 0.5 s after, are excused, since a paused process can't tell when they arrived. The check took the time at which they were carried out for that of their arrival. Result: a trace of each side: one that arrived 0.1 s after a thaw is excused, one that arrived 0.6 s after is not.

--- a/internal/soak/check_test.go
+++ b/internal/soak/check_test.go
@@ -29,6 +29,12 @@
 	return e
 }
 
+// arrivedAt is a grant that is carried out later than it arrived.
+func arrivedAt(milliseconds int64, grant backend.Event) backend.Event {
+	grant.ArrivedAt = at(milliseconds)
+	return grant
+}
+
 func released(milliseconds int64, id string, fence uint64) backend.Event {
 	e := event(milliseconds, id, backend.Released)
 	e.From, e.To, e.Fence = 0, 9, fence
@@ -181,6 +187,8 @@
 		kept("at work until the grant ran out", "one owner", events{granted(0, "a", 1), run(10, "a", backend.Begun, "r"), released(50, "a", 1), granted(2500, "b", 2)}),
 		kept("after a thaw", "one owner", events{granted(0, "a", 7), granted(400, "b", 6)}, spans{during(soak.BackendPause, 0, 300)}),
 		broken("long after a thaw", "one owner", events{granted(0, "a", 7), granted(900, "b", 6)}, spans{during(soak.BackendPause, 0, 300)}),
+		kept("carried out late, arrived after a thaw", "one owner", events{granted(0, "a", 7), arrivedAt(400, granted(900, "b", 6))}, spans{during(soak.BackendPause, 0, 300)}),
+		broken("carried out late, arrived long after a thaw", "one owner", events{granted(0, "a", 7), arrivedAt(900, granted(1200, "b", 6))}, spans{during(soak.BackendPause, 0, 300)}),
 
 		broken("twice", "at most once", events{run(1, "a", backend.Begun, "r"), run(5, "b", backend.Begun, "r")}, results{answered("r", 200)}),
 		kept("once each", "at most once", events{run(1, "a", backend.Begun, "r"), run(5, "b", backend.Begun, "s")}, results{answered("r", 200), answered("s", 200)}),
--- a/internal/soak/owners.go
+++ b/internal/soak/owners.go
@@ -102,7 +102,11 @@
 }
 
 func (o *ownerCheck) grant(b *owner, e backend.Event) {
-	excused := o.history.justHealed(e.At, freezeSlack, holdups)
+	arrived := e.At
+	if e.ArrivedAt != 0 {
+		arrived = e.ArrivedAt
+	}
+	excused := o.history.justHealed(arrived, freezeSlack, holdups)
 	o.checkWork(b, e, excused)
 	reported := false
 	for key := e.From; key <= e.To; key++ {
--- a/internal/standin/backend/event.go
+++ b/internal/standin/backend/event.go
@@ -46,6 +46,8 @@
 	To    uint32 `json:"to,omitempty"`
 	Fence uint64 `json:"fence,omitempty"`
 	Until int64  `json:"until,omitempty"`
+	// ArrivedAt is when the call for a grant arrived that is carried out later, 0 for one that is carried out at once.
+	ArrivedAt int64 `json:"arrived-at,omitempty"`
 }
 
 // record writes an event. The caller holds the mutex, so that events are written in the order in which they happen.
