internal/gateway: a relay without a configuration keeps the API key to itself

An upstream could get the API key of a caller: from an instance of the previous build, which relays it, through one that has no configuration in force yet.

Cause: a relay removed the key only if its own configuration names workspaces; one without any can't know, and passed it on. Change: without a configuration it removes the key as well. One whose older configuration has no workspaces still passes it on.

--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -176,7 +176,7 @@
 		deadline:  time.Now().Add(time.Duration(remaining) * time.Millisecond),
 		workspace: r.Header.Get(h.config.Headers.Workspace),
 	}
-	if v := h.view(); v.table != nil && v.table.Workspaces != nil {
+	if v := h.view(); v.table == nil || v.table.Workspaces != nil {
 		r.Header.Del(h.config.Headers.APIKey) // An instance of the previous build sends it.
 	}
 	ctx := r.Context()
--- a/internal/gateway/workspace_test.go
+++ b/internal/gateway/workspace_test.go
@@ -218,14 +218,21 @@
 	c := qt.New(t)
 	k := newCluster(c, 1)
 	r := k.record()
-	k.configureWorkspaces(1, twoWorkspaces)
 	relay := k.instances["n0"].settings.RelayAddress
-	eventually(func() bool {
-		status, _ := k.call(relay, "/read/x", "Cuminlift-Relay-Upstream", "recorder", "Cuminlift-Relay-Born", "1", "Tenant", "second", "Api-Key", "key-3")
-		return status == http.StatusOK
-	})
-	c.Check(r.last().Get("Tenant"), qt.Equals, "second")
-	c.Check(r.last().Values("Api-Key"), qt.HasLen, 0)
+	// Before a configuration is in force, the relay can't know that the key is not meant for the upstream.
+	for range 2 {
+		eventually(func() bool {
+			status, _ := k.call(relay, "/read/x", "Cuminlift-Relay-Upstream", "recorder", "Cuminlift-Relay-Born", "1", "Tenant", "second", "Api-Key", "key-3")
+			return status == http.StatusOK
+		})
+		c.Check(r.last().Get("Tenant"), qt.Equals, "second")
+		c.Check(r.last().Values("Api-Key"), qt.HasLen, 0)
+		k.configureWorkspaces(1, twoWorkspaces)
+		eventually(func() bool {
+			status, _ := k.call(k.front("n0"), "/read/x", "Api-Key", "unknown")
+			return status == http.StatusUnauthorized
+		})
+	}
 }
 
 // coordinateAndReceive connects to an instance as its coordinator, and passes on what it sends except replies to heartbeats.
