internal/gateway: the tests of sessions set up their peer in one place

Cause: both began with the same six lines. Change: connectedPeer. Requests, deadlines and assertions stay as they are.

--- a/internal/gateway/sessions_test.go
+++ b/internal/gateway/sessions_test.go
@@ -112,15 +112,21 @@
 	return open
 }
 
-// The slots of requests that end while their instance is not connected are not used until their deadlines have passed.
-func TestSlotsOfRequestsThatEndedWithoutAConnectionAreHeld(t *testing.T) {
-	c := qt.New(t)
+// connectedPeer is a peer of a cluster with a single upstream, which has two slots, and has no tickets yet.
+func connectedPeer(c *qt.C) *peer {
 	k := newCluster(c, 1)
 	k.configure(1, "plain")
 	k.upstream("p0", "plain", "z1")
 	k.waitPlain("n0")
 	p := k.peer()
 	p.connect(openTickets("first"))
+	return p
+}
+
+// The slots of requests that end while their instance is not connected are not used until their deadlines have passed.
+func TestSlotsOfRequestsThatEndedWithoutAConnectionAreHeld(t *testing.T) {
+	c := qt.New(t)
+	p := connectedPeer(c)
 	const remaining = 20 * time.Second
 	p.request(1, remaining)
 	p.request(2, remaining)
@@ -129,7 +135,7 @@
 	c.Check(p.request(3, remaining) < 2*time.Second, qt.IsTrue, qt.Commentf("the slot of ticket 1 is held"))
 	status := make(chan int, 1)
 	go func() {
-		code, _, _ := k.send("n0", http.MethodGet, "/read/x", 0, "")
+		code, _, _ := p.k.send("n0", http.MethodGet, "/read/x", 0, "")
 		status <- code
 	}()
 	select {
@@ -143,12 +149,7 @@
 // their slots for good.
 func TestSlotsOfAnEarlierStartAreUsedOrLost(t *testing.T) {
 	c := qt.New(t)
-	k := newCluster(c, 1)
-	k.configure(1, "plain")
-	k.upstream("p0", "plain", "z1")
-	k.waitPlain("n0")
-	p := k.peer()
-	p.connect(openTickets("first"))
+	p := connectedPeer(c)
 	const remaining = 2 * time.Second
 	killed := time.Now()
 	p.request(1, remaining)
