internal/gateway: the mutant stop-closes is planted in one place

Cause: both readers of the plan of a stop asked for the mutant. Change: with the mutant, the plan is not recorded. Builds without the tag are the same.

--- a/internal/gateway/stopping.go
+++ b/internal/gateway/stopping.go
@@ -39,6 +39,9 @@
 
 // begin records that the instance stops.
 func (s *stopper) begin(plan shutdown.Plan) {
+	if mutant.Is(mutant.StopCloses) {
+		return
+	}
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	s.plan = &plan
@@ -73,7 +76,7 @@
 func (s *stopper) latestSend(request shutdown.Request) (at time.Duration, stopping bool) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	if s.plan == nil || mutant.Is(mutant.StopCloses) {
+	if s.plan == nil {
 		return 0, false
 	}
 	return s.plan.LatestSend(s.durations.Longest(s.clock.Now(), request)), true
@@ -89,7 +92,7 @@
 func (s *stopper) end() (at time.Duration, stopping bool) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	if s.plan == nil || mutant.Is(mutant.StopCloses) {
+	if s.plan == nil {
 		return 0, false
 	}
 	return s.plan.End, true
