--- a/internal/gateway/endless_test.go
+++ b/internal/gateway/endless_test.go
@@ -37,8 +37,7 @@
 		server.CloseClientConnections()
 		server.Close()
 	})
-	k.put("servers", id, fmt.Sprintf(`{"service":"plain","addr":%q,"zone":"z1","slots":%d,"state":"ready","warmup_left":"0ms","born":1}`,
-		server.Listener.Addr().String(), slots))
+	k.registerPlain(id, server.Listener.Addr().String(), slots)
 	return sending
 }
 
@@ -167,7 +166,7 @@
 					}()
 				}
 			}()
-			k.put("servers", "b0", fmt.Sprintf(`{"service":"plain","addr":%q,"zone":"z1","slots":4,"state":"ready","warmup_left":"0ms","born":1}`, listener.Addr().String()))
+			k.registerPlain("b0", listener.Addr().String(), 4)
 			eventually(func() bool {
 				status, _, _ := k.send("n0", http.MethodGet, "/nowhere/", 0, "")
 				return status == http.StatusNotFound
--- a/internal/gateway/followed_test.go
+++ b/internal/gateway/followed_test.go
@@ -43,8 +43,7 @@
 		server.CloseClientConnections()
 		server.Close()
 	})
-	k.put("servers", id, fmt.Sprintf(`{"service":"plain","addr":%q,"zone":"z1","slots":10,"state":"ready","warmup_left":"0ms","born":1}`,
-		server.Listener.Addr().String()))
+	k.registerPlain(id, server.Listener.Addr().String(), 10)
 	return small
 }
 
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -195,6 +195,12 @@
 		service, k.upstreams[id].Address(), zone, state))
 }
 
+// registerPlain registers an upstream of service "plain" that is not among the cluster's.
+func (k *cluster) registerPlain(id, address string, slots int) {
+	k.put("servers", id, fmt.Sprintf(`{"service":"plain","addr":%q,"zone":"z1","slots":%d,"state":"ready","warmup_left":"0ms","born":1}`,
+		address, slots))
+}
+
 // send sends a request to an instance and returns status, body and Retry-After header.
 func (k *cluster) send(instance, method, path string, key int, body string) (status int, text, retryAfter string) {
 	k.requestCount++
--- a/internal/gateway/readahead_test.go
+++ b/internal/gateway/readahead_test.go
@@ -39,8 +39,7 @@
 	}
 	server := httptest.NewServer(u)
 	k.c.Cleanup(server.Close)
-	k.put("servers", id, fmt.Sprintf(`{"service":"plain","addr":%q,"zone":"z1","slots":64,"state":"ready","warmup_left":"0ms","born":1}`,
-		server.Listener.Addr().String()))
+	k.registerPlain(id, server.Listener.Addr().String(), 64)
 	return u
 }
 
--- a/internal/gateway/refusal_test.go
+++ b/internal/gateway/refusal_test.go
@@ -62,8 +62,7 @@
 			server.CloseClientConnections()
 			server.Close()
 		})
-		k.put("servers", fmt.Sprint("p", i), fmt.Sprintf(`{"service":"plain","addr":%q,"zone":"z1","slots":2,"state":"ready","warmup_left":"0ms","born":1}`,
-			server.Listener.Addr().String()))
+		k.registerPlain(fmt.Sprint("p", i), server.Listener.Addr().String(), 2)
 	}
 	eventually(func() bool {
 		status, _, _ := k.send(instance, http.MethodPost, "/order/x", 0, "one")
--- a/internal/gateway/relay_test.go
+++ b/internal/gateway/relay_test.go
@@ -107,8 +107,7 @@
 		}))
 		c.Cleanup(server.Close)
 		id := fmt.Sprint("broken-", i)
-		k.put("servers", id, fmt.Sprintf(`{"service":"plain","addr":%q,"zone":"z1","slots":2,"state":"ready","warmup_left":"0ms","born":1}`,
-			server.Listener.Addr().String()))
+		k.registerPlain(id, server.Listener.Addr().String(), 2)
 		eventually(func() bool {
 			_, outcome, _, err := k.relay("n0", id, "1", "2000")
 			return err != nil && outcome == "" || outcome == "lost"
@@ -133,8 +132,7 @@
 		_, _ = io.WriteString(w, "ran")
 	}))
 	c.Cleanup(server.Close)
-	k.put("servers", "u", fmt.Sprintf(`{"service":"plain","addr":%q,"zone":"z1","slots":2,"state":"ready","warmup_left":"0ms","born":1}`,
-		server.Listener.Addr().String()))
+	k.registerPlain("u", server.Listener.Addr().String(), 2)
 	eventually(func() bool {
 		_, outcome, body, err := k.relay("n0", "u", "1", "2000")
 		if err != nil || outcome == "abandoned" {
--- a/internal/gateway/restart_test.go
+++ b/internal/gateway/restart_test.go
@@ -58,8 +58,7 @@
 	}))
 	defer failing.Close()
 	for i := range 3 {
-		k.put("servers", fmt.Sprint("f", i), fmt.Sprintf(`{"service":"plain","addr":%q,"zone":"z1","slots":20,"state":"ready","warmup_left":"0ms","born":1}`,
-			failing.Listener.Addr().String()))
+		k.registerPlain(fmt.Sprint("f", i), failing.Listener.Addr().String(), 20)
 	}
 	k.configure(1, "plain")
 	k.start("n0")
--- a/internal/gateway/unread_test.go
+++ b/internal/gateway/unread_test.go
@@ -29,8 +29,7 @@
 		c.Check(err, qt.IsNil)
 	}))
 	c.Cleanup(server.Close)
-	k.put("servers", "p0", fmt.Sprintf(`{"service":"plain","addr":%q,"zone":"z1","slots":20,"state":"ready","warmup_left":"0ms","born":1}`,
-		server.Listener.Addr().String()))
+	k.registerPlain("p0", server.Listener.Addr().String(), 20)
 	k.waitPlain("n0")
 	return k
 }
--- a/internal/gateway/workspace_test.go
+++ b/internal/gateway/workspace_test.go
@@ -53,8 +53,7 @@
 	server := httptest.NewServer(r)
 	k.c.Cleanup(server.Close)
 	r.address = server.Listener.Addr().String()
-	k.put("servers", "recorder", fmt.Sprintf(`{"service":"plain","addr":%q,"zone":"z1","slots":20,"state":"ready","warmup_left":"0ms","born":1}`,
-		server.Listener.Addr().String()))
+	k.registerPlain("recorder", server.Listener.Addr().String(), 20)
 	return r
 }
 
