core/authority, internal/gateway: the log says why a coordinator resigns and which paths it lacks

A coordinator that gave up its lease logged resigns=true, whether the store refused it, its tables were behind or it lacked paths to upstreams. The line now names the reason and the number of upstreams that it does not reach, and a line of its own tells when the coordinator begins to lack paths, whether because most are lost or because others reach what it does not, and how late its event loop ran.

--- a/core/authority/authority.go
+++ b/core/authority/authority.go
@@ -151,53 +151,6 @@
 	return now < l.renewedAt+LeaseDuration || now < l.ValidUntil()
 }
 
-// resignAfter is how long the store must be failing for the coordinator, while other members reach it, before the
-// coordinator resigns. It is longer than one slow answer.
-const resignAfter = 700 * time.Millisecond
-
-// retryBeforeResigning is how long a member must reach the store before the coordinator resigns. After an outage of the store, the
-// coordinator's own calls that were under way must have had the time to fail and to be repeated.
-const retryBeforeResigning = 1200 * time.Millisecond
-
-// resignBehindAfter is how long the tables must be older than those of a member for the coordinator to resign. The rows usually come
-// within a few requests to members, of 300 ms each.
-const resignBehindAfter = time.Second
-
-// minTerm is the shortest term that ends because the store refuses the coordinator. A store that refuses one instance after the other
-// would otherwise move the lease all the time; two terms of this length take longer than 5 s.
-const minTerm = 3 * time.Second
-
-// resignWithoutPathsAfter is how long the paths to upstreams must be lost for the coordinator to resign. Grants last several times as
-// long.
-const resignWithoutPathsAfter = 200 * time.Millisecond
-
-// ShouldResign reports whether another instance is better placed to coordinate: the store goes on failing for this instance but
-// works for a member, or its tables stay older than those of members and the store works for one, or a member reaches upstreams that
-// this instance can't grant keys to. Without the store none could follow.
-func (l *Leadership) ShouldResign(now time.Duration) bool {
-	if l.failingSince == 0 && l.pathsLostSince != 0 && now-l.pathsLostSince >= resignWithoutPathsAfter {
-		for _, m := range l.members {
-			if m.reachesUpstreams && now-m.lastAcknowledged < LeaseDuration {
-				return true
-			}
-		}
-	}
-	if now-l.startedAt < minTerm {
-		return false
-	}
-	behind := l.behind && now-l.behindSince >= resignBehindAfter
-	refused := l.failingSince != 0 && now-l.failingSince >= resignAfter
-	if !behind && !refused {
-		return false
-	}
-	for _, m := range l.members {
-		if m.storeReached && now-m.lastAcknowledged < LeaseDuration && (behind || now-m.reachedSince >= retryBeforeResigning) {
-			return true
-		}
-	}
-	return false
-}
-
 // termsPerEra is the number of terms that each era of the store has. Terms and fences of a later era are higher than all of earlier
 // ones, also than those that were lost with changes of the store.
 const termsPerEra = 1 << 32
--- a/internal/gateway/coordinator.go
+++ b/internal/gateway/coordinator.go
@@ -84,6 +84,8 @@
 	demand    authority.Demand
 	resources peerResources
 	handover  handoverState
+	// lackingLogged is the last result of lacksPaths that was logged.
+	lackingLogged string
 	// withheld are the upstreams for which single instances get no tickets, because they have returned one.
 	withheld map[withheldKey]*withheldTickets
 	strain   strainState
@@ -244,14 +246,16 @@
 // been suspended.
 func (c *coordinator) hasAuthority() bool {
 	now := c.clock.Now()
-	if c.leadership.Valid(now) && !c.leadership.ShouldResign(now) && !c.yields {
+	reason := c.leadership.ResignReason(now)
+	if c.leadership.Valid(now) && reason == "" && !c.yields {
 		return true
 	}
-	c.gaveUp = c.yields || c.leadership.ShouldResign(now)
+	c.gaveUp = c.yields || reason != ""
 	c.log.WithFields(logrus.Fields{
 		"since-end": now - c.leadership.ValidUntil(),
-		"resigns":   c.leadership.ShouldResign(now),
+		"resigns":   string(reason),
 		"yields":    c.yields,
+		"unreached": c.paths.failedCount(),
 	}).Warn("coordinator stops: its authority has ended")
 	return false
 }
--- a/internal/gateway/relays.go
+++ b/internal/gateway/relays.go
@@ -155,9 +155,13 @@
 // comparePaths tells the leadership whether this instance lacks paths to upstreams that hold keys, and which others have them.
 func (c *coordinator) comparePaths(now time.Duration) {
 	own := c.paths.failedCount()
-	lost := own > 0 && c.lacksPaths()
-	c.leadership.PathsLost(now, lost)
-	if !lost {
+	lacking := ""
+	if own > 0 {
+		lacking = c.lacksPaths()
+	}
+	c.logLackingPaths(now, lacking, own)
+	c.leadership.PathsLost(now, lacking != "")
+	if lacking == "" {
 		return
 	}
 	for _, l := range c.links {
@@ -165,15 +169,39 @@
 	}
 }
 
-// lacksPaths reports whether other instances reach upstreams that hold keys and that this one can't grant them to.
-func (c *coordinator) lacksPaths() bool {
+// Values of a log field: how the coordinator knows that it lacks paths to holders of keys.
+const (
+	mostPathsLost = "most-lost"
+	othersReach   = "others-reach"
+)
+
+// lacksPaths tells how the coordinator knows that other instances reach upstreams that hold keys and that this one can't grant them to. It
+// returns an empty string if it doesn't.
+func (c *coordinator) lacksPaths() string {
 	if c.paths.holdersLost() {
-		return true
+		return mostPathsLost
 	}
 	for _, s := range c.services {
 		if s.keyed && c.paths.othersReach(s.name, s.pool.LastAnswered) {
-			return true
+			return othersReach
 		}
 	}
-	return false
+	return ""
+}
+
+// logLackingPaths logs a change. A late tick tells that calls may have failed because this process was late.
+func (c *coordinator) logLackingPaths(now time.Duration, lacking string, unreached int) {
+	if lacking == c.lackingLogged {
+		return
+	}
+	c.lackingLogged = lacking
+	late := time.Duration(0)
+	if c.strain.lastTick != 0 {
+		late = max(0, now-c.strain.lastTick-coordinatorInterval)
+	}
+	c.log.WithFields(logrus.Fields{
+		"lacking":   lacking,
+		"unreached": unreached,
+		"lag":       late,
+	}).Warn("paths of the coordinator to holders of keys changed")
 }
