core/paths, internal/gateway: paths count as lost once attempts have failed again

Cause: what was not tried again counted as evidence. Upstreams that have ended and come back answer others before a coordinator with hundreds of them has probed them again, three at a time; and all grants of a new term are sent at once, time out together where the processor is small, and count as lost paths until each was tried again. Two upstreams were enough, of any number.

Now an upstream counts only if an attempt has failed between two answers to others, and a tenth of the service must answer others; those that have answered others are probed first. Most paths count as lost only if more of the attempts that began since then fail than succeed.

--- a/internal/gateway/paths.go
+++ b/internal/gateway/paths.go
@@ -106,14 +106,11 @@
 	if v.table == nil || p.failedCount() == 0 {
 		return false
 	}
-	total := map[string]int{}
-	for _, u := range v.list.Upstreams {
-		total[u.Service]++
-	}
+	total := v.upstreamCounts()
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
 	for name, service := range v.table.Services {
-		if service.Keyed && p.monitor.MostlyLost(name, total[name]) {
+		if service.Keyed && p.monitor.MostlyLost(p.clock.Now(), name, total[name]) {
 			return true
 		}
 	}
@@ -121,10 +118,10 @@
 }
 
 // othersReach reports whether other instances reach upstreams of a service that this one does not.
-func (p *pathMonitor) othersReach(service string, lastAnswered func(upstream string) time.Duration) bool {
+func (p *pathMonitor) othersReach(service string, total int, lastAnswered func(upstream string) time.Duration) bool {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
-	return p.monitor.OthersReach(service, lastAnswered)
+	return p.monitor.OthersReach(p.clock.Now(), service, total, lastAnswered)
 }
 
 // watchStall probes the path to an upstream if a request to it is not answered for long. The caller must call stop once it is.
--- a/internal/gateway/relays.go
+++ b/internal/gateway/relays.go
@@ -181,8 +181,9 @@
 	if c.paths.holdersLost() {
 		return mostPathsLost
 	}
+	total := c.view().upstreamCounts()
 	for _, s := range c.services {
-		if s.keyed && c.paths.othersReach(s.name, s.pool.LastAnswered) {
+		if s.keyed && c.paths.othersReach(s.name, total[s.name], s.pool.LastAnswered) {
 			return othersReach
 		}
 	}
--- a/internal/gateway/view.go
+++ b/internal/gateway/view.go
@@ -26,6 +26,15 @@
 	configured, listed bool
 }
 
+// upstreamCounts returns the number of registered upstreams of each service.
+func (v *view) upstreamCounts() map[string]int {
+	counts := map[string]int{}
+	for _, u := range v.list.Upstreams {
+		counts[u.Service]++
+	}
+	return counts
+}
+
 // follower keeps the current view up to date.
 type follower struct {
 	store    cuminlift.RowStore
