core/keyspace, internal/gateway: the log says when keys are given up and granted, and which requests are sent again

Answered releases and the first grant under a fence have a line with range, fence and duration; renewals have none. Attempts that failed are logged with their key, and so are those that follow one that may have arrived. Served requests are not logged.

--- a/core/keyspace/calls.go
+++ b/core/keyspace/calls.go
@@ -13,6 +13,8 @@
 	Upstream string
 	Address  string
 	Grant    cuminlift.KeyGrant
+	// First is true unless the call renews an earlier one, answered or not.
+	First bool
 }
 
 // ReleaseCall is a release to send.
@@ -64,9 +66,11 @@
 		s.needsHigherFence = true // No grant could be sent for long, for example because the holder was not registered.
 		return
 	}
+	first := s.sent == 0
 	s.callPending = true
 	s.sent = now
 	actions.Grants = append(actions.Grants, GrantCall{
+		First:    first,
 		Upstream: u.ID,
 		Address:  u.Address,
 		Grant: cuminlift.KeyGrant{
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -25,6 +25,9 @@
 		ctx, cancel = context.WithDeadline(context.WithoutCancel(ctx), c.deadline)
 		defer cancel()
 	}
+	if c.arrivals > 0 {
+		h.log.WithFields(c.logFields(result)).Info("request is sent again")
+	}
 	end := h.ticketClient.stopper.track(c)
 	defer end(false)
 	response, relay, err := h.send(ctx, r, c, result)
@@ -175,10 +178,7 @@
 
 // logAnswer returns a log entry with what an answer shows about whether the request ran.
 func (h *requestHandler) logAnswer(c *call, result ticketResult, response *upstream.Response, sentAt time.Time) *logrus.Entry {
-	return h.log.WithFields(logrus.Fields{
-		"request":        c.requestID,
-		"upstream":       result.upstream,
-		"local":          result.local,
+	return h.log.WithFields(c.logFields(result)).WithFields(logrus.Fields{
 		"took":           time.Since(sentAt),
 		"at-most-once":   !c.state.Idempotent,
 		"status":         response.Status,
@@ -191,12 +191,22 @@
 }
 
 func (h *requestHandler) logFailedAttempt(c *call, result ticketResult, sentAt time.Time, problem string, status int) {
-	h.log.WithFields(logrus.Fields{
+	h.log.WithFields(c.logFields(result)).WithFields(logrus.Fields{
+		"status":  status,
+		"took":    time.Since(sentAt),
+		"problem": problem,
+	}).Info("attempt failed")
+}
+
+// logFields returns the fields that identify an attempt in the log.
+func (c *call) logFields(result ticketResult) logrus.Fields {
+	fields := logrus.Fields{
 		"request":  c.requestID,
 		"upstream": result.upstream,
 		"local":    result.local,
-		"status":   status,
-		"took":     time.Since(sentAt),
-		"problem":  problem,
-	}).Info("attempt failed")
+	}
+	if c.key > 0 {
+		fields["key"] = c.key - 1
+	}
+	return fields
 }
--- a/internal/gateway/keys.go
+++ b/internal/gateway/keys.go
@@ -95,14 +95,11 @@
 		}
 		c.post(func(now time.Duration) {
 			s.assigner.Granted(now, sentAt, call, result)
-			if err != nil {
-				c.log.WithFields(logrus.Fields{
-					"service":  s.name,
-					"upstream": call.Upstream,
-					"from":     call.Grant.From,
-					"to":       call.Grant.To,
-					"fence":    call.Grant.Fence,
-				}).WithError(err).Warn("grant failed")
+			switch {
+			case err != nil:
+				logKeyCall(c.log, s, call.Grant, now-sentAt).WithError(err).Warn("grant failed")
+			case call.First:
+				logKeyCall(c.log, s, call.Grant, now-sentAt).Info("keys granted")
 			}
 			c.decide(now, s)
 		})
@@ -138,6 +135,7 @@
 	go func() {
 		ctx, cancel := context.WithTimeout(c.ctx, releaseTimeout)
 		defer cancel()
+		sentAt := c.clock.Now()
 		var handover string
 		var err error
 		if !mutant.Is(mutant.ReleaseSkipped) {
@@ -147,13 +145,11 @@
 			var wrongUpstream *cuminlift.WrongUpstreamError
 			gone := errors.As(err, &wrongUpstream)
 			s.assigner.Released(now, call, handover, err == nil || gone)
+			entry := logKeyCall(c.log, s, call.Grant, now-sentAt)
 			if err != nil {
-				c.log.WithFields(logrus.Fields{
-					"service":  s.name,
-					"upstream": call.Upstream,
-					"from":     call.Grant.From,
-					"to":       call.Grant.To,
-				}).WithError(err).Warn("release failed")
+				entry.WithError(err).Warn("release failed")
+			} else {
+				entry.WithField("handover", handover).Info("keys released")
 			}
 			c.advanceKeys(now, s, c.view())
 			c.decide(now, s)
@@ -161,6 +157,18 @@
 	}()
 }
 
+// logKeyCall returns a log entry for a call that took the given time.
+func logKeyCall(log *logrus.Entry, s *serviceState, grant cuminlift.KeyGrant, took time.Duration) *logrus.Entry {
+	return log.WithFields(logrus.Fields{
+		"service":  s.name,
+		"upstream": grant.Upstream,
+		"from":     grant.From,
+		"to":       grant.To,
+		"fence":    grant.Fence,
+		"took":     took,
+	})
+}
+
 // probeUnreachable sends a health check to each unreachable upstream of a keyed service once per probeInterval.
 func (c *coordinator) probeUnreachable(now time.Duration, v *view) {
 	if now-c.lastProbe < probeInterval {
