io/caller, internal/gateway: the log names requests that end without an answer, and why

A response that could not be written because its connection was closed was dropped without a line, and `left` counted requests whose caller had closed the connection and those whose connection the instance had closed alike.

The context of a connection now ends with a cause: closed by this instance, not read, or closed by the caller. "request not answered" names the request, whether an upstream may have got it, and the cause. A whole response is flushed by the handler, in place of the server afterwards, so that a failed write shows.

--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -64,6 +64,8 @@
 	// arrivals counts the attempts that may have reached an upstream, refusals those of them that the upstream did not run, and unsent the
 	// attempts of which nothing was sent.
 	arrivals, refusals, unsent int
+	// delivered is true once the whole response was written to the caller's connection. Where that is left to the server, it stays false.
+	delivered bool
 	// pathFailed is true once an upstream could not be reached from this instance.
 	pathFailed bool
 }
@@ -175,6 +177,8 @@
 func (h *requestHandler) serveCall(w http.ResponseWriter, r *http.Request, c *call) {
 	ctx, cancel := context.WithDeadline(r.Context(), c.deadline)
 	defer cancel()
+	broken := true
+	defer func() { h.logUnanswered(r, c, broken) }()
 	reason := ""
 	retryDelay := time.Duration(0)
 	for attempt := 0; attempt < c.route.Attempts+maxUnsentAttempts && c.arrivals < c.route.Attempts && c.state.CanAttempt(); {
@@ -190,6 +194,7 @@
 		}
 		c.advance(h, request.Queued, request.Sent)
 		if h.attempt(ctx, w, r, c, result) {
+			broken = false
 			return
 		}
 		if c.returned != "" {
@@ -200,6 +205,7 @@
 		retryDelay = defaultRetryAfter
 	}
 	h.failCall(ctx, w, r, c, reason, retryDelay)
+	broken = false
 }
 
 // maxUnsentAttempts is the number of attempts of a call, beyond those that its route allows, that may end without anything sent to an
--- a/internal/gateway/response.go
+++ b/internal/gateway/response.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"io"
 	"net/http"
 	"strconv"
@@ -13,6 +14,7 @@
 	"cuminlift/core/execution"
 	"cuminlift/core/request"
 	"cuminlift/internal/mutant"
+	"cuminlift/io/caller"
 	"cuminlift/io/upstream"
 )
 
@@ -48,7 +50,9 @@
 	_, err := w.Write(buffered)
 	switch {
 	case complete:
-		return // The caller has received everything, or has disconnected.
+		// The caller has received everything, or its connection has ended.
+		c.delivered = controller.Flush() == nil
+		return
 	case err != nil:
 		panic(http.ErrAbortHandler)
 	}
@@ -57,12 +61,38 @@
 		h.log.WithField("request", c.requestID).WithError(err).Warn("answer broke off")
 		panic(http.ErrAbortHandler)
 	}
+	c.delivered = controller.Flush() == nil
 	// The connection stays open for further requests.
 	if err := controller.SetWriteDeadline(time.Time{}); err != nil {
 		h.log.WithField("request", c.requestID).WithError(err).Warn("lifting the limit on the time of an answer failed")
 	}
 }
 
+// logUnanswered logs a request that ends with its connection before it has been answered completely. broken is true if its handler has
+// ended the connection.
+func (h *requestHandler) logUnanswered(r *http.Request, c *call, broken bool) {
+	cause := context.Cause(r.Context())
+	if c.delivered || (cause == nil && !broken) {
+		return
+	}
+	reason := "answer broke off"
+	switch {
+	case errors.Is(cause, caller.ErrClosed), errors.Is(cause, caller.ErrUnread):
+		reason = cause.Error()
+	case cause != nil:
+		reason = caller.ErrLeft.Error()
+	}
+	h.log.WithFields(logrus.Fields{
+		"request":      c.requestID,
+		"service":      c.service,
+		"cause":        reason,
+		"passed-on":    c.arrivals > 0,
+		"at-most-once": !c.state.Idempotent,
+		"stopping":     h.stopping.Load(),
+		"held":         time.Since(c.receivedAt),
+	}).Info("request not answered")
+}
+
 func bodyAllowed(status int) bool {
 	return status != http.StatusNoContent && status != http.StatusNotModified
 }
--- a/internal/gateway/servers.go
+++ b/internal/gateway/servers.go
@@ -29,6 +29,12 @@
 		Handler:           handler,
 		ReadHeaderTimeout: headerTimeout,
 		IdleTimeout:       idleTimeout,
+		ConnContext: func(ctx context.Context, conn net.Conn) context.Context {
+			if c, ok := conn.(*unreadConn); ok {
+				ctx, c.cancel = context.WithCancelCause(ctx)
+			}
+			return ctx
+		},
 		ConnState: func(_ net.Conn, state http.ConnState) {
 			switch state {
 			case http.StateNew:
--- a/internal/gateway/unread.go
+++ b/internal/gateway/unread.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"context"
 	"errors"
 	"net"
 	"os"
@@ -9,6 +10,8 @@
 	"time"
 
 	"golang.org/x/sys/unix"
+
+	"cuminlift/io/caller"
 )
 
 // unreadListener accepts connections whose responses are given up if their callers read nothing of them for unreadTimeout, after twice that
@@ -24,7 +27,8 @@
 		return nil, err
 	}
 	bounded := &unreadConn{
-		Conn: conn,
+		Conn:   conn,
+		cancel: func(error) {},
 	}
 	if descriptor, ok := conn.(syscall.Conn); ok {
 		if raw, err := descriptor.SyscallConn(); err == nil {
@@ -38,8 +42,10 @@
 type unreadConn struct {
 	net.Conn
 	// raw is nil if the system's state of the connection is unknown.
-	raw   syscall.RawConn
-	mutex sync.Mutex
+	raw syscall.RawConn
+	// cancel ends the context of the connection with the reason for which this instance closes it.
+	cancel context.CancelCauseFunc
+	mutex  sync.Mutex
 	// until is when writing ends at the latest, if the server has set that.
 	until time.Time
 	// acknowledgedBefore is what isRead has found when it looked last. Only the goroutine that writes uses it.
@@ -60,6 +66,12 @@
 	return errors.Join(c.SetReadDeadline(at), c.SetWriteDeadline(at))
 }
 
+// Close implements net.Conn.
+func (c *unreadConn) Close() error {
+	c.cancel(caller.ErrClosed)
+	return c.Conn.Close()
+}
+
 // CloseWrite lets net/http end a connection without losing its last response.
 func (c *unreadConn) CloseWrite() error {
 	if closer, ok := c.Conn.(interface{ CloseWrite() error }); ok {
@@ -79,6 +91,7 @@
 		case err == nil, !errors.Is(err, os.ErrDeadlineExceeded), !until.IsZero() && !time.Now().Before(until):
 			return written, err
 		case !c.isRead():
+			c.cancel(caller.ErrUnread)
 			return written, err
 		}
 	}
--- a/io/caller/connection.go
+++ b/io/caller/connection.go
@@ -33,7 +33,7 @@
 	openedAt time.Time
 	remote   string
 	ctx      context.Context
-	cancel   context.CancelFunc
+	cancel   context.CancelCauseFunc
 	// wake tells the reader that the line or over has changed while it waits in waitUntil.
 	wake chan struct{}
 
@@ -329,7 +329,7 @@
 		return
 	}
 	c.over = true
-	c.cancel()
+	c.cancel(ErrClosed)
 	if half, ok := c.conn.(interface{ CloseWrite() error }); ok {
 		_ = half.CloseWrite() // It fails if the caller has closed the connection already.
 	}
@@ -352,7 +352,7 @@
 		c.server.config.Count(event)
 	}
 	c.over, c.left = true, true
-	c.cancel()
+	c.cancel(cause(event))
 	for _, r := range c.queue {
 		if !r.started {
 			r.releaseBody()
--- a/io/caller/leave.go
+++ b/io/caller/leave.go
@@ -1,6 +1,7 @@
 package caller
 
 import (
+	"errors"
 	"time"
 
 	"golang.org/x/sys/unix"
@@ -20,6 +21,33 @@
 	continueHead   = "HTTP/1.1 100 Continue\r\n\r\n"
 )
 
+// Events of connections that end.
+const (
+	eventLeft    = "caller-left"
+	eventStalled = "caller-stalled"
+)
+
+// What a request's context ends with, as context.Cause tells.
+var (
+	// ErrClosed is the cause if this instance has closed the connection.
+	ErrClosed = errors.New("connection closed by this instance")
+	// ErrUnread is the cause if the caller has read nothing of a response for too long.
+	ErrUnread = errors.New("response not read by the caller")
+	// ErrLeft is the cause if the caller has closed or reset the connection.
+	ErrLeft = errors.New("connection closed by the caller")
+)
+
+// cause returns the error for an event of leave.
+func cause(event string) error {
+	switch event {
+	case eventLeft:
+		return ErrLeft
+	case eventStalled:
+		return ErrUnread
+	}
+	return ErrClosed
+}
+
 // waitUntil waits until condition, which is called under the connection's lock, holds. It reports false if the connection is over
 // before, or after limit unless that is zero.
 func (c *connection) waitUntil(condition func() bool, limit time.Duration) bool {
@@ -63,7 +91,7 @@
 	state, unread := c.state()
 	switch {
 	case state == tcpClose:
-		c.leave("caller-left")
+		c.leave(eventLeft)
 	case state == tcpCloseWait || unread >= manyUnreadBytes:
 		c.closedTicks++
 		if c.closedTicks&(c.closedTicks-1) == 0 { // Less and less often.
@@ -118,6 +146,6 @@
 		return true // A full send buffer means that the caller has yet to read.
 	})
 	if err == nil && written != len(continueHead) {
-		c.leaveLocked("caller-left") // Part of it was sent, which would spoil the response.
+		c.leaveLocked(eventLeft) // Part of it was sent, which would spoil the response.
 	}
 }
--- a/io/caller/request.go
+++ b/io/caller/request.go
@@ -202,7 +202,7 @@
 		return c.refuseWith(c.server.config.Refuse)
 	case errors.Is(err, io.EOF), errors.Is(err, io.ErrUnexpectedEOF), errors.Is(err, net.ErrClosed), errors.Is(err, os.ErrDeadlineExceeded):
 	case errors.As(err, &network):
-		c.leave("caller-left") // The connection was reset.
+		c.leave(eventLeft) // The connection was reset.
 	}
 	return false
 }
@@ -262,7 +262,7 @@
 	}
 	if expects {
 		if err := c.write(time.Time{}, []byte(continueHead)); err != nil {
-			c.leave("caller-left")
+			c.leave(eventLeft)
 			return true, false
 		}
 	}
--- a/io/caller/server.go
+++ b/io/caller/server.go
@@ -150,7 +150,7 @@
 	}
 	c.idleSince = c.openedAt
 	c.input = bufio.NewReader(c)
-	c.ctx, c.cancel = context.WithCancel(s.ctx)
+	c.ctx, c.cancel = context.WithCancelCause(s.ctx)
 	s.mutex.Lock()
 	s.connections[c] = true
 	s.mutex.Unlock()
--- a/io/caller/write.go
+++ b/io/caller/write.go
@@ -11,10 +11,10 @@
 func (c *connection) giveUp(err error) {
 	if errors.Is(err, os.ErrDeadlineExceeded) {
 		c.server.config.Log.WithField("caller", c.remote).Info("answer is not read")
-		c.leave("caller-stalled")
+		c.leave(eventStalled)
 		return
 	}
-	c.leave("caller-left")
+	c.leave(eventLeft)
 }
 
 // write writes all parts. It fails at the deadline, if there is one, or when the caller has read nothing for the write timeout.
