io/upstream, internal/gateway: heads of all answers together are bounded in memory

Callers of an instance whose upstreams answered with heads of up to 256 KB could lose their requests with the process: each head was bounded, their sum was not. A head of short lines takes ten times its bytes.

Cause: bodies share a budget of an eighth of the memory, heads were parsed outside of it.

A head that takes more than 16 KB of memory, counted with two bytes for each byte and 192 for each line, now reserves the rest from the budget of buffered responses before more is read, and returns it when the body is closed. If the budget is used up, the connection is reset and the outcome is unknown; proper heads reserve nothing. One head may take 512 KB, as before 256 KB of bytes.

--- a/internal/gateway/body.go
+++ b/internal/gateway/body.go
@@ -37,6 +37,17 @@
 	}
 }
 
+// headMemory implements upstream.HeadMemory.
+type headMemory struct {
+	budget *caller.Budget
+}
+
+// Reserve implements upstream.HeadMemory.
+func (m headMemory) Reserve(bytes int64) bool { return m.budget.Reserve(caller.Responses, bytes) }
+
+// Release implements upstream.HeadMemory.
+func (m headMemory) Release(bytes int64) { m.budget.Release(caller.Responses, bytes) }
+
 // reserve returns how many bytes of a response of the given length, -1 if it is not known, may be buffered. The caller must release
 // them.
 func (b *bodyBuffers) reserve(length int64) int64 {
--- a/internal/gateway/endless_heads_test.go
+++ b/internal/gateway/endless_heads_test.go
@@ -24,7 +24,7 @@
 type stalled struct {
 	address string
 	// begun counts the answers whose first part was written whole.
-	begun atomic.Int64
+	begun   atomic.Int64
 	release chan struct{}
 }
 
@@ -133,6 +133,8 @@
 	"long lines":  {600, "HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nResponse-Signature: s\r\nContent-Length: 10\r\n" + fillerLines(240<<10, 8<<10) + "\r\n"},
 	"short lines": {100, "HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nResponse-Signature: s\r\nContent-Length: 10\r\n" + fillerLines(240<<10, 0) + "\r\n"},
 	"one line":    {600, "HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nResponse-Signature: s\r\nContent-Length: 10\r\nx:" + strings.Repeat("y", 240<<10) + "\r\n\r\n"},
+	"some lines":  {600, "HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nResponse-Signature: s\r\nContent-Length: 10\r\n" + fillerLines(20<<10, 0) + "\r\n"},
+	"few lines":   {900, "HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nResponse-Signature: s\r\nContent-Length: 10\r\n" + fillerLines(600, 0) + "\r\n"},
 	"no end":      {600, "HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nResponse-Signature: s\r\nContent-Length: 10\r\nx:" + strings.Repeat("y", 240<<10)},
 }
 
@@ -158,8 +160,8 @@
 				c.Logf("%d answers begun, %d requests ended, %d MB more", s.begun.Load(), ended.Load(), (int64(during)-int64(before))>>20)
 				// The limit that an instance sets for the garbage collector.
 				c.Check(during < before+smallestInstance/2, qt.IsTrue, qt.Commentf("%d MB more", (during-before)>>20))
-				status, _, _ := k.send("n0", http.MethodGet, "/read/x", 1, "")
-				c.Check(status, qt.Equals, http.StatusOK)
+				status, text, _ := k.send("n0", http.MethodGet, "/read/x", 1, "")
+				c.Check(status, qt.Equals, http.StatusOK, qt.Commentf("%s", text))
 			})
 		}
 	}
@@ -190,8 +192,8 @@
 			during := heapInUse()
 			c.Logf("%d answers begun, %d requests ended, %d MB more", s.begun.Load(), ended.Load(), (int64(during)-int64(before))>>20)
 			c.Check(during < before+smallestInstance/2, qt.IsTrue, qt.Commentf("%d MB more", (during-before)>>20))
-			status, _, _ := k.send("n0", http.MethodGet, "/read/x", 1, "")
-			c.Check(status, qt.Equals, http.StatusOK)
+			status, text, _ := k.send("n0", http.MethodGet, "/read/x", 1, "")
+			c.Check(status, qt.Equals, http.StatusOK, qt.Commentf("%s", text))
 		})
 	}
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -89,7 +89,8 @@
 	g.follower.instances = g.ticketClient.readingInstances
 	g.ticketClient.tables = []*tableFeed{g.follower.configuration, g.follower.upstreams}
 	store.feeds = g.ticketClient.tables
-	client := newUpstreamClient(config)
+	buffers := newBodyBuffers(config.Settings.MemoryBytes)
+	client := newUpstreamClient(config, config.DialUpstream, buffers)
 	g.paths = &pathMonitor{
 		clock:  config.Clock,
 		log:    loggers.For("instance"),
@@ -109,10 +110,10 @@
 		view:           g.follower.view,
 		ticketClient:   g.ticketClient,
 		upstreamClient: client,
-		relayClient:    upstream.NewClient(config.Headers),
+		relayClient:    newUpstreamClient(config, nil, buffers),
 		paths:          g.paths,
 		counters:       g.counters,
-		buffers:        newBodyBuffers(config.Settings.MemoryBytes),
+		buffers:        buffers,
 		splitter:       route.NewSplitter(),
 	}
 	g.elector = &elector{
@@ -132,11 +133,15 @@
 	return g, nil
 }
 
-func newUpstreamClient(config Config) *upstream.Client {
-	if config.DialUpstream == nil {
-		return upstream.NewClient(config.Headers)
-	}
-	return upstream.NewClientWithDial(config.Headers, config.DialUpstream)
+// newUpstreamClient returns a client whose large heads share the memory of buffered responses. dial is nil for the default.
+func newUpstreamClient(config Config, dial upstream.DialFunc, buffers *bodyBuffers) *upstream.Client {
+	return upstream.NewConfiguredClient(upstream.ClientConfig{
+		Headers: config.Headers,
+		Dial:    dial,
+		Heads: headMemory{
+			budget: buffers.budget,
+		},
+	})
 }
 
 // Run serves until ctx ends, then shuts down gracefully within the settings' ShutdownTimeout.
--- a/io/upstream/client.go
+++ b/io/upstream/client.go
@@ -72,7 +72,7 @@
 	Confirm func() bool
 }
 
-// Response is the response to an attempt. The caller must read its body to the end and close it.
+// Response is the response to an attempt. The caller must read its body to the end, and close it once the header is not used any more.
 type Response struct {
 	Status int
 	Header http.Header
@@ -122,16 +122,33 @@
 	pool    *connectionPool
 }
 
-// NewClient returns a Client. It connects on first use.
+// ClientConfig configures a Client.
+type ClientConfig struct {
+	Headers Headers
+	// Dial opens connections, nil for the default.
+	Dial DialFunc
+	// Heads is the memory for heads that are larger than usual, nil if they are bounded only one by one.
+	Heads HeadMemory
+}
+
+// NewClient returns a Client with the defaults.
 func NewClient(headers Headers) *Client {
-	return NewClientWithDial(headers, DialWithReset(connectTimeout))
+	return NewConfiguredClient(ClientConfig{
+		Headers: headers,
+	})
 }
 
-// NewClientWithDial returns a Client that connects by dial.
-func NewClientWithDial(headers Headers, dial DialFunc) *Client {
+// NewConfiguredClient returns a Client. It connects on first use.
+func NewConfiguredClient(config ClientConfig) *Client {
+	if config.Dial == nil {
+		config.Dial = DialWithReset(connectTimeout)
+	}
+	if config.Heads == nil {
+		config.Heads = unboundedHeadMemory{}
+	}
 	return &Client{
-		headers: headers,
-		pool:    newConnectionPool(dial),
+		headers: config.Headers,
+		pool:    newConnectionPool(config.Dial, config.Heads),
 	}
 }
 
@@ -200,6 +217,7 @@
 	if err != nil {
 		stop()
 		c.abort()
+		c.head.release()
 		if ctx.Err() != nil {
 			err = ctx.Err()
 		}
@@ -244,9 +262,6 @@
 	// the body of each.
 	maxMismatches    = 4
 	maxMismatchBytes = 1 << 20
-	// maxInformational bounds the informational responses before the final one, and maxHeadBytes the size of all their heads.
-	maxInformational = 16
-	maxHeadBytes     = 256 << 10
 )
 
 // readResponse returns the response that carries the request's ID, and discards responses that carry another one.
@@ -299,8 +314,8 @@
 
 // readFinalResponse skips informational (1xx) responses.
 func (c *connection) readFinalResponse(method string) (*http.Response, error) {
-	c.limit.limited, c.limit.remaining = true, maxHeadBytes
-	defer func() { c.limit.limited = false }()
+	c.head.await()
+	defer func() { c.head.awaiting = false }()
 	for range maxInformational {
 		response, err := http.ReadResponse(c.reader, &http.Request{
 			Method: method,
@@ -392,6 +407,7 @@
 		return nil
 	}
 	b.closed = true
+	b.connection.head.release()
 	intact := b.stop()
 	if !b.complete && b.length >= 0 && int64(b.connection.reader.Buffered()) >= b.length-b.read {
 		// The caller may not have read all of it. An upstream that is still sending is not waited for.
--- a/io/upstream/connection.go
+++ b/io/upstream/connection.go
@@ -3,9 +3,7 @@
 import (
 	"bufio"
 	"context"
-	"errors"
 	"fmt"
-	"io"
 	"net"
 	"slices"
 	"sync"
@@ -46,7 +44,7 @@
 	conn           net.Conn
 	raw            syscall.RawConn
 	reader         *bufio.Reader
-	limit          *readLimit
+	head           *headReader
 	idleSince      time.Time
 	idleUntil      time.Time
 	desynchronized bool
@@ -58,29 +56,6 @@
 	lastRefused string
 }
 
-// readLimit bounds the bytes read while an answer's head is awaited, because parsing a head keeps all of it in memory.
-type readLimit struct {
-	reader io.Reader
-	// limited is true while remaining bounds the bytes that may be read.
-	limited   bool
-	remaining int
-}
-
-var errHeadTooLong = errors.New("the head of the response has no end")
-
-// Read implements io.Reader.
-func (l *readLimit) Read(data []byte) (int, error) {
-	if !l.limited {
-		return l.reader.Read(data)
-	}
-	if l.remaining <= 0 {
-		return 0, errHeadTooLong
-	}
-	n, err := l.reader.Read(data[:min(len(data), l.remaining)])
-	l.remaining -= n
-	return n, err
-}
-
 // abort resets the connection and discards its unsent data.
 func (c *connection) abort() {
 	c.conn.Close() // SO_LINGER is 0, so closing resets the connection.
@@ -117,6 +92,7 @@
 // connectionPool holds idle connections by address.
 type connectionPool struct {
 	dial  DialFunc
+	heads HeadMemory
 	mutex sync.Mutex
 	idle  map[string][]*connection
 	// added counts the connections added since the expired ones were last closed.
@@ -124,10 +100,11 @@
 	dials atomic.Int64
 }
 
-func newConnectionPool(dial DialFunc) *connectionPool {
+func newConnectionPool(dial DialFunc, heads HeadMemory) *connectionPool {
 	return &connectionPool{
-		dial: dial,
-		idle: map[string][]*connection{},
+		dial:  dial,
+		heads: heads,
+		idle:  map[string][]*connection{},
 	}
 }
 
@@ -295,13 +272,14 @@
 		conn.Close()
 		return nil, err
 	}
-	limit := &readLimit{
+	head := &headReader{
 		reader: conn,
+		memory: p.heads,
 	}
 	return &connection{
 		conn:   conn,
 		raw:    raw,
-		reader: bufio.NewReaderSize(limit, readBufferSize),
-		limit:  limit,
+		reader: bufio.NewReaderSize(head, readBufferSize),
+		head:   head,
 	}, nil
 }
