io/upstream, platform: an answer to a call that has no end is no answer

A release whose answer had a body without end counted as answered once 4 MB had been read, so that its keys could pass on although the holder had not said that its work had ended; a grant counted as given, rows of the store as read, and an upstream as healthy, once the head had come.

Cause: a body was read up to a bound and trusted whether or not it ended there; a health check did not look at its body.

--- a/internal/gateway/keys.go
+++ b/internal/gateway/keys.go
@@ -13,6 +13,7 @@
 	"cuminlift/core/keyspace"
 	"cuminlift/core/roster"
 	"cuminlift/internal/mutant"
+	"cuminlift/io/upstream"
 )
 
 // advanceKeys runs the assigner of a service and carries out its actions.
@@ -184,13 +185,9 @@
 		c.log.WithField("upstream", u.ID).WithError(err).Warn("creating the probe request failed")
 		return
 	}
-	response, err := c.config.ProbeClient.Do(request)
-	if err != nil {
+	healthy, err := upstream.CheckHealth(c.config.ProbeClient, request)
+	if err != nil || !healthy {
 		return // Still unreachable; the next probe tries again.
 	}
-	response.Body.Close()
-	if response.StatusCode != http.StatusOK {
-		return
-	}
 	c.post(func(now time.Duration) { s.pool.MarkReachable(now, u.ID) })
 }
