io/upstream: heads of answers to hundreds of calls do not exhaust memory

A coordinator whose upstreams all answer its grants, releases or health checks with heads without end could end with the requests of its callers. Heads were bounded to 256 KB each, which short lines turn into megabytes.

Answers to calls to upstreams may now have heads of 2 KB, those of the store 16 KB; proper ones have a few hundred bytes.

--- a/internal/boot/boot.go
+++ b/internal/boot/boot.go
@@ -112,7 +112,7 @@
 	out := logs.NewAsyncWriter(cli.Out, logBufferLines)
 	g, err := gateway.New(gateway.Config{
 		Settings:         settings,
-		Store:            platform.NewStore(settings.StoreAddress, newHTTPClient(storeConnections)),
+		Store:            platform.NewStore(settings.StoreAddress, newStoreClient()),
 		Registry:         platform.RowRegistry{},
 		KeyClient:        platform.NewKeyClient(newHTTPClient(keyConnections)),
 		Clock:            clock.NewBootClock(),
@@ -138,6 +138,8 @@
 const (
 	// storeConnections bounds connections to the store: three long polls, and writes beside them.
 	storeConnections = 8
+	// storeHeadBytes bounds the head of an answer of the store.
+	storeHeadBytes = 16 << 10
 	// keyConnections bounds connections per upstream for grants and releases. A release may take as long as the requests on its
 	// keys.
 	keyConnections = 4
@@ -147,7 +149,16 @@
 	flushTimeout = 200 * time.Millisecond
 )
 
-// newHTTPClient returns a client with a number of connections to each address.
+// newStoreClient returns a client for the store.
+func newStoreClient() *http.Client {
+	return upstream.NewHTTPClient(upstream.HTTPConfig{
+		Connections: storeConnections,
+		DialTimeout: dialTimeout,
+		HeadBytes:   storeHeadBytes,
+	})
+}
+
+// newHTTPClient returns a client with a number of connections to each upstream.
 func newHTTPClient(connections int) *http.Client {
 	return upstream.NewHTTPClient(upstream.HTTPConfig{
 		Connections: connections,
--- a/io/upstream/http.go
+++ b/io/upstream/http.go
@@ -1,6 +1,7 @@
 package upstream
 
 import (
+	"cmp"
 	"fmt"
 	"io"
 	"net/http"
@@ -13,12 +14,16 @@
 	Connections int
 	// DialTimeout bounds the time to connect.
 	DialTimeout time.Duration
+	// HeadBytes bounds the head of an answer, 0 for the bound of answers to calls to upstreams.
+	HeadBytes int64
 }
 
 const (
 	// httpIdleTimeout is how long an idle connection is kept.
 	httpIdleTimeout = 8 * time.Second
-	// maxCallBodyBytes bounds the body of the answer to a grant, a release or a health check. Proper ones have a few hundred bytes.
+	// maxCallHeadBytes bounds the heads of the answer to a grant, a release or a health check, and maxCallBodyBytes the body.
+	// Proper ones have a few hundred bytes, and hundreds of calls may be under way at once.
+	maxCallHeadBytes = 2 << 10
 	maxCallBodyBytes = 64 << 10
 )
 
@@ -32,7 +37,7 @@
 			MaxIdleConnsPerHost:    config.Connections,
 			IdleConnTimeout:        httpIdleTimeout,
 			DisableCompression:     true,
-			MaxResponseHeaderBytes: maxHeadBytes,
+			MaxResponseHeaderBytes: cmp.Or(config.HeadBytes, maxCallHeadBytes),
 		},
 	}
 }
