internal/gateway: a test of an instance whose relay answers with heads without end

The asking end of a relayed request. Requests that find no relay wait, so the test looks at memory until their deadlines.

--- a/internal/gateway/endless_heads_test.go
+++ b/internal/gateway/endless_heads_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"fmt"
 	"io"
 	"net"
@@ -13,8 +14,11 @@
 	"time"
 
 	qt "github.com/frankban/quicktest"
+	"google.golang.org/protobuf/proto"
 
 	"cuminlift/internal/gateway"
+	"cuminlift/io/frames"
+	"cuminlift/schema"
 )
 
 // smallestInstance is the memory of the smallest instance.
@@ -105,13 +109,13 @@
 }
 
 // askAll sends requests that must not be repeated to address, and counts those that have ended.
-func askAll(c *qt.C, address string, count int, header string) (ended *atomic.Int64) {
+func askAll(c *qt.C, address string, count int, deadline, header string) (ended *atomic.Int64) {
 	ended = &atomic.Int64{}
 	for i := range count {
 		conn, err := net.Dial("tcp4", address)
 		c.Assert(err, qt.IsNil)
 		c.Cleanup(func() { conn.Close() })
-		_, err = fmt.Fprintf(conn, "GET /order/x HTTP/1.1\r\nHost: a.example\r\nRequest-Id: h%d\r\nDeadline-Ms: 120000\r\n%s\r\n", i, header)
+		_, err = fmt.Fprintf(conn, "GET /order/x HTTP/1.1\r\nHost: a.example\r\nRequest-Id: h%d\r\nDeadline-Ms: %s\r\n%s\r\n", i, deadline, header)
 		c.Assert(err, qt.IsNil)
 		go func() {
 			// An answer whose head was passed on has not ended.
@@ -154,7 +158,7 @@
 				s := startStalled(c, test.head)
 				k.registerPlain("s0", s.address, test.count)
 				before := heapInUse()
-				ended := askAll(c, k.instances["n0"].settings.FrontAddress, test.count, "")
+				ended := askAll(c, k.instances["n0"].settings.FrontAddress, test.count, "120000", "")
 				eventually(func() bool { return s.begun.Load()+ended.Load() >= int64(test.count) })
 				during := heapInUse()
 				c.Logf("%d answers begun, %d requests ended, %d MB more", s.begun.Load(), ended.Load(), (int64(during)-int64(before))>>20)
@@ -186,7 +190,7 @@
 				return err == nil && status == http.StatusOK
 			})
 			before := heapInUse()
-			ended := askAll(c, k.instances["n0"].settings.RelayAddress, test.count,
+			ended := askAll(c, k.instances["n0"].settings.RelayAddress, test.count, "120000",
 				"Cuminlift-Relay-Upstream: s0\r\nCuminlift-Relay-Born: 1\r\nCuminlift-Relay-At-Most-Once: true\r\n")
 			eventually(func() bool { return s.begun.Load()+ended.Load() >= int64(test.count) })
 			during := heapInUse()
@@ -197,3 +201,64 @@
 		})
 	}
 }
+
+// TestHeadsFromARelayDoNotGrowInMemory covers an instance that sends its requests through another one, whose answers have no proper heads.
+func TestHeadsFromARelayDoNotGrowInMemory(t *testing.T) {
+	for name, test := range manyHeads {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			k := newCluster(c, 0)
+			k.adjust = func(s *gateway.Settings) { s.MemoryBytes = smallestInstance }
+			relay := startStalled(c, test.head)
+			k.testRelay("relay", relay.address)
+			k.configureLong()
+			k.registerPlain("s0", freeAddress(c), test.count)
+			k.start("n0")
+			k.paths["n0"].set(reset)
+			front := k.instances["n0"].settings.FrontAddress
+			eventually(func() bool {
+				status, _, _ := k.send("n0", http.MethodGet, "/nowhere/", 0, "")
+				return status == http.StatusNotFound
+			})
+			for relay.begun.Load() == 0 {
+				askAll(c, front, 1, "500", "")
+				time.Sleep(100 * time.Millisecond)
+			}
+			begun := relay.begun.Load()
+			before := heapInUse()
+			// Requests that find no relay wait until their deadline.
+			ended := askAll(c, front, test.count, "10000", "")
+			during := uint64(0)
+			for relay.begun.Load()-begun+ended.Load() < int64(test.count) {
+				during = max(during, heapInUse())
+			}
+			during = max(during, heapInUse())
+			c.Logf("%d answers begun, %d requests ended, %d MB more", relay.begun.Load(), ended.Load(), (int64(during)-int64(before))>>20)
+			c.Check(during < before+smallestInstance/2, qt.IsTrue, qt.Commentf("%d MB more", (during-before)>>20))
+			status, text, _ := k.send("n0", http.MethodGet, "/nowhere/", 0, "")
+			c.Check(status, qt.Equals, http.StatusNotFound, qt.Commentf("%s", text))
+		})
+	}
+}
+
+// testRelay registers an instance that is connected, and whose address for requests of other instances is given.
+func (k *cluster) testRelay(name, address string) {
+	k.testFollower(name, func(f *frames.Connection, frame *schema.Frame) {
+		if beat := frame.GetBeat(); beat != nil {
+			acknowledge(f, beat, &schema.BeatReply{})
+		}
+	})
+	page, err := k.store.Rows(context.Background(), "gateway-instances", "")
+	k.c.Assert(err, qt.IsNil)
+	for _, r := range page.Rows {
+		if r.Key != name {
+			continue
+		}
+		registered := &schema.InstanceRow{}
+		k.c.Assert(proto.Unmarshal(r.Value, registered), qt.IsNil)
+		registered.RelayAddress = address
+		value, err := proto.Marshal(registered)
+		k.c.Assert(err, qt.IsNil)
+		k.put("gateway-instances", name, string(value))
+	}
+}
