--- a/internal/boot/boot.go
+++ b/internal/boot/boot.go
@@ -18,6 +18,7 @@
 	"cuminlift/internal/gateway"
 	"cuminlift/internal/logs"
 	"cuminlift/internal/reference"
+	"cuminlift/io/answer"
 	"cuminlift/io/clock"
 	"cuminlift/io/upstream"
 	"cuminlift/platform"
@@ -138,8 +139,6 @@
 const (
 	// storeConnections bounds connections to the store: three long polls, and writes beside them.
 	storeConnections = 8
-	// storeHeadBytes bounds the head of an answer of the store.
-	storeHeadBytes = 16 << 10
 	// keyConnections bounds connections per upstream for grants and releases. A release may take as long as the requests on its
 	// keys.
 	keyConnections = 4
@@ -154,7 +153,7 @@
 	return upstream.NewHTTPClient(upstream.HTTPConfig{
 		Connections: storeConnections,
 		DialTimeout: dialTimeout,
-		HeadBytes:   storeHeadBytes,
+		HeadBytes:   answer.MaxHeadBytes,
 	})
 }
 
