--- a/internal/boot/boot.go
+++ b/internal/boot/boot.go
@@ -18,6 +18,7 @@
 	"cuminlift/internal/gateway"
 	"cuminlift/internal/logs"
 	"cuminlift/internal/reference"
+	"cuminlift/io/answer"
 	"cuminlift/io/clock"
 	"cuminlift/io/upstream"
 	"cuminlift/platform"
@@ -112,7 +113,7 @@
 	out := logs.NewAsyncWriter(cli.Out, logBufferLines)
 	g, err := gateway.New(gateway.Config{
 		Settings:         settings,
-		Store:            platform.NewStore(settings.StoreAddress, newHTTPClient(storeConnections)),
+		Store:            platform.NewStore(settings.StoreAddress, newStoreClient()),
 		Registry:         platform.RowRegistry{},
 		KeyClient:        platform.NewKeyClient(newHTTPClient(keyConnections)),
 		Clock:            clock.NewBootClock(),
@@ -147,7 +148,16 @@
 	flushTimeout = 200 * time.Millisecond
 )
 
-// newHTTPClient returns a client with a number of connections to each address.
+// newStoreClient returns a client for the store.
+func newStoreClient() *http.Client {
+	return upstream.NewHTTPClient(upstream.HTTPConfig{
+		Connections: storeConnections,
+		DialTimeout: dialTimeout,
+		HeadBytes:   answer.MaxHeadBytes,
+	})
+}
+
+// newHTTPClient returns a client with a number of connections to each upstream.
 func newHTTPClient(connections int) *http.Client {
 	return upstream.NewHTTPClient(upstream.HTTPConfig{
 		Connections: connections,
--- a/io/upstream/http.go
+++ b/io/upstream/http.go
@@ -1,8 +1,11 @@
 package upstream
 
 import (
+	"cmp"
 	"net/http"
 	"time"
+
+	"cuminlift/io/answer"
 )
 
 // HTTPConfig configures an HTTP client for calls other than requests, such as grants and health checks.
@@ -11,10 +14,17 @@
 	Connections int
 	// DialTimeout bounds the time to connect.
 	DialTimeout time.Duration
+	// HeadBytes bounds the head of an answer, 0 for the bound of answers to calls to upstreams.
+	HeadBytes int64
 }
 
-// httpIdleTimeout is how long an idle connection is kept.
-const httpIdleTimeout = 8 * time.Second
+const (
+	// httpIdleTimeout is how long an idle connection is kept.
+	httpIdleTimeout = 8 * time.Second
+	// maxCallHeadBytes bounds the heads of the answer to a grant, a release or a health check. Proper ones have a few hundred bytes, and
+	// hundreds of calls may be under way at once.
+	maxCallHeadBytes = 2 << 10
+)
 
 // NewHTTPClient returns an HTTP client without proxy and compression, whose connections are reset when they are closed. Heads of answers
 // are bounded, because net/http keeps all of them in memory. Callers bound each call with its context.
@@ -26,7 +36,20 @@
 			MaxIdleConnsPerHost:    config.Connections,
 			IdleConnTimeout:        httpIdleTimeout,
 			DisableCompression:     true,
-			MaxResponseHeaderBytes: maxHeadBytes,
+			MaxResponseHeaderBytes: cmp.Or(config.HeadBytes, maxCallHeadBytes),
 		},
 	}
 }
+
+// CheckHealth sends a health check, and reports whether the upstream answers it with success. An answer that never ends is none.
+func CheckHealth(client *http.Client, request *http.Request) (healthy bool, err error) {
+	response, err := client.Do(request)
+	if err != nil {
+		return false, err
+	}
+	defer response.Body.Close()
+	if err := answer.Finish(response); err != nil {
+		return false, err
+	}
+	return response.StatusCode == http.StatusOK, nil
+}
