core/keyspace: grants under way are bounded

Callers of the large site lose the owners of their keys when the coordinator changes: a new one sends the grants of all ranges at once.

Cause: nothing bounded how many calls are under way. More than a thousand at once take longer than the timeout of a call on a small processor, time out together, have cost their share all the same, and are sent again 0.35 s later.

At most 128 grants are under way that are not late; late ones, of upstreams that are silent, don't count, so that they hold up nobody. What is left over goes first the next time.

--- a/core/keyspace/calls.go
+++ b/core/keyspace/calls.go
@@ -42,13 +42,42 @@
 			actions.Record = k.document(now, p)
 		}
 	}
+	k.advanceSpans(now, &actions)
+	return actions
+}
+
+// maxFreshCalls bounds the grants that are under way and not late yet. A new coordinator grants all keys anew. On sites with more
+// than a thousand ranges, all of them at once take longer than the timeout of a call where processors are small, time out together and are
+// sent again. Late ones don't count: upstreams that are silent must not hold up the others.
+const maxFreshCalls = 128
+
+// advanceSpans adds the releases that are due, and as many grants as may be under way. Those that are left are the first ones the next time.
+func (k *Manager) advanceSpans(now time.Duration, actions *Actions) {
+	room := maxFreshCalls
 	for _, s := range k.spans {
-		k.advanceSpan(now, s, &actions)
+		if s.callPending && now-s.sent < usualAnswerTime {
+			room--
+		}
+	}
+	first := sort.Search(len(k.spans), func(i int) bool { return k.spans[i].to >= k.resumeAt })
+	full := false
+	for i := range k.spans {
+		s := k.spans[(first+i)%len(k.spans)]
+		k.releasePriors(now, s, actions)
+		switch {
+		case !k.mayGrant(now, s):
+		case room > 0:
+			room--
+			k.grant(now, s, actions)
+		case !full:
+			full = true
+			k.resumeAt = s.from
+		}
 	}
-	return actions
 }
 
-func (k *Manager) advanceSpan(now time.Duration, s *span, actions *Actions) {
+// releasePriors drops the priors that have given up their keys, and asks the others to.
+func (k *Manager) releasePriors(now time.Duration, s *span, actions *Actions) {
 	kept := s.priors[:0]
 	for _, p := range s.priors {
 		if p.done(now) {
@@ -58,19 +87,26 @@
 		k.release(now, s, p, actions)
 	}
 	s.priors = kept
+}
+
+// mayGrant reports whether a grant of s is due and allowed.
+func (k *Manager) mayGrant(now time.Duration, s *span) bool {
 	u, known := k.upstreams[s.holder.id]
-	if len(kept) > 0 || now < k.quietUntil || !known || u.Incarnation != s.holder.incarnation || s.callPending || s.gone || s.needsHigherFence || !k.due(now, s) {
-		return
+	if len(s.priors) > 0 || now < k.quietUntil || !known || u.Incarnation != s.holder.incarnation || s.callPending || s.gone || s.needsHigherFence || !k.due(now, s) {
+		return false
 	}
 	if s.sent != 0 && now-s.answeredAt > restartSilence {
 		s.needsHigherFence = true // No grant could be sent for long, for example because the holder was not registered.
-		return
+		return false
 	}
-	first := s.sent == 0
+	return true
+}
+
+func (k *Manager) grant(now time.Duration, s *span, actions *Actions) {
+	u := k.upstreams[s.holder.id]
 	s.callPending = true
 	s.sent = now
 	actions.Grants = append(actions.Grants, GrantCall{
-		First:    first,
 		Upstream: u.ID,
 		Address:  u.Address,
 		Grant: cuminlift.KeyGrant{
--- a/core/keyspace/keyspace.go
+++ b/core/keyspace/keyspace.go
@@ -83,6 +83,8 @@
 	seenUpstreams       int
 	// quietUntil is until when nothing is granted, because the holders of the keys are not known.
 	quietUntil time.Duration
+	// resumeAt is the first key of the range from which grants are sent next.
+	resumeAt uint32
 	// writtenEra is the era in the last assignment that was read or returned for writing.
 	writtenEra uint64
 }
