internal/gateway: a request that is read from a connection that closes as idle is not served

What callers see: in a planned stop, a request on a kept connection is passed on, and its connection closed without an answer (LOST; one is enough around planned work).

Cause: to net/http a connection is idle until the whole header section of its next request has been read and checked. Its shutdown closes idle connections, also those whose request is in that part of the way. The handler then runs, and its response can't be written. Class: state is checked by one goroutine and acted on after another one has changed it.

The connection itself now decides, under one lock: it is closed only if no byte of a request has been read and no handler runs, and what is read or about to be handled after that counts as not read.

--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -265,6 +265,9 @@
 	w.Header().Set(h.config.Headers.Request, r.Header.Get(h.config.Headers.Request))
 	w.Header().Set(relayOutcomeHeader, outcome.String())
 	w.Header().Set("Content-Length", "0")
+	if h.stopping.Load() {
+		w.Header().Set("Connection", "close")
+	}
 	w.WriteHeader(http.StatusBadGateway)
 }
 
--- a/internal/gateway/response.go
+++ b/internal/gateway/response.go
@@ -146,6 +146,9 @@
 		name, text := h.config.RetryAfterHeader(max(retryDelay, time.Millisecond))
 		w.Header().Set(name, text)
 	}
+	if h.stopping.Load() {
+		w.Header().Set("Connection", "close")
+	}
 	h.counters.count("refused-" + strconv.Itoa(status))
 	w.Header().Set("Content-Type", "text/plain; charset=utf-8")
 	w.WriteHeader(status)
--- a/internal/gateway/unread.go
+++ b/internal/gateway/unread.go
@@ -29,6 +29,9 @@
 	bounded := &unreadConn{
 		Conn:   conn,
 		cancel: func(error) {},
+		idle: idleState{
+			openedAt: time.Now(),
+		},
 	}
 	if descriptor, ok := conn.(syscall.Conn); ok {
 		if raw, err := descriptor.SyscallConn(); err == nil {
@@ -45,6 +48,7 @@
 	raw syscall.RawConn
 	// cancel ends the context of the connection with the reason for which this instance closes it.
 	cancel context.CancelCauseFunc
+	idle   idleState
 	mutex  sync.Mutex
 	// until is when writing ends at the latest, if the server has set that.
 	until time.Time
@@ -66,8 +70,18 @@
 	return errors.Join(c.SetReadDeadline(at), c.SetWriteDeadline(at))
 }
 
+// Read implements net.Conn. What arrives while this instance closes the connection counts as not read.
+func (c *unreadConn) Read(data []byte) (int, error) {
+	n, err := c.Conn.Read(data)
+	if n > 0 && !c.idle.read(time.Now()) {
+		return 0, net.ErrClosed
+	}
+	return n, err
+}
+
 // Close implements net.Conn.
 func (c *unreadConn) Close() error {
+	c.idle.close()
 	c.cancel(caller.ErrClosed)
 	return c.Conn.Close()
 }
