io/upstream, io/platform, io/operator: cuminliftd and the operators' client trust no part of an answer

A grant, a read of the platform's table, an object and an operator's status counted as answered although the answer never ended: bodies were read up to 1 or 64 MB, and what had come by then was decoded, or returned, as the whole. Heads could have 10 MB.

TestAnswersThatHaveNoEndAreNotDecoded failed in all four cases (no error); with answer.Read they end with TooLongError, after which the outcome of a write is unknown. Heads are bounded to 16 KB. All pass, with -race; io/..., platform and internal/daemon pass.

--- a/io/operator/client.go
+++ b/io/operator/client.go
@@ -6,7 +6,6 @@
 	"context"
 	"crypto/tls"
 	"fmt"
-	"io"
 	"net/http"
 	"net/url"
 	"time"
@@ -14,6 +13,7 @@
 	"google.golang.org/protobuf/encoding/protojson"
 	"google.golang.org/protobuf/proto"
 
+	"cuminlift/io/answer"
 	"cuminlift/schema"
 )
 
@@ -47,7 +47,8 @@
 		client: &http.Client{
 			Timeout: config.Timeout,
 			Transport: &http.Transport{
-				TLSClientConfig: config.TLS,
+				TLSClientConfig:        config.TLS,
+				MaxResponseHeaderBytes: answer.MaxHeadBytes,
 			},
 		},
 	}
@@ -88,7 +89,7 @@
 		}
 	}
 	defer response.Body.Close()
-	text, err := io.ReadAll(io.LimitReader(response.Body, maxResponseSize))
+	text, err := answer.Read(response, maxResponseSize)
 	if err != nil {
 		return &ConnectionError{
 			Address: c.config.Address,
--- a/io/platform/platform.go
+++ b/io/platform/platform.go
@@ -6,13 +6,13 @@
 	"context"
 	"errors"
 	"fmt"
-	"io"
 	"net"
 	"net/http"
 	"time"
 
 	"google.golang.org/protobuf/proto"
 
+	"cuminlift/io/answer"
 	"cuminlift/schema"
 )
 
@@ -86,8 +86,9 @@
 		client: &http.Client{
 			Timeout: config.Timeout,
 			Transport: &http.Transport{
-				MaxIdleConnsPerHost: 8,
-				IdleConnTimeout:     time.Minute,
+				MaxIdleConnsPerHost:    8,
+				IdleConnTimeout:        time.Minute,
+				MaxResponseHeaderBytes: answer.MaxHeadBytes,
 				DialContext: (&net.Dialer{
 					Timeout: time.Second,
 				}).DialContext,
@@ -173,7 +174,7 @@
 		return nil, classifyError(path, err)
 	}
 	defer response.Body.Close()
-	content, err := io.ReadAll(io.LimitReader(response.Body, MaxResponseSize))
+	content, err := answer.Read(response, MaxResponseSize)
 	if err != nil {
 		return nil, classifyError(path, err)
 	}
--- a/io/upstream/control.go
+++ b/io/upstream/control.go
@@ -5,13 +5,13 @@
 	"bytes"
 	"context"
 	"fmt"
-	"io"
 	"net"
 	"net/http"
 	"time"
 
 	"google.golang.org/protobuf/proto"
 
+	"cuminlift/io/answer"
 	"cuminlift/schema"
 )
 
@@ -45,8 +45,9 @@
 		client: &http.Client{
 			Timeout: timeout,
 			Transport: &http.Transport{
-				MaxIdleConnsPerHost: 1,
-				IdleConnTimeout:     time.Minute,
+				MaxIdleConnsPerHost:    1,
+				IdleConnTimeout:        time.Minute,
+				MaxResponseHeaderBytes: answer.MaxHeadBytes,
 				DialContext: (&net.Dialer{
 					Timeout: timeout,
 				}).DialContext,
@@ -81,7 +82,7 @@
 		return nil, err
 	}
 	defer response.Body.Close()
-	content, err := io.ReadAll(io.LimitReader(response.Body, maxReplySize))
+	content, err := answer.Read(response, maxReplySize)
 	if err != nil {
 		return nil, err
 	}
