core/paths, internal/gateway: what nobody else reaches, and what has ended twice, are no lost paths

An instance that had met two ended upstreams sent all requests of the service through others until these left the registry, because only they were tried again.

Each upstream that is not reached now has a time in which it is known to answer others; an attempt counts if it failed within that. While all paths count as lost, upstreams that have not failed are probed too. A health check that succeeds counts as reaching the upstream.

--- a/internal/gateway/coordinator.go
+++ b/internal/gateway/coordinator.go
@@ -84,8 +84,8 @@
 	demand    authority.Demand
 	resources peerResources
 	handover  handoverState
-	// lackingLogged is the last result of lacksPaths that was logged.
-	lackingLogged string
+	// lackLogged is the last result of lacksPaths that was logged.
+	lackLogged paths.Lack
 	// withheld are the upstreams for which single instances get no tickets, because they have returned one.
 	withheld map[withheldKey]*withheldTickets
 	strain   strainState
--- a/internal/gateway/keys.go
+++ b/internal/gateway/keys.go
@@ -197,5 +197,6 @@
 	if err != nil || !healthy {
 		return // Still unreachable; the next probe tries again.
 	}
+	c.paths.reached(s.name, u.ID)
 	c.post(func(now time.Duration) { s.pool.MarkReachable(now, u.ID) })
 }
--- a/internal/gateway/paths.go
+++ b/internal/gateway/paths.go
@@ -106,22 +106,21 @@
 	if v.table == nil || p.failedCount() == 0 {
 		return false
 	}
-	total := v.upstreamCounts()
+	listed := v.upstreamIDs()
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
+	lost := false
 	for name, service := range v.table.Services {
-		if service.Keyed && p.monitor.MostlyLost(p.clock.Now(), name, total[name]) {
-			return true
-		}
+		lost = (service.Keyed && p.monitor.MostlyLost(p.clock.Now(), name, len(listed[name]))) || lost
 	}
-	return false
+	return lost
 }
 
-// othersReach reports whether other instances reach upstreams of a service that this one does not.
-func (p *pathMonitor) othersReach(service string, total int, lastAnswered func(upstream string) time.Duration) bool {
+// lacks tells how this instance knows that it lacks paths to upstreams of a service that other instances have.
+func (p *pathMonitor) lacks(service string, total int, lastAnswered func(upstream string) time.Duration) paths.Lack {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
-	return p.monitor.OthersReach(p.clock.Now(), service, total, lastAnswered)
+	return p.monitor.Lacks(p.clock.Now(), service, total, lastAnswered)
 }
 
 // watchStall probes the path to an upstream if a request to it is not answered for long. The caller must call stop once it is.
@@ -151,12 +150,13 @@
 func (p *pathMonitor) run(ctx context.Context) error {
 	for ctx.Err() == nil {
 		sleep(ctx, pathProbeInterval)
-		list := p.view().list
+		if p.failedCount() == 0 {
+			continue
+		}
+		v := p.view()
+		list, listed := v.list, v.upstreamIDs()
 		p.mutex.Lock()
-		due := p.monitor.DueProbes(p.clock.Now(), func(service, id string) bool {
-			u, known := list.Upstreams[id]
-			return known && u.Service == service
-		})
+		due := p.monitor.DueProbes(p.clock.Now(), listed)
 		p.mutex.Unlock()
 		for _, probe := range due {
 			go p.probe(ctx, probe.Service, probe.Upstream, list.Upstreams[probe.Upstream].Address)
--- a/internal/gateway/relays.go
+++ b/internal/gateway/relays.go
@@ -155,13 +155,13 @@
 // comparePaths tells the leadership whether this instance lacks paths to upstreams that hold keys, and which others have them.
 func (c *coordinator) comparePaths(now time.Duration) {
 	own := c.paths.failedCount()
-	lacking := ""
+	lack := paths.Lack("")
 	if own > 0 {
-		lacking = c.lacksPaths()
+		lack = c.lacksPaths()
 	}
-	c.logLackingPaths(now, lacking, own)
-	c.leadership.PathsLost(now, lacking != "")
-	if lacking == "" {
+	c.logLackingPaths(now, lack, own)
+	c.leadership.PathsLost(now, lack != "")
+	if lack == "" {
 		return
 	}
 	for _, l := range c.links {
@@ -169,39 +169,32 @@
 	}
 }
 
-// Values of a log field: how the coordinator knows that it lacks paths to holders of keys.
-const (
-	mostPathsLost = "most-lost"
-	othersReach   = "others-reach"
-)
-
-// lacksPaths tells how the coordinator knows that other instances reach upstreams that hold keys and that this one can't grant them to. It
-// returns an empty string if it doesn't.
-func (c *coordinator) lacksPaths() string {
-	if c.paths.holdersLost() {
-		return mostPathsLost
-	}
-	total := c.view().upstreamCounts()
+// lacksPaths tells how the coordinator knows that other instances reach upstreams that hold keys and that this one can't grant them to.
+func (c *coordinator) lacksPaths() paths.Lack {
+	listed := c.view().upstreamIDs()
 	for _, s := range c.services {
-		if s.keyed && c.paths.othersReach(s.name, total[s.name], s.pool.LastAnswered) {
-			return othersReach
+		if !s.keyed {
+			continue
+		}
+		if lack := c.paths.lacks(s.name, len(listed[s.name]), s.pool.LastAnswered); lack != "" {
+			return lack
 		}
 	}
 	return ""
 }
 
 // logLackingPaths logs a change. A late tick tells that calls may have failed because this process was late.
-func (c *coordinator) logLackingPaths(now time.Duration, lacking string, unreached int) {
-	if lacking == c.lackingLogged {
+func (c *coordinator) logLackingPaths(now time.Duration, lack paths.Lack, unreached int) {
+	if lack == c.lackLogged {
 		return
 	}
-	c.lackingLogged = lacking
+	c.lackLogged = lack
 	late := time.Duration(0)
 	if c.strain.lastTick != 0 {
 		late = max(0, now-c.strain.lastTick-coordinatorInterval)
 	}
 	c.log.WithFields(logrus.Fields{
-		"lacking":   lacking,
+		"lacking":   string(lack),
 		"unreached": unreached,
 		"lag":       late,
 	}).Warn("paths of the coordinator to holders of keys changed")
--- a/internal/gateway/view.go
+++ b/internal/gateway/view.go
@@ -26,13 +26,13 @@
 	configured, listed bool
 }
 
-// upstreamCounts returns the number of registered upstreams of each service.
-func (v *view) upstreamCounts() map[string]int {
-	counts := map[string]int{}
+// upstreamIDs returns the registered upstreams of each service, in any order.
+func (v *view) upstreamIDs() map[string][]string {
+	ids := map[string][]string{}
 	for _, u := range v.list.Upstreams {
-		counts[u.Service]++
+		ids[u.Service] = append(ids[u.Service], u.ID)
 	}
-	return counts
+	return ids
 }
 
 // follower keeps the current view up to date.
