--- a/core/keyspace/balance_test.go
+++ b/core/keyspace/balance_test.go
@@ -24,6 +24,8 @@
 	grants    int
 	// dark upstreams answer nothing. late holds the results of calls to them.
 	dark map[string]bool
+	// work is how long it takes until a release is answered.
+	work time.Duration
 	late []lateResult
 }
 
@@ -80,6 +82,13 @@
 				b.expire(func() { b.manager.Released(b.now, call, "", false) })
 				continue
 			}
+			if b.work > 0 {
+				b.late = append(b.late, lateResult{
+					at:     b.now + b.work,
+					report: func() { b.manager.Released(b.now, call, "token", true) },
+				})
+				continue
+			}
 			b.manager.Released(b.now, call, "token", true)
 		}
 		b.grants += len(actions.Grants)
--- a/core/keyspace/former.go
+++ b/core/keyspace/former.go
@@ -22,6 +22,9 @@
 
 // gaveUp reports whether the candidate has given up s recently.
 func (k *Manager) gaveUp(c *candidate, s *span) bool {
+	if c.returns {
+		return false
+	}
 	for _, f := range s.formers {
 		if f.id == c.upstream.ID && f.incarnation == c.upstream.Incarnation && s.recent(k.lastPlan, f) {
 			return true
--- a/core/keyspace/plan.go
+++ b/core/keyspace/plan.go
@@ -11,6 +11,8 @@
 	// rate is the requests per second for the candidate's keys.
 	rate float64
 	keys int
+	// returns is true while the candidate may be given ranges that it has given up recently.
+	returns bool
 }
 
 func moveLimit(candidates []*candidate) int {
@@ -240,30 +242,44 @@
 		if c.keys > 0 || len(moves) >= moveLimit(candidates) {
 			continue
 		}
-		exhausted := map[*candidate]bool{}
-		for c.keys == 0 {
-			donor := mostUtilized(candidates, exhausted)
-			if donor == nil {
-				break
-			}
-			m, ok := k.firstShare(donor, c, moves)
-			if !ok && k.gaveUpAny(c, donor) {
-				exhausted[donor] = true
-				continue
-			}
-			if !ok {
-				break
-			}
-			moves = append(moves, m)
-			c.keys = int(m.to-m.from) + 1
-			donor.keys -= c.keys
+		m, donor := k.firstShare(candidates, c, moves)
+		if donor == nil {
+			// The others hold nothing but what it has given up, for example because they have joined since.
+			c.returns = true
+			m, donor = k.firstShare(candidates, c, moves)
+			c.returns = false
 		}
+		if donor == nil {
+			continue
+		}
+		moves = append(moves, m)
+		c.keys = int(m.to-m.from) + 1
+		donor.keys -= c.keys
 	}
 	return moves
 }
 
-// firstShare selects a range of the donor for a candidate without keys.
-func (k *Manager) firstShare(donor, c *candidate, moves []move) (move, bool) {
+// firstShare selects a range for a candidate without keys, from the most utilized donor or from the next one if the candidate has given
+// up ranges of that. The donor is nil if there is no such range.
+func (k *Manager) firstShare(candidates []*candidate, c *candidate, moves []move) (move, *candidate) {
+	exhausted := map[*candidate]bool{}
+	for {
+		donor := mostUtilized(candidates, exhausted)
+		if donor == nil {
+			return move{}, nil
+		}
+		if m, ok := k.shareOf(donor, c, moves); ok {
+			return m, donor
+		}
+		if !k.gaveUpAny(c, donor) {
+			return move{}, nil
+		}
+		exhausted[donor] = true
+	}
+}
+
+// shareOf selects a range of the donor for a candidate without keys.
+func (k *Manager) shareOf(donor, c *candidate, moves []move) (move, bool) {
 	want := min(donor.rate/2, c.upstream.Capacity*initialLoadShare)
 	if m, ok := k.selectRange(donor, c, want, short, moves, true); ok {
 		return m, true
