io/caller: a complete response is not lost with one behind it whose time is over

What callers see, on instances whose settings list `pressure`: a request is passed on and answered, and its connection is reset without its response (LOST), because a large response behind it on the connection has reached its deadline while it waited for its turn.

Cause: finished responses are written together, with the write deadline of the last one. If that one broke off at its deadline, the deadline is in the past, the write fails at once, and the connection is reset.

Of a response that breaks off before any of it is sent, nothing is written now; it ends the connection behind those before it. The write has the deadline of the last response that is in it.

--- a/io/caller/response.go
+++ b/io/caller/response.go
@@ -336,9 +336,11 @@
 	}
 }
 
-// appendRest appends what has not been sent of a finished response. The connection's lock is held.
+// appendRest appends what has not been sent of a finished response, nothing of one that broke off before any of it was sent. The
+// connection's lock is held.
 func (r *response) appendRest(out []byte) []byte {
-	if r.status == 0 {
+	if r.status == 0 || (r.aborted && !r.headSent) {
+		r.releaseHeld()
 		return out
 	}
 	out = r.appendHead(out, r.held, !r.aborted)
--- a/io/caller/write.go
+++ b/io/caller/write.go
@@ -65,14 +65,18 @@
 		out = out[:0]
 		n := 0
 		var last *response
+		var deadline time.Time
 		for n < len(c.queue) && c.queue[n].finished && len(out) < maxBatchBytes && (last == nil || !last.aborted) {
 			last = c.queue[n]
 			out = last.appendRest(out)
+			if last.headSent {
+				deadline = last.deadline
+			}
 			n++
 		}
 		if len(out) > 0 {
 			c.mutex.Unlock()
-			err := c.write(last.deadline, out)
+			err := c.write(deadline, out)
 			if err != nil {
 				c.giveUp(err)
 			}
