core/keyspace: holders that could not have keys for a moment get them back

Review of: an upstream whose zone is evacuated for half a second counted as one that had given its keys up, and got none of them back for the sake of balance for 4 s, while the one that had taken them was above 1.2 of its capacity for 3.6 s.

Only holders that can have keys when a range moves away are recorded: their range moved for the sake of balance. The keys of the others had to go, whatever the load.

TestHolderThatWasTakenOutForAMomentGetsItsLoadBack (the reviewer's, failed: overloaded for 3.6 s, 2 s allowed) passes, and the tests of returning ranges as before.

--- a/core/keyspace/former.go
+++ b/core/keyspace/former.go
@@ -57,13 +57,17 @@
 	return others
 }
 
-// formersAfter returns the recent former holders of s once it is assigned to another upstream.
-func formersAfter(now time.Duration, s *span, next string) []former {
-	formers := []former{{
-		id:          s.holder.id,
-		incarnation: s.holder.incarnation,
-		left:        now,
-	}}
+// formersAfter returns the recent former holders of s once it is assigned to another upstream. One that can't have keys at the moment, for
+// example because its zone is evacuated, has not given them up for the sake of balance and gets them back as soon as it can.
+func (k *Manager) formersAfter(now time.Duration, s *span, next string) []former {
+	var formers []former
+	if u := k.upstreams[s.holder.id]; u.Usable && !u.Unreachable && u.Incarnation == s.holder.incarnation {
+		formers = append(formers, former{
+			id:          s.holder.id,
+			incarnation: s.holder.incarnation,
+			left:        now,
+		})
+	}
 	for _, f := range s.formers {
 		if f.id != next && f.id != s.holder.id && s.recent(now, f) {
 			formers = append(formers, f)
--- a/core/keyspace/proposal.go
+++ b/core/keyspace/proposal.go
@@ -107,7 +107,7 @@
 		return n
 	}
 	if s.holder.id != "" {
-		n.formers = formersAfter(now, s, m.upstream)
+		n.formers = k.formersAfter(now, s, m.upstream)
 		n.priors = append(n.priors, &prior{
 			claim: s.claim,
 		})
