internal/gateway: a request whose body is malformed or ends early gets no empty success

Cause: a body that could not be read counted as one whose caller has left, and the handler returned without a response, which net/http completes to an empty 200. Now a malformed body is answered with 400, and the connection is closed if the body has ended.

--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"errors"
+	"io"
 	"math"
+	"net"
 	"net/http"
 	"strconv"
 	"sync"
@@ -116,6 +118,8 @@
 			h.refuseStopping(w, r)
 		case status > 0:
 			h.respondError(w, status, http.StatusText(status), 0)
+		default:
+			panic(http.ErrAbortHandler) // Returning would complete the response to an empty success.
 		}
 		return
 	}
@@ -146,8 +150,13 @@
 	if err != nil && h.lastCall.Err() != nil {
 		return nil, http.StatusServiceUnavailable
 	}
-	if err != nil {
+	var network net.Error
+	switch {
+	case err == nil:
+	case errors.Is(err, io.ErrUnexpectedEOF), errors.As(err, &network), r.Context().Err() != nil:
 		return nil, -1
+	default:
+		return nil, http.StatusBadRequest
 	}
 	c.body = body
 	c.identity = request.NewIdentity(stripPort(r.RemoteAddr), r.Method, r.Host, r.URL.RequestURI(), body)
