core/paths: a coordinator that is cut off itself resigns without waiting for answers to others

Its log: the coordinator lost its paths at 57:35.5 and lacked them at 57:39, after the 3 s for which it waits while others get no answers, and so did its successor, which was cut off too.

Cause: a coordinator without paths grants no keys and gives no tickets for the upstreams that it does not reach, so that nobody gets answers: the evidence that it waited for was withheld by the fault itself. It resigns again once most paths are lost and attempts fail again.

What that condition was for is red again: most upstreams of a service that end make the coordinator resign.

--- a/core/paths/paths.go
+++ b/core/paths/paths.go
@@ -158,29 +158,24 @@
 // lateReport is how much later than a failure the report of an earlier answer may arrive from another instance.
 const lateReport = 100 * time.Millisecond
 
-const (
-	// lackingShare is the part of the upstreams of a service whose keys a change of coordinator is worth. It makes the keys of all services
-	// unavailable for a moment; those of single holders are assigned to others instead.
-	lackingShare = 0.1
-	// unconfirmedLoss is how long most paths must be lost if no other instance gets answers: upstreams that have ended leave the
-	// registry before.
-	unconfirmedLoss = 3 * time.Second
-)
+// lackingShare is the part of the upstreams of a service whose keys a change of coordinator is worth. It makes the keys of all services
+// unavailable for a moment; those of single holders are assigned to others instead.
+const lackingShare = 0.1
 
 // Lack tells how an instance knows that it lacks paths to upstreams of a service, empty if it does not.
 type Lack string
 
 // Ways to know it.
 const (
-	// MostPathsLost means that most paths are lost, as MostlyLost says, and that others have them or that this lasts.
+	// MostPathsLost means that most paths are lost, as MostlyLost says. Others may get no answers then, because this instance grants no keys.
 	MostPathsLost Lack = "most-lost"
 	// OthersReach means that a considerable part of the upstreams answers others, and that attempts to reach them fail again.
 	OthersReach Lack = "others-reach"
 )
 
 // Lacks tells at now whether the instance lacks paths that other instances have, to a considerable part of the upstreams of a service, of
-// which there are total. An upstream that has come back and was not tried again is no lack, nor is one that nobody reaches. lastAnswered
-// returns when an upstream last answered, 0 for never.
+// which there are total. An upstream that has come back and was not tried again is no lack. lastAnswered returns when an upstream last
+// answered, 0 for never.
 func (m *Monitor) Lacks(now time.Duration, name string, total int, lastAnswered func(upstream string) time.Duration) Lack {
 	s := m.services[name]
 	if s == nil {
@@ -188,7 +183,7 @@
 	}
 	answering, failedAgain := s.compare(now, lastAnswered)
 	switch {
-	case m.MostlyLost(now, name, total) && (answering >= lostAfter || now-s.mostLostSince >= unconfirmedLoss):
+	case m.MostlyLost(now, name, total):
 		return MostPathsLost
 	case failedAgain >= lostAfter && float64(failedAgain) >= lackingShare*float64(answering) && float64(answering) >= lackingShare*float64(total):
 		return OthersReach
