io/tcp: a reset that a write has reported is not the end of an answer

Cause: the system reports a reset once, to the call that comes first. If the write of the upload takes the error, the read that follows finds the data that had arrived, and then the end of the stream: the same that it finds when the upstream has closed its side. An answer without a length ends there, so the part counted as the whole.

Evidence: with a small program, after 2 of 5 resets the read found the end and the write had the error; the socket was closed in both directions (poll: POLLHUP, TCP state CLOSE), and after a plain end only in one (no POLLHUP, CLOSE_WAIT).

Change: connections on which answers are read are of type tcp.Conn. At the end of the data it asks whether the connection is closed in both directions. This side never closes only its own, so that only a reset can be the reason, and Read returns ECONNRESET in place of io.EOF. The state stays once it is reached, so that it doesn't matter which goroutine was told first. If the upstream has closed its side and then resets the connection before its end was read, the two can't be told apart, and the answer counts as incomplete. The log names what broke an answer off ("response is incomplete"), also on the instance that sends a request for another one, which logged nothing.

--- a/internal/daemon/daemon_test.go
+++ b/internal/daemon/daemon_test.go
@@ -32,15 +32,21 @@
 	listener net.Listener
 	runs     atomic.Int64
 	respond  func(connection net.Conn, request *http.Request)
+	// early answers requests before their bodies are read, and ends their connections. It is nil if respond answers them.
+	early func(connection net.Conn, request *http.Request)
 }
 
 func startFakeUpstream(c *qt.C, respond func(net.Conn, *http.Request)) *fakeUpstream {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	c.Assert(err, qt.IsNil)
-	f := &fakeUpstream{
+	return serveFakeUpstream(c, &fakeUpstream{
 		listener: listener,
 		respond:  respond,
-	}
+	})
+}
+
+func serveFakeUpstream(c *qt.C, f *fakeUpstream) *fakeUpstream {
+	listener := f.listener
 	c.Cleanup(func() { _ = listener.Close() })
 	go f.accept()
 	return f
@@ -64,6 +70,11 @@
 		if err != nil {
 			return
 		}
+		if f.early != nil && request.URL.Path != "/control/grant" {
+			f.runs.Add(1)
+			f.early(connection, request)
+			return
+		}
 		body, err := io.ReadAll(request.Body)
 		if err != nil {
 			return
--- a/internal/daemon/evidence.go
+++ b/internal/daemon/evidence.go
@@ -10,6 +10,7 @@
 
 	"cuminlift/core/execution"
 	"cuminlift/core/request"
+	"cuminlift/io/tcp"
 )
 
 // recentRefusals is the number of refused requests that a connection remembers.
@@ -56,9 +57,10 @@
 }
 
 // dialTracked returns a dial function for connections that remember what came on them.
-func dialTracked(dialer *net.Dialer) func(ctx context.Context, network, address string) (net.Conn, error) {
+func dialTracked(dialer *net.Dialer) tcp.DialFunc {
+	dial := tcp.DetectResets(dialer.DialContext)
 	return func(ctx context.Context, network, address string) (net.Conn, error) {
-		conn, err := dialer.DialContext(ctx, network, address)
+		conn, err := dial(ctx, network, address)
 		if err != nil {
 			return nil, err
 		}
--- a/internal/daemon/forward.go
+++ b/internal/daemon/forward.go
@@ -13,6 +13,7 @@
 	"cuminlift/core/admission"
 	"cuminlift/core/request"
 	"cuminlift/internal/metrics"
+	"cuminlift/io/tcp"
 	"cuminlift/schema"
 )
 
@@ -126,8 +127,8 @@
 		DisableCompression:     true,
 		MaxResponseHeaderBytes: 2 * maxHeaderBytes,
 		TLSClientConfig:        d.identity.Client("http/1.1"),
-		DialContext: (&net.Dialer{
+		DialContext: tcp.DetectResets((&net.Dialer{
 			Timeout: d.config.Timing.SuspectTimeout / 2,
-		}).DialContext,
+		}).DialContext),
 	}
 }
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -144,7 +144,11 @@
 			outcome = h.brokenOutcome(ctx, c, result)
 		}
 		h.ticketClient.reportEnd(result, c.service, outcome, took, report)
-		h.logFailedAttempt(c, result, sentAt, "response incomplete or unsigned", response.Status)
+		problem := "response is not signed"
+		if err != nil {
+			problem = incompleteProblem(err)
+		}
+		h.logFailedAttempt(c, result, sentAt, problem, response.Status)
 		return false
 	case !response.Evidence.MayPassOn(!c.state.Idempotent) && !mutant.Is(mutant.StatusTrusted):
 		c.advance(h, stateAfter(response.Evidence))
@@ -190,6 +194,9 @@
 	})
 }
 
+// incompleteProblem describes a response of which only a part came, because of err.
+func incompleteProblem(err error) string { return "response is incomplete: " + err.Error() }
+
 func (h *requestHandler) logFailedAttempt(c *call, result ticketResult, sentAt time.Time, problem string, status int) {
 	h.log.WithFields(c.logFields(result)).WithFields(logrus.Fields{
 		"status":  status,
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -229,6 +229,7 @@
 	defer h.buffers.release(reserved)
 	buffered, complete, err := readBody(response, reserved)
 	if err != nil {
+		h.logFailedAttempt(c, result, sentAt, incompleteProblem(err), response.Status)
 		h.refuseRelay(w, r, h.brokenOutcome(ctx, c, result))
 		return
 	}
--- a/io/operator/client.go
+++ b/io/operator/client.go
@@ -6,6 +6,7 @@
 	"context"
 	"crypto/tls"
 	"fmt"
+	"net"
 	"net/http"
 	"net/url"
 	"time"
@@ -14,6 +15,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"cuminlift/io/answer"
+	"cuminlift/io/tcp"
 	"cuminlift/schema"
 )
 
@@ -49,6 +51,7 @@
 			Transport: &http.Transport{
 				TLSClientConfig:        config.TLS,
 				MaxResponseHeaderBytes: answer.MaxHeadBytes,
+				DialContext:            tcp.DetectResets((&net.Dialer{}).DialContext),
 			},
 		},
 	}
--- a/io/platform/platform.go
+++ b/io/platform/platform.go
@@ -13,6 +13,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"cuminlift/io/answer"
+	"cuminlift/io/tcp"
 	"cuminlift/schema"
 )
 
@@ -89,9 +90,9 @@
 				MaxIdleConnsPerHost:    8,
 				IdleConnTimeout:        time.Minute,
 				MaxResponseHeaderBytes: answer.MaxHeadBytes,
-				DialContext: (&net.Dialer{
+				DialContext: tcp.DetectResets((&net.Dialer{
 					Timeout: time.Second,
-				}).DialContext,
+				}).DialContext),
 			},
 		},
 	}
--- a/io/upstream/connection.go
+++ b/io/upstream/connection.go
@@ -14,6 +14,7 @@
 	"golang.org/x/sys/unix"
 
 	"cuminlift/internal/mutant"
+	"cuminlift/io/tcp"
 )
 
 const (
@@ -231,7 +232,7 @@
 }
 
 // DialFunc opens a connection, which must have a file descriptor. Closing it must reset it.
-type DialFunc func(ctx context.Context, network, address string) (net.Conn, error)
+type DialFunc = tcp.DialFunc
 
 // DialWithReset returns a dial function whose connections are reset when they are closed, so that unsent data is
 // discarded.
@@ -242,16 +243,16 @@
 		if err != nil {
 			return nil, err
 		}
-		tcp, ok := conn.(*net.TCPConn)
+		tcpConn, ok := conn.(*net.TCPConn)
 		if !ok {
 			conn.Close()
 			return nil, fmt.Errorf("connection to %s is not a TCP connection", address)
 		}
-		if err := tcp.SetLinger(0); err != nil {
+		if err := tcpConn.SetLinger(0); err != nil {
 			conn.Close()
 			return nil, err
 		}
-		return tcp, nil
+		return tcpConn, nil
 	}
 }
 
@@ -262,23 +263,18 @@
 	if err != nil {
 		return nil, err
 	}
-	descriptor, ok := conn.(syscall.Conn)
-	if !ok {
-		conn.Close()
-		return nil, fmt.Errorf("connection to %s has no file descriptor", address)
-	}
-	raw, err := descriptor.SyscallConn()
+	detecting, err := tcp.New(conn)
 	if err != nil {
 		conn.Close()
 		return nil, err
 	}
 	head := &headReader{
-		reader: conn,
+		reader: detecting,
 		memory: p.heads,
 	}
 	return &connection{
-		conn:   conn,
-		raw:    raw,
+		conn:   detecting,
+		raw:    detecting.Raw,
 		reader: bufio.NewReaderSize(head, readBufferSize),
 		head:   head,
 	}, nil
--- a/io/upstream/control.go
+++ b/io/upstream/control.go
@@ -12,6 +12,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"cuminlift/io/answer"
+	"cuminlift/io/tcp"
 	"cuminlift/schema"
 )
 
@@ -48,9 +49,9 @@
 				MaxIdleConnsPerHost:    1,
 				IdleConnTimeout:        time.Minute,
 				MaxResponseHeaderBytes: answer.MaxHeadBytes,
-				DialContext: (&net.Dialer{
+				DialContext: tcp.DetectResets((&net.Dialer{
 					Timeout: timeout,
-				}).DialContext,
+				}).DialContext),
 			},
 		},
 	}
--- a/io/upstream/http.go
+++ b/io/upstream/http.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"cuminlift/io/answer"
+	"cuminlift/io/tcp"
 )
 
 // HTTPConfig configures an HTTP client for calls other than requests, such as grants and health checks.
@@ -31,7 +32,7 @@
 func NewHTTPClient(config HTTPConfig) *http.Client {
 	return &http.Client{
 		Transport: &http.Transport{
-			DialContext:            DialWithReset(config.DialTimeout),
+			DialContext:            tcp.DetectResets(DialWithReset(config.DialTimeout)),
 			MaxConnsPerHost:        config.Connections,
 			MaxIdleConnsPerHost:    config.Connections,
 			IdleConnTimeout:        httpIdleTimeout,
