io/answer: an answer whose status HTTP does not define is no answer

What callers saw: an upstream sent an answer with status 000. If the body that followed read like an answer (status, the request's ID, a length), callers got that inner text as their answer. Answers with status 600 and 999 were passed on as they were.

Cause: net/http takes any three characters that strconv reads as a number from 0 on for a status, and nobody checked it. io/upstream skipped every status below 200 as informational and read the next head from where the body of an answer with status 000 begins. The same number was then taken as it stood elsewhere: the store's client counted 000 as a refusal, which says that a transaction had no effect; io/platform did the same; io/operator doesn't look at the status and decoded the body as a success; the daemon panicked in WriteHeader(0), which cut the caller's connection, and passed 600 and 999 on.

Change: answer.CheckHead rejects statuses below 100 and above 599, informational ones included. io/upstream asks it for each head, answer.Do for the calls that go through net/http (grants, releases, health checks, the store, objects, the operators' client), and the daemon for its upstreams and for other instances. The error tells that the request may have run, so that it counts as lost: callers hear 502, requests that may be repeated go elsewhere. The connection is closed, since nothing tells where such an answer ends, and the log names the status.

--- a/internal/daemon/broken_test.go
+++ b/internal/daemon/broken_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -34,6 +35,35 @@
 	return listener
 }
 
+// checkInvalid checks that callers get nothing of one of the answers.
+func checkInvalid(t *testing.T, answers map[string]rawhttp.Answer) {
+	c := qt.New(t)
+	var current atomic.Value
+	f := startFakeUpstream(c, func(connection net.Conn, request *http.Request) {
+		answer := current.Load().(rawhttp.Answer)
+		fmt.Fprint(connection, answer.With("X-Broken: by the upstream\r\nCuminlift-Request: "+request.Header.Get("Cuminlift-Request")+"\r\n"))
+		_ = connection.Close()
+	})
+	cluster := startCluster(c, f)
+	for name, answer := range answers {
+		current.Store(answer)
+		response, body, err := send(c, cluster, http.MethodPost, "/registrations/talk", nil)
+		c.Check(err, qt.IsNil, qt.Commentf("%s", name))
+		if err != nil {
+			continue
+		}
+		c.Check(response.StatusCode, qt.Equals, http.StatusBadGateway, qt.Commentf("%s", name))
+		c.Check(response.Header.Get("Cuminlift-Outcome"), qt.Equals, "unknown", qt.Commentf("%s", name))
+		c.Check(response.Header.Get("X-Broken"), qt.Equals, "", qt.Commentf("%s", name))
+		c.Check(string(body), qt.Not(qt.Contains), rawhttp.Body, qt.Commentf("%s", name))
+	}
+}
+
+// TestAnswerWithAnInvalidStatusIsNotForwarded guards against an answer that is not HTTP and reaches callers.
+func TestAnswerWithAnInvalidStatusIsNotForwarded(t *testing.T) {
+	checkInvalid(t, rawhttp.InvalidStatuses)
+}
+
 // TestResetDuringAnUploadDoesNotEndTheAnswer guards against a part of an answer that callers take for all of it. Whether a read or a write is
 // told of the reset is a race.
 func TestResetDuringAnUploadDoesNotEndTheAnswer(t *testing.T) {
--- a/internal/daemon/forward.go
+++ b/internal/daemon/forward.go
@@ -13,6 +13,7 @@
 	"cuminlift/core/admission"
 	"cuminlift/core/request"
 	"cuminlift/internal/metrics"
+	"cuminlift/io/answer"
 	"cuminlift/io/tcp"
 	"cuminlift/schema"
 )
@@ -39,6 +40,11 @@
 	if err != nil {
 		return nil, d.forwardFailure(ctx, c, connected)
 	}
+	if err := answer.CheckHead(response); err != nil {
+		_ = response.Body.Close()
+		d.logs.For("caller").WithError(err).WithField("home", home.GetId()).WithField("request", c.id).Warn("another instance's answer is not valid")
+		return nil, d.forwardFailure(ctx, c, connected)
+	}
 	if f := parseRefusal(response); f != nil {
 		_, _ = io.Copy(io.Discard, io.LimitReader(response.Body, maxHeaderBytes))
 		_ = response.Body.Close()
--- a/internal/daemon/home.go
+++ b/internal/daemon/home.go
@@ -16,6 +16,7 @@
 	"cuminlift/core/ownership"
 	"cuminlift/core/request"
 	"cuminlift/internal/metrics"
+	"cuminlift/io/answer"
 	"cuminlift/schema"
 )
 
@@ -355,6 +356,11 @@
 		}.Proof() != execution.None
 		return a
 	}
+	if a.err = answer.CheckHead(a.response); a.err != nil {
+		conn.Close()
+		d.logs.For("home").WithError(a.err).WithField("upstream", a.upstream).WithField("request", c.id).Warn("upstream's answer is not valid")
+		return a
+	}
 	d.classifyResponse(c, a, lease.Incarnation, conn.evidence(c, a.response))
 	return a
 }
--- a/internal/gateway/broken_answers_test.go
+++ b/internal/gateway/broken_answers_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"strconv"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -36,8 +37,9 @@
 // brokenAnswer is an answer that no caller must get.
 type brokenAnswer struct {
 	handler http.Handler
-	// bytes is the length of the requests' bodies, and tries their number.
-	bytes, tries int
+	// bytes is the length of the requests' bodies, and tries their number. relayed is the number of those that are sent through another
+	// instance, which gets no request for seconds after an answer that is not valid.
+	bytes, tries, relayed int
 	// cause is part of the problem in the log.
 	cause string
 }
@@ -72,8 +74,10 @@
 // that their requests count as ones that may have run, and that slots and connections are not kept. An upstream has two slots.
 func checkNotPassedOn(t *testing.T, answer brokenAnswer) {
 	for _, test := range []struct {
-		name          string
-		ahead, relays bool
+		name string
+		// ahead reads requests ahead, relays asks the instance as another one does, and cut lets it send its requests through one that answers
+		// in place of the upstream.
+		ahead, relays, cut bool
 	}{
 		{
 			name: "callers",
@@ -86,6 +90,10 @@
 			name:   "relay",
 			relays: true,
 		},
+		{
+			name: "through a relay",
+			cut:  true,
+		},
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			c := qt.New(t)
@@ -95,18 +103,28 @@
 			k := newCluster(c, 0)
 			log := &lockedBuffer{}
 			k.log = log
-			k.start("n0")
-			k.configureUploads()
 			server := httptest.NewServer(answer.handler)
 			c.Cleanup(server.Close)
-			k.registerPlain("b0", server.Listener.Addr().String(), 2)
+			if test.cut {
+				k.testRelay("relay", server.Listener.Addr().String())
+				k.registerPlain("b0", freeAddress(c), 2)
+			} else {
+				k.registerPlain("b0", server.Listener.Addr().String(), 2)
+			}
+			k.configureUploads()
+			k.start("n0")
+			tries := answer.tries
+			if test.cut {
+				k.paths["n0"].set(reset)
+				tries = answer.relayed
+			}
 			address, more := k.instances["n0"].settings.FrontAddress, ""
 			if test.relays {
 				address = k.instances["n0"].settings.RelayAddress
 				more = "Cuminlift-Relay-Upstream: b0\r\nCuminlift-Relay-Born: 1\r\nCuminlift-Relay-At-Most-Once: true\r\n"
 			}
 			eventually(func() bool { return !notSent(k.askRaw(address, "first", more, 0)) })
-			for i := range answer.tries {
+			for i := range tries {
 				var text string
 				eventually(func() bool {
 					text = k.askRaw(address, fmt.Sprintf("%s-%d", test.name, i), more, answer.bytes)
@@ -137,9 +155,32 @@
 		handler: rawhttp.Early(func(r *http.Request) string {
 			return rawhttp.Sound["ends with its connection"].With(answerFields(r))
 		}, rawhttp.ResetAfter(20*time.Millisecond)),
-		bytes: 16 << 20,
-		tries: 12,
-		cause: "connection reset by peer",
+		bytes:   16 << 20,
+		tries:   12,
+		relayed: 12,
+		cause:   "connection reset by peer",
+	})
+}
+
+// inTurn answers the requests of checkNotPassedOn with one of the answers each.
+func inTurn(answers map[string]rawhttp.Answer) http.Handler {
+	return rawhttp.Handler(func(r *http.Request) string {
+		id := r.Header.Get("Request-Id")
+		number, err := strconv.Atoi(id[strings.LastIndex(id, "-")+1:])
+		if err != nil {
+			number = 0 // The first request is not counted.
+		}
+		return rawhttp.Texts(answers, answerFields(r))[number]
+	})
+}
+
+// TestAnswerWithAnInvalidStatusIsNotPassedOn guards against an answer with status 000 whose body reaches callers as the answer.
+func TestAnswerWithAnInvalidStatusIsNotPassedOn(t *testing.T) {
+	checkNotPassedOn(t, brokenAnswer{
+		handler: inTurn(rawhttp.InvalidStatuses),
+		tries:   len(rawhttp.InvalidStatuses),
+		relayed: 3,
+		cause:   "status 000",
 	})
 }
 
--- a/internal/standin/rawhttp/rawhttp.go
+++ b/internal/standin/rawhttp/rawhttp.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"time"
 )
 
@@ -16,6 +17,15 @@
 // With returns the answer with these fields.
 func (a Answer) With(fields string) string { return fmt.Sprintf(string(a), fields) }
 
+// Carry returns the answer with these fields and body in place of Body.
+func (a Answer) Carry(fields, body string) string {
+	return strings.NewReplacer(
+		"Content-Length: 4\r\n", fmt.Sprintf("Content-Length: %d\r\n", len(body)),
+		"4\r\n"+Body+"\r\n", fmt.Sprintf("%x\r\n%s\r\n", len(body), body),
+		Body, body,
+	).Replace(a.With(fields))
+}
+
 // Handler answers each request with the bytes that answer returns, once its body has been read, and then closes the connection.
 func Handler(answer func(r *http.Request) string) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
--- a/io/answer/broken_test.go
+++ b/io/answer/broken_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -12,6 +13,7 @@
 
 	"cuminlift/internal/standin/rawhttp"
 	"cuminlift/io/operator"
+	"cuminlift/io/platform"
 	"cuminlift/io/upstream"
 	"cuminlift/schema"
 )
@@ -69,6 +71,29 @@
 	})
 }
 
+// checkInvalid checks that calls with one of the answers count as calls whose outcome is not known.
+func checkInvalid(t *testing.T, answers map[string]rawhttp.Answer) {
+	for name, call := range calls {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			content := call.answer(c)
+			for name, answer := range answers {
+				server := serve(rawhttp.Handler(func(*http.Request) string { return answer.Carry("", content) }), call.secure)
+				err := call.do(c.Context(), server, 1)
+				server.Close()
+				c.Check(err, qt.IsNotNil, qt.Commentf("%s", name))
+				var refused *platform.RefusedError
+				c.Check(errors.As(err, &refused), qt.IsFalse, qt.Commentf("%s: %v", name, err))
+			}
+		})
+	}
+}
+
+// TestAnswerWithAnInvalidStatusIsNone guards against calls that count as carried out, or as refused, because of an answer that is not HTTP.
+func TestAnswerWithAnInvalidStatusIsNone(t *testing.T) {
+	checkInvalid(t, rawhttp.InvalidStatuses)
+}
+
 // TestResetDuringALongCallDoesNotEndItsAnswer guards against a part of an answer that counts as the whole. Whether a read or a write is told
 // of the reset is a race.
 func TestResetDuringALongCallDoesNotEndItsAnswer(t *testing.T) {
--- /dev/null
+++ b/io/answer/head.go
@@ -0,0 +1,46 @@
+package answer
+
+import (
+	"fmt"
+	"net/http"
+)
+
+const (
+	// minStatus and maxStatus bound the statuses that HTTP defines. net/http accepts all numbers of three digits.
+	minStatus = 100
+	maxStatus = 599
+)
+
+// HeadError reports an answer whose head is not valid HTTP, so that nothing in it can be trusted: neither what it says of the request, which may
+// have run, nor where its body begins and ends.
+type HeadError struct {
+	Problem string
+}
+
+func (e *HeadError) Error() string {
+	return fmt.Sprintf("the answer is not valid HTTP (%s): the request may have run; check the peer's version and health", e.Problem)
+}
+
+// CheckHead checks what net/http lets pass in the head of an answer. Its errors are of type *HeadError. The connection of an answer that is not
+// valid must not be used again.
+func CheckHead(response *http.Response) error {
+	if response.StatusCode < minStatus || response.StatusCode > maxStatus {
+		return &HeadError{
+			Problem: fmt.Sprintf("status %03d", response.StatusCode),
+		}
+	}
+	return nil
+}
+
+// Do sends a request and returns the answer if its head is valid. The caller must close its body.
+func Do(client *http.Client, request *http.Request) (*http.Response, error) {
+	response, err := client.Do(request)
+	if err != nil {
+		return nil, err
+	}
+	if err := CheckHead(response); err != nil {
+		response.Body.Close()
+		return nil, err
+	}
+	return response, nil
+}
--- a/io/operator/client.go
+++ b/io/operator/client.go
@@ -84,7 +84,7 @@
 	if err != nil {
 		return fmt.Errorf("address %q: %w", c.config.Address, err)
 	}
-	response, err := c.client.Do(outgoing)
+	response, err := answer.Do(c.client, outgoing)
 	if err != nil {
 		return &ConnectionError{
 			Address: c.config.Address,
--- a/io/platform/platform.go
+++ b/io/platform/platform.go
@@ -170,7 +170,7 @@
 		}
 	}
 	request.Header.Set("From-Instance", c.config.Instance)
-	response, err := c.client.Do(request)
+	response, err := answer.Do(c.client, request)
 	if err != nil {
 		return nil, classifyError(path, err)
 	}
--- a/io/upstream/client.go
+++ b/io/upstream/client.go
@@ -15,6 +15,7 @@
 
 	"cuminlift/core/execution"
 	"cuminlift/internal/mutant"
+	"cuminlift/io/answer"
 )
 
 // Headers holds the names of the HTTP headers used between instances and upstreams.
@@ -323,6 +324,9 @@
 		if err != nil {
 			return nil, err
 		}
+		if err := answer.CheckHead(response); err != nil {
+			return nil, err
+		}
 		if response.StatusCode >= 200 {
 			return response, nil
 		}
--- a/io/upstream/control.go
+++ b/io/upstream/control.go
@@ -78,7 +78,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("address %q: %w", address, err)
 	}
-	response, err := c.client.Do(request)
+	response, err := answer.Do(c.client, request)
 	if err != nil {
 		return nil, err
 	}
--- a/io/upstream/http.go
+++ b/io/upstream/http.go
@@ -44,7 +44,7 @@
 
 // CheckHealth sends a health check, and reports whether the upstream answers it with success. An answer that never ends is none.
 func CheckHealth(client *http.Client, request *http.Request) (healthy bool, err error) {
-	response, err := client.Do(request)
+	response, err := answer.Do(client, request)
 	if err != nil {
 		return false, err
 	}
