io/answer: an answer with a field name that is no token is no answer

What callers saw: an upstream sent an answer in whose head the name of a field held a blank. Callers got the answer with that line ("X Filler: a"). If the field frames the body ("Content-Length : 2", "Transfer-Encoding : chunked"), they got another body than the upstream's: all bytes until the end of the connection, or the chunks with their sizes.

Cause: net/http keeps a field whose name holds a blank under that very name, for the sake of old servers. It is then not the field that it looks like, so that it frames nothing, and nobody checked the names.

Continued lines (a blank at the start of a line after the first) are one value with the line before and still pass, as HTTP allows.

--- a/core/pipeline/head.go
+++ b/core/pipeline/head.go
@@ -69,7 +69,7 @@
 	method, rest, _ := bytes.Cut(line, []byte(" "))
 	target, version, found := bytes.Cut(rest, []byte(" "))
 	switch {
-	case !found || !isToken(method):
+	case !found || !IsToken(method):
 		return 0, "", badHead("malformed request line")
 	case len(target) == 0 || bytes.ContainsFunc(target, func(r rune) bool { return r <= ' ' || r == 0x7f }):
 		return 0, "", badHead("malformed target")
@@ -105,7 +105,7 @@
 
 func (f *fields) add(line []byte) error {
 	name, value, found := bytes.Cut(line, []byte(":"))
-	if !found || !isToken(name) {
+	if !found || !IsToken(name) {
 		return badHead("malformed or folded header field") // A folded line begins with white space.
 	}
 	for _, b := range value {
@@ -169,7 +169,8 @@
 	return len(text) > 0
 }
 
-func isToken(text []byte) bool {
+// IsToken reports whether text is a token of HTTP, as methods and the names of fields are.
+func IsToken(text []byte) bool {
 	for _, b := range text {
 		if !isLetterOrDigit(b) && strings.IndexByte("!#$%&'*+-.^_`|~", b) < 0 {
 			return false
--- a/internal/daemon/broken_test.go
+++ b/internal/daemon/broken_test.go
@@ -64,6 +64,12 @@
 	checkInvalid(t, rawhttp.InvalidStatuses)
 }
 
+// TestAnswerWithAnInvalidFieldNameIsNotForwarded guards against an answer that reaches callers with a line that is no field, or with another
+// body than the upstream's.
+func TestAnswerWithAnInvalidFieldNameIsNotForwarded(t *testing.T) {
+	checkInvalid(t, rawhttp.InvalidNames)
+}
+
 // TestResetDuringAnUploadDoesNotEndTheAnswer guards against a part of an answer that callers take for all of it. Whether a read or a write is
 // told of the reset is a race.
 func TestResetDuringAnUploadDoesNotEndTheAnswer(t *testing.T) {
--- a/internal/gateway/broken_answers_test.go
+++ b/internal/gateway/broken_answers_test.go
@@ -64,10 +64,11 @@
 }
 
 // notSent reports whether an answer says that the request was not passed on: the upstream is not known yet, or the instance has lost its
-// authority after a stall.
+// authority after a stall. The upstream's own answers have other words.
 func notSent(text string) bool {
-	return strings.HasPrefix(text, "HTTP/1.1 503 ") || strings.HasPrefix(text, "HTTP/1.1 404 ") ||
+	refused := strings.HasPrefix(text, "HTTP/1.1 503 ") || strings.HasPrefix(text, "HTTP/1.1 404 ") ||
 		strings.Contains(text, "\r\nCuminlift-Relay-Outcome: abandoned\r\n")
+	return refused && !strings.Contains(text, brokenField)
 }
 
 // checkNotPassedOn checks that callers of an instance, and instances that send requests through it, get nothing of the upstream's answer,
@@ -184,6 +185,17 @@
 	})
 }
 
+// TestAnswerWithAnInvalidFieldNameIsNotPassedOn guards against an answer that reaches callers with a line that is no field, or with another body
+// than the upstream's.
+func TestAnswerWithAnInvalidFieldNameIsNotPassedOn(t *testing.T) {
+	checkNotPassedOn(t, brokenAnswer{
+		handler: inTurn(rawhttp.InvalidNames),
+		tries:   len(rawhttp.InvalidNames),
+		relayed: 3,
+		cause:   "the answer is not valid HTTP (field name",
+	})
+}
+
 // TestSoundAnswersArePassedOn covers what instances must not take for broken, during an upload as well.
 func TestSoundAnswersArePassedOn(t *testing.T) {
 	c := qt.New(t)
--- a/internal/standin/rawhttp/answers.go
+++ b/internal/standin/rawhttp/answers.go
@@ -35,6 +35,28 @@
 	"2x0":                                   "HTTP/1.1 2x0 Unknown\r\n%sContent-Length: 4\r\n\r\nbody",
 }
 
+// InvalidNames are answers with a field whose name is not a token.
+var InvalidNames = map[string]Answer{
+	"blank within":                                "HTTP/1.1 200 OK\r\n%sX Filler: a\r\nContent-Length: 4\r\n\r\nbody",
+	"blank before the colon":                      "HTTP/1.1 200 OK\r\n%sX-Filler : a\r\nContent-Length: 4\r\n\r\nbody",
+	"blank before the colon of a length":          "HTTP/1.1 200 OK\r\n%sContent-Length : 2\r\n\r\nbody",
+	"blank before the colon of a second length":   "HTTP/1.1 200 OK\r\n%sContent-Length : 2\r\nContent-Length: 4\r\n\r\nbody",
+	"blank before the colon of an encoding":       "HTTP/1.1 200 OK\r\n%sTransfer-Encoding : chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n",
+	"blank before the colon, encoding and length": "HTTP/1.1 200 OK\r\n%sTransfer-Encoding : chunked\r\nContent-Length: 14\r\n\r\n4\r\nbody\r\n0\r\n\r\n",
+	"blank first":                                 "HTTP/1.1 200 OK\r\n X-Filler: a\r\n%sContent-Length: 4\r\n\r\nbody",
+	"status 404":                                  "HTTP/1.1 404 Not Found\r\n%sX Filler: a\r\nContent-Length: 4\r\n\r\nbody",
+	"tab":                                         "HTTP/1.1 200 OK\r\n%sX-Filler\t: a\r\nContent-Length: 4\r\n\r\nbody",
+	"NUL":                                         "HTTP/1.1 200 OK\r\n%sX-\x00Filler: a\r\nContent-Length: 4\r\n\r\nbody",
+	"control byte":                                "HTTP/1.1 200 OK\r\n%sX-\x01Filler: a\r\nContent-Length: 4\r\n\r\nbody",
+	"vertical tab":                                "HTTP/1.1 200 OK\r\n%sX-Filler\v: a\r\nContent-Length: 4\r\n\r\nbody",
+	"carriage return":                             "HTTP/1.1 200 OK\r\n%sX-Filler\r: a\r\nContent-Length: 4\r\n\r\nbody",
+	"DEL":                                         "HTTP/1.1 200 OK\r\n%sX-\x7fFiller: a\r\nContent-Length: 4\r\n\r\nbody",
+	"byte above 127":                              "HTTP/1.1 200 OK\r\n%sX-\xe4Filler: a\r\nContent-Length: 4\r\n\r\nbody",
+	"separator":                                   "HTTP/1.1 200 OK\r\n%sX(Filler): a\r\nContent-Length: 4\r\n\r\nbody",
+	"no name":                                     "HTTP/1.1 200 OK\r\n%s: a\r\nContent-Length: 4\r\n\r\nbody",
+	"no colon":                                    "HTTP/1.1 200 OK\r\n%sX-Filler\r\nContent-Length: 4\r\n\r\nbody",
+}
+
 // Texts returns the answers with these fields, in the order of their names.
 func Texts(answers map[string]Answer, fields string) []string {
 	texts := make([]string, 0, len(answers))
--- a/io/answer/broken_test.go
+++ b/io/answer/broken_test.go
@@ -94,6 +94,11 @@
 	checkInvalid(t, rawhttp.InvalidStatuses)
 }
 
+// TestAnswerWithAnInvalidFieldNameIsNone guards against calls that count as carried out because of an answer that is not HTTP.
+func TestAnswerWithAnInvalidFieldNameIsNone(t *testing.T) {
+	checkInvalid(t, rawhttp.InvalidNames)
+}
+
 // TestResetDuringALongCallDoesNotEndItsAnswer guards against a part of an answer that counts as the whole. Whether a read or a write is told
 // of the reset is a race.
 func TestResetDuringALongCallDoesNotEndItsAnswer(t *testing.T) {
--- a/io/answer/head.go
+++ b/io/answer/head.go
@@ -3,6 +3,9 @@
 import (
 	"fmt"
 	"net/http"
+	"strconv"
+
+	"cuminlift/core/pipeline"
 )
 
 const (
@@ -21,7 +24,8 @@
 	return fmt.Sprintf("the answer is not valid HTTP (%s): the request may have run; check the peer's version and health", e.Problem)
 }
 
-// CheckHead checks what net/http lets pass in the head of an answer. Its errors are of type *HeadError. The connection of an answer that is not
+// CheckHead checks what net/http lets pass in the head of an answer: numbers that are no status, and names of fields with blanks, which it keeps
+// as they are, so that "Content-Length : 5" frames nothing. Its errors are of type *HeadError. The connection of an answer that is not
 // valid must not be used again.
 func CheckHead(response *http.Response) error {
 	if response.StatusCode < minStatus || response.StatusCode > maxStatus {
@@ -29,9 +33,26 @@
 			Problem: fmt.Sprintf("status %03d", response.StatusCode),
 		}
 	}
+	for name := range response.Header {
+		if !pipeline.IsToken([]byte(name)) {
+			return &HeadError{
+				Problem: fmt.Sprintf("field name %s", quoteStart(name)),
+			}
+		}
+	}
 	return nil
 }
 
+// maxQuotedBytes bounds what an error quotes of a head.
+const maxQuotedBytes = 64
+
+func quoteStart(text string) string {
+	if len(text) > maxQuotedBytes {
+		text = text[:maxQuotedBytes] + "..."
+	}
+	return strconv.Quote(text)
+}
+
 // Do sends a request and returns the answer if its head is valid. The caller must close its body.
 func Do(client *http.Client, request *http.Request) (*http.Response, error) {
 	response, err := client.Do(request)
