io/answer: close the connection of an answer that is not valid, also if the answer has no body

An answer with an invalid head and no body gave its connection back before its head was checked: closing the body of such an answer does nothing in net/http. What came behind it was then read as the answer to the next grant, release, health check or call to the store, and the daemon's link to another instance was kept in the same way.

--- a/internal/daemon/forward.go
+++ b/internal/daemon/forward.go
@@ -26,9 +26,9 @@
 		f.retryElsewhere = true
 		return nil, f
 	}
-	connected := false
+	var conn net.Conn
 	traced := httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
-		GotConn: func(httptrace.GotConnInfo) { connected = true },
+		GotConn: func(info httptrace.GotConnInfo) { conn = info.Conn },
 	})
 	outgoing, err := http.NewRequestWithContext(traced, c.method, "https://"+home.GetForward()+c.uri, bytes.NewReader(c.body))
 	if err != nil {
@@ -38,12 +38,13 @@
 	c.setForwardHeader(outgoing.Header, zone)
 	response, err := d.peerTransport.RoundTrip(outgoing)
 	if err != nil {
-		return nil, d.forwardFailure(ctx, c, connected)
+		return nil, d.forwardFailure(ctx, c, conn != nil)
 	}
 	if err := answer.CheckHead(response); err != nil {
 		_ = response.Body.Close()
+		_ = conn.Close()
 		d.logs.For("caller").WithError(err).WithField("home", home.GetId()).WithField("request", c.id).Warn("another instance's answer is not valid")
-		return nil, d.forwardFailure(ctx, c, connected)
+		return nil, d.forwardFailure(ctx, c, true)
 	}
 	if f := parseRefusal(response); f != nil {
 		_, _ = io.Copy(io.Discard, io.LimitReader(response.Body, maxHeaderBytes))
--- a/internal/daemon/home.go
+++ b/internal/daemon/home.go
@@ -357,7 +357,7 @@
 		return a
 	}
 	if a.err = answer.CheckHead(a.response); a.err != nil {
-		conn.Close()
+		_ = conn.Close()
 		d.logs.For("home").WithError(a.err).WithField("upstream", a.upstream).WithField("request", c.id).Warn("upstream's answer is not valid")
 		return a
 	}
--- a/io/answer/broken_test.go
+++ b/io/answer/broken_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"io"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -12,6 +13,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"cuminlift/internal/standin/rawhttp"
+	"cuminlift/io/answer"
 	"cuminlift/io/operator"
 	"cuminlift/io/platform"
 	"cuminlift/io/upstream"
@@ -77,8 +79,8 @@
 		t.Run(name, func(t *testing.T) {
 			c := qt.New(t)
 			content := call.answer(c)
-			for name, answer := range answers {
-				server := serve(rawhttp.Handler(func(*http.Request) string { return answer.Carry("", content) }), call.secure)
+			for name, broken := range answers {
+				server := serve(rawhttp.Handler(func(*http.Request) string { return broken.Carry("", content) }), call.secure)
 				err := call.do(c.Context(), server, 1)
 				server.Close()
 				c.Check(err, qt.IsNotNil, qt.Commentf("%s", name))
@@ -99,6 +101,29 @@
 	checkInvalid(t, rawhttp.InvalidNames)
 }
 
+// TestConnectionOfAnInvalidAnswerIsNotUsedAgain guards against bytes behind an answer without a body that are read as the next one. The server
+// answers the second request on a connection properly.
+func TestConnectionOfAnInvalidAnswerIsNotUsedAgain(t *testing.T) {
+	c := qt.New(t)
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		conn, reader, err := w.(http.Hijacker).Hijack()
+		c.Check(err, qt.IsNil)
+		defer conn.Close()
+		_, _ = io.WriteString(conn, rawhttp.InvalidNames["blank within"].Carry("", ""))
+		if _, err := http.ReadRequest(reader.Reader); err == nil {
+			_, _ = io.WriteString(conn, rawhttp.Sound["length"].With(""))
+		}
+	}))
+	defer server.Close()
+	for range 3 {
+		request, err := http.NewRequestWithContext(c.Context(), http.MethodGet, server.URL, nil)
+		c.Assert(err, qt.IsNil)
+		_, err = answer.Do(server.Client(), request)
+		var invalid *answer.HeadError
+		c.Check(err, qt.ErrorAs, &invalid)
+	}
+}
+
 // TestResetDuringALongCallDoesNotEndItsAnswer guards against a part of an answer that counts as the whole. Whether a read or a write is told
 // of the reset is a race.
 func TestResetDuringALongCallDoesNotEndItsAnswer(t *testing.T) {
--- a/io/answer/head.go
+++ b/io/answer/head.go
@@ -2,7 +2,9 @@
 
 import (
 	"fmt"
+	"net"
 	"net/http"
+	"net/http/httptrace"
 	"strconv"
 
 	"cuminlift/core/pipeline"
@@ -55,12 +57,18 @@
 
 // Do sends a request and returns the answer if its head is valid. The caller must close its body.
 func Do(client *http.Client, request *http.Request) (*http.Response, error) {
-	response, err := client.Do(request)
+	var conn net.Conn
+	response, err := client.Do(request.WithContext(httptrace.WithClientTrace(request.Context(), &httptrace.ClientTrace{
+		GotConn: func(info httptrace.GotConnInfo) { conn = info.Conn },
+	})))
 	if err != nil {
 		return nil, err
 	}
 	if err := CheckHead(response); err != nil {
 		response.Body.Close()
+		if conn != nil {
+			conn.Close() // Closing the body of an answer without one keeps the connection for the next call.
+		}
 		return nil, err
 	}
 	return response, nil
