--- a/internal/gateway/broken_answers_test.go
+++ b/internal/gateway/broken_answers_test.go
@@ -228,3 +228,26 @@
 		}
 	}
 }
+
+// TestRequestsWithInvalidFieldNamesAreRejected covers the heads that callers send.
+func TestRequestsWithInvalidFieldNamesAreRejected(t *testing.T) {
+	for _, ahead := range []bool{false, true} {
+		t.Run(fmt.Sprint("read-ahead=", ahead), func(t *testing.T) {
+			c := qt.New(t)
+			if ahead {
+				withReadAhead(c)
+			}
+			k := newCluster(c, 1)
+			k.configureUploads()
+			u := k.upstream("p0", "plain", "z1")
+			address := k.instances["n0"].settings.FrontAddress
+			eventually(func() bool { return strings.HasPrefix(k.askRaw(address, "first", "", 0), "HTTP/1.1 200 ") })
+			arrived := len(u.Arrivals())
+			for _, line := range []string{"X Filler: a", "X-Filler : a", "Transfer-Encoding : chunked", "X-\x00Filler: a", "X-\x01Filler: a", "X-\x7fFiller: a", ": a", "X-Filler"} {
+				text := k.askRaw(address, "invalid", line+"\r\n", 0)
+				c.Check(strings.HasPrefix(text, "HTTP/1.1 400 "), qt.IsTrue, qt.Commentf("%q: %.400q", line, text))
+			}
+			c.Check(u.Arrivals(), qt.HasLen, arrived)
+		})
+	}
+}
